--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements with fixed seeds."""
--- /dev/null
+++ b/src/balsamway/balance/split.py
@@ -0,0 +1,16 @@
+"""A planned split of a slice, which keeps its owner."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from balsamway.slices import KeyRange
+
+
+@dataclass(frozen=True, slots=True)
+class Split:
+    """Cuts one slice in two or more."""
+
+    range: KeyRange
+    at: tuple[int, ...]
+    """The starts of the new slices after the first, in order."""
--- /dev/null
+++ b/src/balsamway/configuration/member_configuration.py
@@ -0,0 +1,41 @@
+"""The configuration of one member."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from balsamway.configuration.service import Service
+from balsamway.configuration.weights import Weights
+from balsamway.configuration.zone import Zone
+
+
+@dataclass(frozen=True, slots=True)
+class MemberConfiguration:
+    """All that the system is told of a member; one object in the store."""
+
+    member: str
+    version: int
+    """One more than the version it replaced; never goes back."""
+    change_id: str
+    """Drawn by the operator's command, to settle a lost answer."""
+    zones: tuple[Zone, ...]
+    services: tuple[Service, ...]
+    token_hashes: tuple[str, ...]
+    """SHA-256, in hexadecimal, of each token that callers may present."""
+    weights: Weights = field(default_factory=Weights)
+
+    @property
+    def object_name(self) -> str:
+        """The name of the member's configuration in the store."""
+        return f"configuration/{self.member}"
+
+    def service(self, name: str) -> Service | None:
+        """Finds a service.
+
+        Args:
+            name: The service's name.
+
+        Returns:
+            The service, or None where the member has none of this name.
+        """
+        return next((found for found in self.services if found.name == name), None)
--- /dev/null
+++ b/src/balsamway/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which entry hosts and servers are there: live, leaving or lost."""
--- /dev/null
+++ b/src/balsamway/ownership/__init__.py
@@ -0,0 +1,1 @@
+"""Leadership of shards, grants to servers, handover and recovery."""
--- /dev/null
+++ b/src/balsamway/ownership/messages/__init__.py
@@ -0,0 +1,31 @@
+"""Messages between leaders, witnesses and gateways."""
+
+from balsamway.ownership.messages.adopt_answer import AdoptAnswer
+from balsamway.ownership.messages.adopt_request import AdoptRequest
+from balsamway.ownership.messages.key_load import KeyLoad
+from balsamway.ownership.messages.leader_query import LeaderQuery
+from balsamway.ownership.messages.leader_query_answer import LeaderQueryAnswer
+from balsamway.ownership.messages.load_report import LoadReport
+from balsamway.ownership.messages.promise_answer import PromiseAnswer
+from balsamway.ownership.messages.promise_request import PromiseRequest
+from balsamway.ownership.messages.range_load import RangeLoad
+from balsamway.ownership.messages.view_answer import ViewAnswer
+from balsamway.ownership.messages.view_notice import ViewNotice
+from balsamway.ownership.messages.view_notice_answer import ViewNoticeAnswer
+from balsamway.ownership.messages.view_request import ViewRequest
+
+__all__ = [
+    "AdoptAnswer",
+    "AdoptRequest",
+    "KeyLoad",
+    "LeaderQuery",
+    "LeaderQueryAnswer",
+    "LoadReport",
+    "PromiseAnswer",
+    "PromiseRequest",
+    "RangeLoad",
+    "ViewAnswer",
+    "ViewNotice",
+    "ViewNoticeAnswer",
+    "ViewRequest",
+]
--- /dev/null
+++ b/src/balsamway/ownership/messages/leader_query.py
@@ -0,0 +1,16 @@
+"""Asks a witness whether it has a promise running for a shard."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from balsamway.peers.codec import message
+from balsamway.slices.shard_id import ShardId
+
+
+@message("leader-query")
+@dataclass(frozen=True, slots=True)
+class LeaderQuery:
+    """Asks a witness whether it has a promise running for a shard."""
+
+    shard: ShardId
--- /dev/null
+++ b/src/balsamway/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between the entry hosts, over streams of msgpack."""
--- /dev/null
+++ b/src/balsamway/platform/__init__.py
@@ -0,0 +1,27 @@
+"""The platform's object store and host list, as narrow interfaces."""
+
+from balsamway.platform.host import Host, HostRole, HostState
+from balsamway.platform.host_list import HostList
+from balsamway.platform.store import (
+    Absent,
+    Conflict,
+    Store,
+    StoredObject,
+    Unavailable,
+    WriteUnknown,
+    Written,
+)
+
+__all__ = [
+    "Absent",
+    "Conflict",
+    "Host",
+    "HostList",
+    "HostRole",
+    "HostState",
+    "Store",
+    "StoredObject",
+    "Unavailable",
+    "WriteUnknown",
+    "Written",
+]
--- /dev/null
+++ b/src/balsamway/servers/orders/granted_range.py
@@ -0,0 +1,15 @@
+"""A range that a server owns while its grant lasts."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from balsamway.slices import KeyRange
+
+
+@dataclass(frozen=True, slots=True)
+class GrantedRange:
+    """A range that a server owns while its grant lasts."""
+
+    range: KeyRange
+    epoch: int
--- /dev/null
+++ b/src/balsamway/servers/orders/order_refused.py
@@ -0,0 +1,14 @@
+"""The server refused an order as older than one that it had accepted."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class OrderRefused:
+    """The server refused an order as older than one that it had accepted."""
+
+    leader_epoch: int
+    """The highest leader epoch that the server has accepted."""
+    clock: float
--- /dev/null
+++ b/src/balsamway/servers/orders/server_state.py
@@ -0,0 +1,23 @@
+"""A server's answer to an order that it accepted."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from balsamway.servers.orders.granted_range import GrantedRange
+
+
+@dataclass(frozen=True, slots=True)
+class ServerState:
+    """A server's answer to an order that it accepted."""
+
+    clock: float
+    """The server's own clock, in seconds, when it answered."""
+    checks: bool
+    """Whether the server refuses orders and requests of older epochs."""
+    ranges: tuple[GrantedRange, ...]
+    """The ranges that it holds of the shard."""
+    valid_until: float
+    """The end of its grant by its own clock; at or before `clock`: lapsed."""
+    leaving: bool = False
+    """Whether the server has been asked to stop."""
--- /dev/null
+++ b/src/balsamway/servers/request.py
@@ -0,0 +1,28 @@
+"""One attempt of a request, as it is sent to a server."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from balsamway.slices import ShardId
+
+
+@dataclass(frozen=True, slots=True)
+class ServerRequest:
+    """What a server is told of a request."""
+
+    member: str
+    service: str
+    kind: str
+    request_id: str
+    key: str
+    timeout_seconds: float
+    """The time left to the caller's deadline when the attempt begins."""
+    body: bytes
+    content_type: str = "application/octet-stream"
+    shard: ShardId | None = None
+    """The shard of the key; None for a service without exclusive keys."""
+    epoch: int = 0
+    """The fencing token of the owner's grant."""
