Let a route say whether its owner checks epochs

A gateway bounds an attempt by the end of its view only where the owner does not refuse requests of older epochs itself. Unknown counts as not checking.

--- a/src/balsamway/ownership/route.py
+++ b/src/balsamway/ownership/route.py
@@ -23,6 +23,9 @@
     revision: int
     valid_until: float
     """The end of the gateway's view, by the runtime's clock."""
+    checks: bool = False
+    """Whether the owner is known to refuse requests of older epochs; one that
+    does not is sent nothing that could end after `valid_until`."""
 
 
 @dataclass(frozen=True, slots=True)
