Carry a request from its caller to a server and back

The listener checks the head and body, the gateway makes attempts on the shared or the exclusive path, each server admits by urgency and deadline, and the transport gives the verdict on each attempt.

--- /dev/null
+++ b/src/balsamway/gateway/__init__.py
@@ -0,0 +1,19 @@
+"""The way of a request from its caller to a server, and of its answer back."""
+
+from balsamway.gateway.caller_listener import CallerListener
+from balsamway.gateway.caller_request import CallerRequest
+from balsamway.gateway.gateway import Gateway
+from balsamway.gateway.gateway_limits import GatewayLimits
+from balsamway.gateway.load_recorder import LoadRecorder
+from balsamway.gateway.metrics import GatewayMetrics
+from balsamway.gateway.refusal import Refusal
+
+__all__ = [
+    "CallerListener",
+    "CallerRequest",
+    "Gateway",
+    "GatewayLimits",
+    "GatewayMetrics",
+    "LoadRecorder",
+    "Refusal",
+]
--- /dev/null
+++ b/src/balsamway/gateway/caller_request.py
@@ -0,0 +1,25 @@
+"""A request as a caller made it, checked."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from balsamway.configuration import MemberConfiguration, RequestKind, Service
+
+
+@dataclass(frozen=True, slots=True)
+class CallerRequest:
+    """A request as a caller made it, checked."""
+
+    member: MemberConfiguration
+    service: Service
+    kind: RequestKind
+    request_id: str
+    key: str
+    """Empty where the caller gave none."""
+    deadline: float
+    """When the caller stops waiting, by the runtime's clock."""
+    body: bytes
+    content_type: str = "application/octet-stream"
--- /dev/null
+++ b/src/balsamway/gateway/dispatcher.py
@@ -0,0 +1,81 @@
+"""Sends an admitted attempt to its server, and counts what became of it."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from balsamway.outcome import NotRun, Reason
+from balsamway.servers.request import ServerRequest
+
+if TYPE_CHECKING:
+    from balsamway.gateway.caller_request import CallerRequest
+    from balsamway.gateway.metrics import GatewayMetrics
+    from balsamway.gateway.server_state import ServerState
+    from balsamway.outcome import Verdict
+    from balsamway.ownership.route import Route
+    from balsamway.servers.transport import ServerTransport
+
+
+class Dispatcher:
+    """Sends admitted attempts to servers, and counts what became of them."""
+
+    def __init__(self, transport: ServerTransport, metrics: GatewayMetrics) -> None:
+        self._transport = transport
+        self._metrics = metrics
+
+    async def send(
+        self,
+        state: ServerState,
+        request: CallerRequest,
+        deadline: float,
+        route: Route | None = None,
+    ) -> Verdict:
+        """Sends an attempt that the server's admission let in, and ends it.
+
+        Args:
+            state: The server.
+            request: The request.
+            deadline: When the attempt must end, by the runtime's clock.
+            route: The route of the key; None without exclusive keys.
+
+        Returns:
+            What became of the attempt.
+        """
+        loop = asyncio.get_running_loop()
+        begin = loop.time()
+        try:
+            if deadline <= begin:
+                return NotRun(Reason.DEADLINE_EXCEEDED)
+            message = _message(request, deadline - begin, route)
+            self._metrics.in_flight.inc()
+            try:
+                verdict = await self._transport.send(state.host, message)
+            finally:
+                self._metrics.in_flight.dec()
+            self._observe(state, verdict, loop.time() - begin)
+            return verdict
+        finally:
+            state.admission.leave()
+
+    def _observe(self, state: ServerState, verdict: Verdict, seconds: float) -> None:
+        state.observe(verdict, seconds)
+        host = state.host
+        self._metrics.on_attempt(host.member, host.service, host.name, verdict, seconds)
+
+
+def _message(
+    request: CallerRequest, timeout_seconds: float, route: Route | None
+) -> ServerRequest:
+    return ServerRequest(
+        member=request.member.member,
+        service=request.service.name,
+        kind=request.kind.name,
+        request_id=request.request_id,
+        key=request.key,
+        timeout_seconds=timeout_seconds,
+        body=request.body,
+        content_type=request.content_type,
+        shard=route.shard if route else None,
+        epoch=route.epoch if route else 0,
+    )
--- /dev/null
+++ b/src/balsamway/gateway/exclusive_path.py
@@ -0,0 +1,131 @@
+"""The path to the server that owns a key."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import ExitStack
+from typing import TYPE_CHECKING
+
+from balsamway.gateway.admission import StillWaiting
+from balsamway.outcome import Completed, MayHaveRun, NotRun, Reason
+from balsamway.ownership.route import NoRoute
+from balsamway.slices import POSITION_END, ShardId, position_of
+
+if TYPE_CHECKING:
+    from balsamway.gateway.attempt import Attempt
+    from balsamway.gateway.caller_request import CallerRequest
+    from balsamway.gateway.dispatcher import Dispatcher
+    from balsamway.gateway.load_recorder import LoadRecorder
+    from balsamway.gateway.server_pool import ServerPool
+    from balsamway.gateway.server_state import ServerState
+    from balsamway.outcome import Verdict
+    from balsamway.ownership.route import Route
+    from balsamway.ownership.routes import Routes
+
+RECHECK_SECONDS = 0.05
+"""How long a request waits for an owner before its route is found anew."""
+
+_ROUTE_REFUSED = frozenset(
+    {Reason.WRONG_EPOCH, Reason.GRANT_LAPSED, Reason.SERVER_DRAINING}
+)
+
+
+class ExclusivePath:
+    """The path to the server that owns a key."""
+
+    def __init__(
+        self,
+        pool: ServerPool,
+        routes: Routes,
+        dispatcher: Dispatcher,
+        recorder: LoadRecorder,
+    ) -> None:
+        self._pool = pool
+        self._routes = routes
+        self._dispatcher = dispatcher
+        self._recorder = recorder
+
+    async def attempt(self, attempt: Attempt) -> Verdict:
+        """Makes one attempt at the owner of the request's key.
+
+        A hedge waits until the key has an owner that was not tried.
+
+        Args:
+            attempt: The attempt.
+
+        Returns:
+            What became of it.
+        """
+        request = attempt.request
+        position = position_of(request.key)
+        shard = _shard_of(request, position)
+        while True:
+            route = await self._routes.find(shard, position, request.deadline)
+            if isinstance(route, NoRoute):
+                return NotRun(route.reason, retry_after_seconds=1.0)
+            if attempt.is_hedge and attempt.was_tried(route.owner):
+                await asyncio.sleep(RECHECK_SECONDS)
+                continue
+            host = self._pool.find(route.owner)
+            if host is None:
+                return NotRun(Reason.NO_OWNER, "the owner is not listed", 1.0)
+            state = self._pool.state(host, request.service)
+            until = asyncio.get_running_loop().time() + RECHECK_SECONDS
+            admitted = await state.admission.enter(
+                request.kind.urgency, request.deadline, until
+            )
+            match admitted:
+                case NotRun():
+                    return admitted
+                case StillWaiting():
+                    continue
+            verdict = await self._send(state, attempt, route)
+            self._learn(verdict, route)
+            return verdict
+
+    async def _send(
+        self, state: ServerState, attempt: Attempt, route: Route
+    ) -> Verdict:
+        """Sends an admitted attempt, counted as in flight by its route.
+
+        What may still run at the server stays counted until its deadline, by
+        which the server has ended it.
+        """
+        request = attempt.request
+        deadline = request.deadline
+        if not route.checks:
+            deadline = min(deadline, route.valid_until)
+        stack = ExitStack()
+        if not stack.enter_context(self._routes.attempt(route)):
+            stack.close()
+            state.admission.leave()
+            return NotRun(Reason.VIEW_LAPSED)
+        if not attempt.begin(state.name):
+            stack.close()
+            state.admission.leave()
+            return NotRun(Reason.OVERLOADED, "no budget for a hedge")
+        loop = asyncio.get_running_loop()
+        begin = loop.time()
+        try:
+            verdict = await self._dispatcher.send(state, request, deadline, route)
+        except BaseException:
+            loop.call_at(deadline, stack.close)
+            raise
+        if isinstance(verdict, MayHaveRun):
+            loop.call_at(deadline, stack.close)
+        else:
+            stack.close()
+        if isinstance(verdict, Completed):
+            self._recorder.record(
+                route.shard, position_of(request.key), loop.time() - begin
+            )
+        return verdict
+
+    def _learn(self, verdict: Verdict, route: Route) -> None:
+        if isinstance(verdict, NotRun) and verdict.reason in _ROUTE_REFUSED:
+            self._routes.refused(route)
+
+
+def _shard_of(request: CallerRequest, position: int) -> ShardId:
+    index = position * request.service.shards // POSITION_END
+    return ShardId(request.member.member, request.service.name, index)
--- /dev/null
+++ b/src/balsamway/gateway/least_in_flight.py
@@ -0,0 +1,32 @@
+"""Chooses the server with the fewest requests of this gateway."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Sequence
+
+    from balsamway.gateway.server_state import ServerState
+
+
+class LeastInFlight:
+    """Chooses the server with the fewest requests; any one among equals."""
+
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
+
+    def choose(self, candidates: Sequence[ServerState]) -> ServerState:
+        """Chooses a server with the fewest requests in flight or waiting.
+
+        Args:
+            candidates: The servers that may be used; at least one.
+
+        Returns:
+            The server to send to.
+        """
+        least = min(candidate.load for candidate in candidates)
+        return self._rng.choice(
+            [candidate for candidate in candidates if candidate.load == least]
+        )
--- /dev/null
+++ b/src/balsamway/gateway/server_state.py
@@ -0,0 +1,151 @@
+"""What this gateway has seen of one server."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from balsamway.gateway.admission import Admission
+from balsamway.gateway.concurrency_limit import ConcurrencyLimit
+from balsamway.outcome import Completed, MayHaveRun, NotRun, Reason
+
+if TYPE_CHECKING:
+    from balsamway.outcome import Verdict
+    from balsamway.platform import Host
+
+LATENCY_WEIGHT = 0.1
+"""The weight of the newest answer in the average latency."""
+RAMP_SECONDS = 5.0
+"""How long a server that joined is given less than its share."""
+RAMP_START = 0.1
+SHED_PAUSE_SECONDS = 0.002
+SHED_PAUSE_AT_MOST_SECONDS = 0.1
+FAILURES_TO_EJECT = 3
+
+
+class ServerState:
+    """What this gateway has seen of one server; it outweighs reports."""
+
+    def __init__(self, host: Host, ceiling: int, joined_at: float) -> None:
+        """Makes the state of a server that nothing was sent to.
+
+        Args:
+            host: The server.
+            ceiling: This gateway's share of the server's connections.
+            joined_at: When the server joined, by the runtime's clock; minus
+                infinity for one that was there before this gateway.
+        """
+        self.host = host
+        self.limit = ConcurrencyLimit(ceiling)
+        self.admission = Admission(self.limit, lambda: self._latency)
+        self.ejected_until = 0.0
+        self.ejections = 0
+        self._joined_at = joined_at
+        self._latency = 0.0
+        self._busy_seconds = 0.0
+        self._failures = 0
+        self._sheds = 0
+        self._last_reason = ""
+
+    @property
+    def name(self) -> str:
+        """The server's name."""
+        return self.host.name
+
+    @property
+    def latency(self) -> float:
+        """The moving average of the time to an answer, in seconds."""
+        return self._latency
+
+    @property
+    def load(self) -> int:
+        """How many requests are in flight or wait."""
+        return self.admission.in_flight + self.admission.waiting
+
+    @property
+    def is_failing(self) -> bool:
+        """Whether the last attempts have all failed."""
+        return self._failures >= FAILURES_TO_EJECT
+
+    def ramp(self, now: float) -> float:
+        """Tells what part of its share a server is given.
+
+        Args:
+            now: The runtime's clock.
+
+        Returns:
+            From `RAMP_START` for one that has just joined up to 1.
+        """
+        return min(1.0, max(RAMP_START, (now - self._joined_at) / RAMP_SECONDS))
+
+    def observe(self, verdict: Verdict, seconds: float) -> None:
+        """Counts an attempt that has ended.
+
+        Args:
+            verdict: What became of it.
+            seconds: The time from sending to its end.
+        """
+        now = asyncio.get_running_loop().time()
+        match verdict:
+            case Completed():
+                self._observe_answer(seconds, now)
+            case NotRun(reason=Reason.SERVER_SHED):
+                self._observe_shed(now)
+            case NotRun(reason=Reason.CONNECT_FAILED) as failed:
+                self._observe_failure(failed.reason)
+                self._pause()
+            case MayHaveRun(reason=reason):
+                self._observe_failure(reason)
+            case NotRun(reason=reason):
+                self._last_reason = reason
+
+    def eject(self, until: float) -> None:
+        """Leaves the server out for a while, after which it joins anew.
+
+        Args:
+            until: When it joins, by the runtime's clock.
+        """
+        self.ejected_until = until
+        self.ejections += 1
+        self._joined_at = until
+        self._failures = 0
+        self._latency = 0.0
+
+    def dump(self) -> dict[str, object]:
+        """Gives the state for the state dump."""
+        return {
+            "server": self.name,
+            "zone": self.host.zone,
+            "state": self.host.state,
+            "latency_seconds": self._latency,
+            "busy_seconds": self._busy_seconds,
+            "failures": self._failures,
+            "ejected_until": self.ejected_until,
+            "last_reason": self._last_reason,
+            **self.admission.dump(),
+        }
+
+    def _observe_answer(self, seconds: float, now: float) -> None:
+        self._failures = 0
+        self._sheds = 0
+        self.ejections = 0
+        self._busy_seconds += seconds
+        if self._latency:
+            self._latency += LATENCY_WEIGHT * (seconds - self._latency)
+        else:
+            self._latency = seconds
+        self.limit.on_answer(seconds, self._latency, self.admission.in_flight, now)
+
+    def _observe_shed(self, now: float) -> None:
+        self._last_reason = Reason.SERVER_SHED
+        self.limit.on_shed(self._latency, now)
+        self._pause()
+
+    def _observe_failure(self, reason: Reason) -> None:
+        self._last_reason = reason
+        self._failures += 1
+
+    def _pause(self) -> None:
+        seconds = SHED_PAUSE_SECONDS * 2 ** min(self._sheds, 16)
+        self._sheds += 1
+        self.admission.pause(min(SHED_PAUSE_AT_MOST_SECONDS, seconds))
--- /dev/null
+++ b/src/balsamway/gateway/status.py
@@ -0,0 +1,41 @@
+"""The HTTP status that goes with a verdict."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from balsamway.outcome import Completed, MayHaveRun, NotRun, Reason
+
+if TYPE_CHECKING:
+    from balsamway.outcome import Verdict
+
+_NOT_RUN_STATUSES = {
+    Reason.BAD_REQUEST: 400,
+    Reason.UNAUTHORIZED: 401,
+    Reason.UNKNOWN_SERVICE: 404,
+    Reason.UNKNOWN_KIND: 404,
+    Reason.BODY_TOO_LARGE: 413,
+    Reason.TOO_MANY_REQUESTS: 429,
+    Reason.HEADERS_TOO_LARGE: 431,
+    Reason.DEADLINE_EXCEEDED: 504,
+}
+
+
+def status_of(verdict: Verdict) -> int:
+    """Gives the HTTP status that a caller receives.
+
+    Args:
+        verdict: The verdict on the request.
+
+    Returns:
+        The server's own status for a completed request; else 400 to 504.
+    """
+    match verdict:
+        case Completed(status=status):
+            return status
+        case NotRun(reason=reason):
+            return _NOT_RUN_STATUSES.get(reason, 503)
+        case MayHaveRun(reason=Reason.DEADLINE_EXCEEDED):
+            return 504
+        case MayHaveRun():
+            return 502
--- /dev/null
+++ b/src/balsamway/gateway/subset.py
@@ -0,0 +1,47 @@
+"""Shares the connections of a server among the gateways."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import xxhash
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from balsamway.configuration import Service
+
+RESERVED_CONNECTIONS = 2
+"""Connections that each shard's leader has to a server."""
+
+
+def connection_share(
+    service: Service, server: str, gateway: str, gateways: Iterable[str]
+) -> int:
+    """Tells how many connections a gateway may have to a server.
+
+    The equal share holds for any set of gateways up to the most that the
+    service allows, so gateways that come and go never exceed what the server
+    accepts. Where there are more gateways than connections, each server has
+    its own subset of gateways, which connect once.
+
+    Args:
+        service: The service of the server.
+        server: The server's name.
+        gateway: The gateway's host name.
+        gateways: The host names of all gateways, this one included.
+
+    Returns:
+        The most connections, 0 where the gateway is not in the subset.
+    """
+    reserved = RESERVED_CONNECTIONS * (service.shards if service.exclusive_keys else 0)
+    available = max(0, service.connections - reserved)
+    share = available // service.gateways_at_most
+    if share:
+        return share
+    ranked = sorted(gateways, key=lambda name: _rank(server, name))
+    return int(gateway in ranked[:available])
+
+
+def _rank(server: str, gateway: str) -> int:
+    return xxhash.xxh64_intdigest(f"{server}/{gateway}".encode())
--- /dev/null
+++ b/src/balsamway/servers/header_names.py
@@ -0,0 +1,14 @@
+"""Names of the headers between callers, gateways and servers."""
+
+from __future__ import annotations
+
+AUTHORIZATION = "Authorization"
+EPOCH = "Balsamway-Epoch"
+KEY = "Balsamway-Key"
+MEMBER = "Balsamway-Member"
+REASON = "Balsamway-Reason"
+REQUEST_ID = "Balsamway-Request-Id"
+RETRY_AFTER = "Retry-After"
+SHARD = "Balsamway-Shard"
+TIMEOUT_MS = "Balsamway-Timeout-Ms"
+VERDICT = "Balsamway-Verdict"
--- /dev/null
+++ b/tests/fakes/gateway_directory.py
@@ -0,0 +1,31 @@
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from balsamway.platform import Host, HostRole
+
+
+@dataclass
+class GatewayDirectory:
+    hosts: tuple[Host, ...] = ()
+    gateways: tuple[str, ...] = ("g1",)
+
+    def servers(self, member, service):
+        return self.hosts
+
+    def server(self, name):
+        return next((host for host in self.hosts if host.name == name), None)
+
+    def entry_hosts(self):
+        return tuple(
+            Host(name, HostRole.ENTRY, "a", "127.0.0.1:1") for name in self.gateways
+        )
+
+    def live_witnesses(self):
+        return ()
+
+    def leader_of(self, shard):
+        return None
+
+    def mark_leaving(self, server):
+        pass
--- /dev/null
+++ b/tests/fakes/gateway_path.py
@@ -0,0 +1,87 @@
+"""The whole request path of one gateway, over fakes."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+import aiohttp
+from prometheus_client import CollectorRegistry
+
+from balsamway.gateway import CallerListener, Gateway, GatewayLimits, GatewayMetrics
+from balsamway.gateway.server_pool import ServerPool
+from balsamway.servers.http_transport import HttpTransport
+from tests.fakes.gateway_configurations import TOKEN, GatewayConfigurations
+from tests.fakes.gateway_directory import GatewayDirectory
+from tests.fakes.gateway_recorder import GatewayRecorder
+from tests.fakes.gateway_routes import GatewayRoutes
+from tests.fakes.gateway_server import GatewayServer
+
+
+@dataclass(frozen=True)
+class CallerAnswer:
+    status: int
+    headers: Mapping[str, str]
+    body: bytes
+
+    @property
+    def verdict(self) -> str:
+        return self.headers["Balsamway-Verdict"]
+
+    @property
+    def reason(self) -> str:
+        return self.headers["Balsamway-Reason"]
+
+
+@dataclass
+class GatewayPath:
+    limits: GatewayLimits = field(default_factory=GatewayLimits)
+    configurations: GatewayConfigurations = field(default_factory=GatewayConfigurations)
+    directory: GatewayDirectory = field(default_factory=GatewayDirectory)
+    routes: GatewayRoutes = field(default_factory=GatewayRoutes)
+    recorder: GatewayRecorder = field(default_factory=GatewayRecorder)
+    registry: CollectorRegistry = field(default_factory=CollectorRegistry)
+    servers: list[GatewayServer] = field(default_factory=list)
+
+    async def start(self) -> GatewayPath:
+        metrics = GatewayMetrics(self.registry)
+        self.pool = ServerPool("g1", self.directory, self.configurations)
+        self.transport = HttpTransport(self.pool.connection_limit, metrics.on_open)
+        self.gateway = Gateway(
+            self.pool,
+            self.routes,
+            self.transport,
+            self.recorder,
+            metrics,
+            "a",
+            random.Random(1),
+        )
+        self.listener = CallerListener(
+            "127.0.0.1:0", self.gateway, self.configurations, metrics, self.limits
+        )
+        await self.listener.start()
+        self.caller = aiohttp.ClientSession()
+        return self
+
+    async def add_server(self, **options) -> GatewayServer:
+        server = await GatewayServer(**options).start()
+        self.servers.append(server)
+        self.directory.hosts = (*self.directory.hosts, server.host)
+        return server
+
+    async def stop(self) -> None:
+        await self.caller.close()
+        await self.listener.stop()
+        await self.transport.close()
+        for server in self.servers:
+            await server.stop()
+
+    async def post(self, path="/v1/prices/lookup", body=b"", **headers):
+        """Makes one request; `Balsamway_Key` stands for `Balsamway-Key`."""
+        sent = {"Authorization": f"Bearer {TOKEN}"}
+        sent.update({name.replace("_", "-"): text for name, text in headers.items()})
+        url = f"http://{self.listener.address}{path}"
+        async with self.caller.post(url, data=body, headers=sent) as response:
+            body = await response.read()
+            return CallerAnswer(response.status, response.headers, body)
--- /dev/null
+++ b/tests/fakes/gateway_server.py
@@ -0,0 +1,145 @@
+"""A server that does to each request what a test told it to."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+from aiohttp import web
+
+from balsamway.platform import Host, HostRole
+from balsamway.servers import header_names
+
+Behaviour = Callable[["GatewayServer", web.Request], Awaitable[web.StreamResponse]]
+
+
+@dataclass
+class GatewayServer:
+    """Runs requests, or fails them in the way that comes next."""
+
+    name: str = "s1"
+    service: str = "prices"
+    zone: str = "a"
+    behaviours: deque[Behaviour] = field(default_factory=deque)
+    otherwise: Behaviour | None = None
+    received: list[str] = field(default_factory=list)
+    ran: list[str] = field(default_factory=list)
+    cancelled: list[str] = field(default_factory=list)
+    cancel_outcome: str = "unknown"
+    seen: list[dict[str, str]] = field(default_factory=list)
+    connections: set[asyncio.Transport] = field(default_factory=set)
+    address: str = ""
+    runner: web.AppRunner | None = None
+
+    async def start(self) -> GatewayServer:
+        app = web.Application(client_max_size=2**24)
+        app.router.add_post("/requests/{service}/{kind}", self.on_request)
+        app.router.add_delete("/requests/{request_id}", self.on_cancel)
+        app.router.add_get("/health", self.on_health)
+        self.runner = web.AppRunner(app, handler_cancellation=True, shutdown_timeout=0)
+        await self.runner.setup()
+        await web.TCPSite(self.runner, "127.0.0.1", 0).start()
+        ip, port = self.runner.addresses[0][:2]
+        self.address = f"{ip}:{port}"
+        return self
+
+    async def stop(self) -> None:
+        await self.runner.cleanup()
+
+    @property
+    def host(self) -> Host:
+        return Host(
+            self.name, HostRole.SERVER, self.zone, self.address, "lids", self.service
+        )
+
+    async def on_request(self, request: web.Request) -> web.StreamResponse:
+        self.connections.add(request.transport)
+        self.received.append(request.headers[header_names.REQUEST_ID])
+        self.seen.append(dict(request.headers))
+        behaviour = self.otherwise or run
+        if self.behaviours:
+            behaviour = self.behaviours.popleft()
+        return await behaviour(self, request)
+
+    async def on_cancel(self, request: web.Request) -> web.Response:
+        self.cancelled.append(request.match_info["request_id"])
+        return web.json_response({"outcome": self.cancel_outcome})
+
+    async def on_health(self, request: web.Request) -> web.Response:
+        self.connections.add(request.transport)
+        return web.json_response({"state": "ready", "load": 0.0})
+
+
+def answer(
+    request: web.Request, verdict: str = "completed", **more: str
+) -> dict[str, str]:
+    return {
+        header_names.REQUEST_ID: request.headers[header_names.REQUEST_ID],
+        header_names.VERDICT: verdict,
+        **more,
+    }
+
+
+async def run(server: GatewayServer, request: web.Request) -> web.Response:
+    body = await request.read()
+    server.ran.append(request.headers[header_names.REQUEST_ID])
+    return web.Response(body=b"ran " + body, headers=answer(request))
+
+
+def run_for(seconds: float) -> Behaviour:
+    async def behaviour(server: GatewayServer, request: web.Request) -> web.Response:
+        await asyncio.sleep(seconds)
+        return await run(server, request)
+
+    return behaviour
+
+
+def refuse(reason: str) -> Behaviour:
+    async def behaviour(server: GatewayServer, request: web.Request) -> web.Response:
+        headers = answer(request, "not-run")
+        headers[header_names.REASON] = reason
+        return web.Response(status=503, headers=headers)
+
+    return behaviour
+
+
+async def run_and_lose(server: GatewayServer, request: web.Request) -> web.Response:
+    await run(server, request)
+    request.transport.abort()
+    await asyncio.sleep(3600)
+    raise AssertionError
+
+
+async def run_and_cut(
+    server: GatewayServer, request: web.Request
+) -> web.StreamResponse:
+    await run(server, request)
+    response = web.StreamResponse(headers=answer(request))
+    response.content_length = 100
+    await response.prepare(request)
+    await response.write(b"half")
+    request.transport.close()
+    return response
+
+
+async def run_and_swap(server: GatewayServer, request: web.Request) -> web.Response:
+    response = await run(server, request)
+    response.headers[header_names.REQUEST_ID] = "another"
+    return response
+
+
+async def run_and_close(server: GatewayServer, request: web.Request) -> web.Response:
+    """Answers in a way that keeps the connection, then closes it."""
+    response = await run(server, request)
+    asyncio.get_running_loop().call_soon(request.transport.close)
+    return response
+
+
+async def run_without_verdict(
+    server: GatewayServer, request: web.Request
+) -> web.Response:
+    response = await run(server, request)
+    del response.headers[header_names.VERDICT]
+    return response
--- /dev/null
+++ b/tests/test_gateway_path.py
@@ -0,0 +1,36 @@
+from __future__ import annotations
+
+import pytest
+
+from tests.fakes.gateway_path import GatewayPath
+
+
+@pytest.fixture
+async def path():
+    path = await GatewayPath().start()
+    yield path
+    await path.stop()
+
+
+async def test_a_request_without_an_owner_is_answered(path):
+    server = await path.add_server()
+    response = await path.post(body=b"lid 7", Balsamway_Request_Id="r1")
+    assert response.status == 200
+    assert response.body == b"ran lid 7"
+    assert response.verdict == "completed"
+    assert response.headers["Balsamway-Request-Id"] == "r1"
+    assert server.ran == ["r1"]
+
+
+async def test_a_request_with_a_key_goes_to_its_owner_with_the_token(path):
+    await path.add_server(name="s1")
+    owner = await path.add_server(name="s2", service="stock")
+    path.routes.owner = "s2"
+    response = await path.post("/v1/stock/order", Balsamway_Key="lid-7")
+    assert response.verdict == "completed"
+    seen = owner.seen[0]
+    assert seen["Balsamway-Epoch"] == "7"
+    assert seen["Balsamway-Key"] == "lid-7"
+    assert seen["Balsamway-Shard"].startswith("lids/stock/")
+    assert path.routes.in_flight == 0
+    assert len(path.recorder.records) == 1
