--- /dev/null
+++ b/src/balsamway/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon of an entry host."""
--- /dev/null
+++ b/src/balsamway/membership/membership_service.py
@@ -0,0 +1,292 @@
+"""Keeps the directory of hosts, by the host list and by heartbeats."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import TYPE_CHECKING
+
+import mode
+
+from balsamway.membership.heartbeat import Heartbeat
+from balsamway.membership.hosts_answer import HostsAnswer
+from balsamway.membership.hosts_query import HostsQuery
+from balsamway.membership.peer_state import PeerState
+from balsamway.membership.server_table import ServerTable
+from balsamway.platform import Host, HostRole, HostState, Unavailable
+from balsamway.slices.witness import Witness
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable
+
+    from balsamway.membership.leadership_claim import LeadershipClaim
+    from balsamway.peers.peers import Peers
+    from balsamway.platform import HostList
+    from balsamway.slices.shard_id import ShardId
+
+HEARTBEAT_SECONDS = 0.3
+LIVE_SECONDS = 1.2
+HOST_LIST_SECONDS = 1.0
+HOST_LIST_JITTER_SECONDS = 0.3
+PEER_COPY_AFTER_SECONDS = 3.0
+PEER_COPY_TIMEOUT_SECONDS = 0.5
+PEER_FORGOTTEN_SECONDS = 60.0
+
+logger = logging.getLogger(__name__)
+
+
+class MembershipService(mode.Service):
+    """Implements `Directory`."""
+
+    def __init__(
+        self,
+        host: Host,
+        incarnation: int,
+        host_list: HostList,
+        seeds: tuple[Host, ...],
+        rng: random.Random,
+    ) -> None:
+        """Prepares the directory.
+
+        Args:
+            host: This host, as peers shall know it.
+            incarnation: The number of this run of the daemon.
+            host_list: The platform's list.
+            seeds: Entry hosts named in the settings, for a start while the
+                platform is away.
+            rng: Spreads the calls.
+        """
+        super().__init__()
+        self._host = host
+        self._incarnation = incarnation
+        self._host_list = host_list
+        self._rng = rng
+        self._seeds = {seed.name: seed for seed in seeds}
+        self._listed: dict[str, Host] = {}
+        self._listed_at: float | None = None
+        self._states: dict[str, PeerState] = {}
+        self._servers = ServerTable()
+        self._stopping = False
+        self._peers: Peers | None = None
+        self._leads: Callable[[], tuple[LeadershipClaim, ...]] = tuple
+
+    @property
+    def host(self) -> Host:
+        """This host."""
+        return self._host
+
+    @property
+    def incarnation(self) -> int:
+        """The number of this run of the daemon."""
+        return self._incarnation
+
+    def connect(self, peers: Peers) -> None:
+        """Sets the peers, and the handlers for what they send.
+
+        Args:
+            peers: The streams to the other entry hosts.
+        """
+        self._peers = peers
+        peers.handle(Heartbeat, self._on_heartbeat)
+        peers.handle(HostsQuery, self._on_hosts_query)
+
+    def announce(self, leads: Callable[[], tuple[LeadershipClaim, ...]]) -> None:
+        """Sets where heartbeats take this host's leaderships from.
+
+        Args:
+            leads: Gives the shards led, with their epochs.
+        """
+        self._leads = leads
+
+    def announce_stopping(self) -> None:
+        """Tells peers from now on that this daemon is about to stop."""
+        self._stopping = True
+        self._send_heartbeats()
+
+    def rename(self, host: Host) -> None:
+        """Replaces what peers are told of this host.
+
+        Args:
+            host: This host, once its listeners are bound.
+        """
+        self._host = host
+
+    def servers(self, member: str, service: str) -> tuple[Host, ...]:
+        """Lists the servers of a service; see `Directory`."""
+        return self._servers.of_service(member, service, _now())
+
+    def server(self, name: str) -> Host | None:
+        """Finds a server by name; see `Directory`."""
+        return self._servers.find(name, _now())
+
+    def all_servers(self) -> tuple[Host, ...]:
+        """Lists the servers of every service, in the order of their names."""
+        return self._servers.all(_now())
+
+    def entry_hosts(self) -> tuple[Host, ...]:
+        """Lists the entry hosts; see `Directory`."""
+        known = dict(self._seeds)
+        known.update(self._listed_entry_hosts())
+        for state in self._states.values():
+            known[state.heartbeat.host.name] = state.heartbeat.host
+        known[self._host.name] = self._host
+        return tuple(known[name] for name in sorted(known))
+
+    def live_witnesses(self) -> tuple[Witness, ...]:
+        """Lists the daemons heard from lately; see `Directory`."""
+        live = {self._host.name: Witness(self._host.name, self._incarnation)}
+        for name, state in self._states.items():
+            if self._is_live(state):
+                live[name] = Witness(name, state.heartbeat.incarnation)
+        return tuple(live[name] for name in sorted(live))
+
+    def leader_of(self, shard: ShardId) -> str | None:
+        """Names the host that claims a shard; see `Directory`."""
+        claims = [
+            (claim.epoch, state.heartbeat.host.name)
+            for state in self._states.values()
+            if self._is_live(state)
+            for claim in state.heartbeat.leads
+            if claim.shard == shard
+        ]
+        claims.extend(
+            (claim.epoch, self._host.name)
+            for claim in self._leads()
+            if claim.shard == shard
+        )
+        return max(claims)[1] if claims else None
+
+    def mark_leaving(self, server: str) -> None:
+        """Records that a server is leaving; see `Directory`."""
+        self._servers.mark_leaving(server, _now())
+
+    def address_of(self, name: str) -> str | None:
+        """Gives the address of an entry host's peer listener.
+
+        Args:
+            name: The host's name.
+
+        Returns:
+            The `ip:port`, or None for a host that is not known.
+        """
+        state = self._states.get(name)
+        if state is not None and self._is_live(state):
+            return state.heartbeat.host.address
+        found = self._listed.get(name) or self._seeds.get(name)
+        return found.address if found is not None else None
+
+    def dump(self) -> dict[str, object]:
+        """Describes the directory for the state dump."""
+        now = _now()
+        return {
+            "host": self._host.name,
+            "incarnation": self._incarnation,
+            "host_list_age_seconds": self._list_age(),
+            "entry_hosts": {
+                name: {
+                    "zone": state.heartbeat.host.zone,
+                    "incarnation": state.heartbeat.incarnation,
+                    "silent_seconds": round(now - state.heard_at, 3),
+                    "stopping": state.heartbeat.stopping,
+                    "leads": [str(claim.shard) for claim in state.heartbeat.leads],
+                }
+                for name, state in sorted(self._states.items())
+            },
+            "servers": self._servers.dump(now),
+        }
+
+    @mode.Service.task
+    async def _beat(self) -> None:
+        while not self.should_stop:
+            self._send_heartbeats()
+            self._forget_lost_peers()
+            await self.sleep(HEARTBEAT_SECONDS)
+
+    @mode.Service.task
+    async def _follow_host_list(self) -> None:
+        while not self.should_stop:
+            await self._read_host_list()
+            if self._list_age() > PEER_COPY_AFTER_SECONDS:
+                await self._copy_from_peer()
+            jitter = HOST_LIST_JITTER_SECONDS * self._rng.random()
+            await self.sleep(HOST_LIST_SECONDS + jitter)
+
+    async def _read_host_list(self) -> None:
+        match await self._host_list.hosts():
+            case Unavailable(reason=reason):
+                logger.warning("host list unavailable", extra={"reason": reason})
+            case hosts:
+                self._adopt(hosts, 0.0)
+
+    async def _copy_from_peer(self) -> None:
+        peers = [host.name for host in self.entry_hosts() if host != self._host]
+        if self._peers is None or not peers:
+            return
+        answer = await self._peers.call(
+            self._rng.choice(peers), HostsQuery(), PEER_COPY_TIMEOUT_SECONDS
+        )
+        match answer:
+            case HostsAnswer(hosts=hosts, age_seconds=age):
+                if age < self._list_age():
+                    self._adopt(hosts, age)
+            case _:
+                return
+
+    def _adopt(self, hosts: tuple[Host, ...], age_seconds: float) -> None:
+        now = _now()
+        self._listed = {host.name: host for host in hosts}
+        self._listed_at = now - age_seconds
+        servers = [host for host in hosts if host.role is HostRole.SERVER]
+        self._servers.adopt(tuple(servers), now)
+
+    def _listed_entry_hosts(self) -> dict[str, Host]:
+        return {
+            name: host
+            for name, host in self._listed.items()
+            if host.role is HostRole.ENTRY and host.state is HostState.LIVE
+        }
+
+    def _list_age(self) -> float:
+        if self._listed_at is None:
+            return float("inf")
+        return _now() - self._listed_at
+
+    def _is_live(self, state: PeerState) -> bool:
+        now = _now()
+        return now - state.heard_at < LIVE_SECONDS and not state.heartbeat.stopping
+
+    def _send_heartbeats(self) -> None:
+        if self._peers is None:
+            return
+        beat = Heartbeat(
+            self._host,
+            self._incarnation,
+            self._leads(),
+            self._servers.seen_leaving(_now()),
+            self._stopping,
+        )
+        for host in self.entry_hosts():
+            if host.name != self._host.name:
+                self._peers.send(host.name, beat)
+
+    def _forget_lost_peers(self) -> None:
+        now = _now()
+        for name, state in list(self._states.items()):
+            if now - state.heard_at > PEER_FORGOTTEN_SECONDS:
+                del self._states[name]
+
+    async def _on_heartbeat(self, sender: str, beat: Heartbeat) -> None:
+        if sender != beat.host.name:
+            return
+        now = _now()
+        self._states[sender] = PeerState(beat, now)
+        for server in beat.leaving_servers:
+            self._servers.hear_leaving(server, now)
+
+    async def _on_hosts_query(self, sender: str, query: HostsQuery) -> HostsAnswer:
+        return HostsAnswer(tuple(self._listed.values()), min(self._list_age(), 1e9))
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- /dev/null
+++ b/src/balsamway/membership/server_health.py
@@ -0,0 +1,15 @@
+"""What a server says of itself."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class ServerHealth:
+    """A server's own report; it lags and misleads."""
+
+    state: str
+    load: float = 0.0
+    in_flight: int = 0
+    connections: int = 0
--- /dev/null
+++ b/src/balsamway/membership/server_table.py
@@ -0,0 +1,124 @@
+"""The servers that the host list names, and what they said themselves."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+from balsamway.platform.host import HostState
+
+if TYPE_CHECKING:
+    from balsamway.platform.host import Host
+
+KEPT_AFTER_DEPARTURE_SECONDS = 120.0
+LEAVING_MARK_SECONDS = 3.0
+
+
+class ServerTable:
+    """Finds servers by name and by service."""
+
+    def __init__(self) -> None:
+        self._listed: dict[str, Host] = {}
+        self._departed: dict[str, tuple[Host, float]] = {}
+        self._seen_leaving: dict[str, float] = {}
+        self._heard_leaving: dict[str, float] = {}
+
+    def seen_leaving(self, now: float) -> tuple[str, ...]:
+        """Lists the servers that told this host lately that they leave.
+
+        Args:
+            now: The runtime's clock, in seconds.
+
+        Returns:
+            Their names, in order.
+        """
+        recent = now - LEAVING_MARK_SECONDS
+        return tuple(
+            name for name, at in sorted(self._seen_leaving.items()) if at > recent
+        )
+
+    def adopt(self, servers: tuple[Host, ...], now: float) -> None:
+        """Takes over a newer list.
+
+        Args:
+            servers: Every server listed.
+            now: The runtime's clock, in seconds.
+        """
+        listed = {server.name: server for server in servers}
+        for name, server in self._listed.items():
+            if name not in listed:
+                self._departed[name] = (server, now)
+        self._listed = listed
+        self._forget(now)
+
+    def mark_leaving(self, name: str, now: float) -> None:
+        """Records that a server told this host that it is leaving.
+
+        The mark lapses unless it is renewed, so that a server which comes
+        back under its name gets work again.
+
+        Args:
+            name: The server's name.
+            now: The runtime's clock, in seconds.
+        """
+        self._seen_leaving[name] = now
+
+    def hear_leaving(self, name: str, now: float) -> None:
+        """Records that a server told a peer that it is leaving.
+
+        Args:
+            name: The server's name.
+            now: The runtime's clock, in seconds.
+        """
+        self._heard_leaving[name] = now
+
+    def of_service(self, member: str, service: str, now: float) -> tuple[Host, ...]:
+        """Lists the servers of a service, in the order of their names."""
+        return tuple(
+            self._with_state(server, now)
+            for _, server in sorted(self._listed.items())
+            if server.member == member and server.service == service
+        )
+
+    def all(self, now: float) -> tuple[Host, ...]:
+        """Lists every server, in the order of their names."""
+        return tuple(
+            self._with_state(server, now) for _, server in sorted(self._listed.items())
+        )
+
+    def find(self, name: str, now: float) -> Host | None:
+        """Finds a server, also one that left the list lately."""
+        if (server := self._listed.get(name)) is not None:
+            return self._with_state(server, now)
+        departed = self._departed.get(name)
+        return departed[0] if departed is not None else None
+
+    def dump(self, now: float) -> dict[str, object]:
+        """Describes the servers for the state dump."""
+        return {
+            name: {
+                "member": server.member,
+                "service": server.service,
+                "zone": server.zone,
+                "address": server.address,
+                "state": str(self._with_state(server, now).state),
+            }
+            for name, server in sorted(self._listed.items())
+        }
+
+    def _with_state(self, server: Host, now: float) -> Host:
+        recent = now - LEAVING_MARK_SECONDS
+        seen_at = self._seen_leaving.get(server.name, recent)
+        heard_at = self._heard_leaving.get(server.name, recent)
+        if max(seen_at, heard_at) <= recent:
+            return server
+        return dataclasses.replace(server, state=HostState.LEAVING)
+
+    def _forget(self, now: float) -> None:
+        for name, (_, left_at) in list(self._departed.items()):
+            if name in self._listed or now - left_at > KEPT_AFTER_DEPARTURE_SECONDS:
+                del self._departed[name]
+        for marks in (self._seen_leaving, self._heard_leaving):
+            for name, at in list(marks.items()):
+                if now - at > LEAVING_MARK_SECONDS:
+                    del marks[name]
--- a/src/balsamway/settings.py
+++ b/src/balsamway/settings.py
@@ -38,6 +38,16 @@
     """The greatest difference in rate between the clocks of two hosts."""
 
 
+@dataclass(frozen=True, slots=True)
+class Seed:
+    """An entry host to ask when a daemon starts without the platform."""
+
+    host: str
+    zone: str
+    peers: str
+    """The address of its peer listener."""
+
+
 @dataclass(frozen=True, slots=True)
 class Settings:
     """What a daemon is told at its start."""
@@ -48,6 +58,7 @@
     platform: str
     """The base address of the platform, as `http://ip:port`."""
     timing: Timing = field(default_factory=Timing)
+    seeds: tuple[Seed, ...] = ()
     seed: int | None = None
     """Seeds the random choices; None draws a seed at each start."""
 
