--- /dev/null
+++ b/src/balsamway/daemon/main.py
@@ -0,0 +1,68 @@
+"""The command that runs the daemon of an entry host."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import signal
+import sys
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+import msgspec
+from absl import app, flags
+
+from balsamway.daemon.daemon import Daemon
+from balsamway.observe.json_logs import set_up_json_logs
+from balsamway.settings import SettingsError, read_settings
+
+if TYPE_CHECKING:
+    from balsamway.settings import Settings
+
+SETTINGS_FLAG = flags.DEFINE_string(
+    "settings", None, "The settings file, JSON with comments.", required=True
+)
+
+USAGE_EXIT_STATUS = 2
+
+logger = logging.getLogger(__name__)
+
+
+def run() -> None:
+    """Runs the daemon until it is told to stop."""
+    app.run(_main)
+
+
+def _main(arguments: list[str]) -> int:
+    try:
+        settings = read_settings(Path(SETTINGS_FLAG.value))
+    except SettingsError as error:
+        print(f"balsamwayd: {error}", file=sys.stderr)
+        return USAGE_EXIT_STATUS
+    set_up_json_logs(settings.host, settings.zone)
+    asyncio.run(_serve(settings))
+    return 0
+
+
+async def _serve(settings: Settings) -> None:
+    daemon = Daemon(settings)
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, stop.set)
+    loop.add_signal_handler(signal.SIGINT, stop.set)
+    loop.add_signal_handler(signal.SIGUSR1, _write_state, daemon)
+    await daemon.start()
+    logger.info("daemon started", extra={"addresses": daemon.addresses})
+    await stop.wait()
+    logger.info("daemon stopping")
+    await daemon.stop()
+    logger.info("daemon stopped")
+
+
+def _write_state(daemon: Daemon) -> None:
+    text = msgspec.json.encode(daemon.state()).decode()
+    print(text, file=sys.stderr, flush=True)
+
+
+if __name__ == "__main__":
+    run()
