--- /dev/null
+++ b/tests/fakes/directory.py
@@ -0,0 +1,80 @@
+from __future__ import annotations
+
+from balsamway.platform import Host, HostRole, HostState
+from balsamway.slices import ShardId, Witness
+from tests.fakes.network import FakeNetwork
+from tests.fakes.servers import FakeServers
+
+
+class FakeHosts:
+    """The entry hosts and servers as every host knows them, without lag."""
+
+    def __init__(self, network: FakeNetwork, servers: FakeServers) -> None:
+        self.network = network
+        self.servers = servers
+        self.entry: dict[str, Host] = {}
+        self.incarnations: dict[str, int] = {}
+        self.leaving: set[str] = set()
+        self.leaders: dict[ShardId, tuple[int, str]] = {}
+
+    def add(self, name: str, zone: str, incarnation: int) -> Host:
+        host = Host(name, HostRole.ENTRY, zone, f"{name}:1")
+        self.entry[name] = host
+        self.incarnations[name] = incarnation
+        return host
+
+    def announce(self, shard: ShardId, epoch: int, host: str) -> None:
+        self.leaders[shard] = max(self.leaders.get(shard, (0, "")), (epoch, host))
+
+    def directory(self, host: str) -> FakeDirectory:
+        return FakeDirectory(self, host)
+
+
+class FakeDirectory:
+    """One host's Directory; hosts it cannot reach are not live to it."""
+
+    def __init__(self, hosts: FakeHosts, host: str) -> None:
+        self._hosts = hosts
+        self._host = host
+
+    def servers(self, member: str, service: str) -> tuple[Host, ...]:
+        found = []
+        for server in self._hosts.servers.servers.values():
+            host = server.host
+            if (host.member, host.service) != (member, service):
+                continue
+            leaving = server.name in self._hosts.leaving
+            state = HostState.LEAVING if leaving else HostState.LIVE
+            found.append(
+                Host(
+                    host.name,
+                    host.role,
+                    host.zone,
+                    host.address,
+                    member,
+                    service,
+                    state,
+                )
+            )
+        return tuple(sorted(found, key=lambda host: host.name))
+
+    def server(self, name: str) -> Host | None:
+        found = self._hosts.servers.servers.get(name)
+        return found.host if found else None
+
+    def entry_hosts(self) -> tuple[Host, ...]:
+        return tuple(self._hosts.entry.values())
+
+    def live_witnesses(self) -> tuple[Witness, ...]:
+        return tuple(
+            Witness(name, incarnation)
+            for name, incarnation in self._hosts.incarnations.items()
+            if self._hosts.network.connected(self._host, name)
+        )
+
+    def leader_of(self, shard: ShardId) -> str | None:
+        found = self._hosts.leaders.get(shard)
+        return found[1] if found else None
+
+    def mark_leaving(self, server: str) -> None:
+        self._hosts.leaving.add(server)
--- /dev/null
+++ b/tests/fakes/faults.py
@@ -0,0 +1,53 @@
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from tests.fakes.fate import Fate
+
+if TYPE_CHECKING:
+    from tests.fakes.step import Step
+
+
+@dataclass(slots=True)
+class Injection:
+    """One fault to inject at the steps that match."""
+
+    matches: Callable[[Step], bool]
+    fate: Fate = Fate.PASS
+    delay_seconds: float = 0.0
+    """Waited before the call is carried out, in step with the caller."""
+    times: int = 1
+    act: Callable[[Step], None] | None = None
+    """Called at the step, to stop a host or cut the network there."""
+    reached: int = 0
+
+
+class Faults:
+    """Every call on a fake passes `reach` first; tests inject here."""
+
+    def __init__(self, late_seconds: float = 1.0) -> None:
+        self.late_seconds = late_seconds
+        self.injections: list[Injection] = []
+        self.seen: list[Step] = []
+        self.keep_seen = False
+
+    def inject(self, injection: Injection) -> Injection:
+        self.injections.append(injection)
+        return injection
+
+    async def reach(self, step: Step) -> Fate:
+        if self.keep_seen:
+            self.seen.append(step)
+        for injection in self.injections:
+            if injection.reached >= injection.times or not injection.matches(step):
+                continue
+            injection.reached += 1
+            if injection.act is not None:
+                injection.act(step)
+            if injection.delay_seconds:
+                await asyncio.sleep(injection.delay_seconds)
+            return injection.fate
+        return Fate.PASS
--- /dev/null
+++ b/tests/fakes/store.py
@@ -0,0 +1,136 @@
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+
+from balsamway.platform import (
+    Absent,
+    Conflict,
+    StoredObject,
+    Unavailable,
+    WriteUnknown,
+    Written,
+)
+from balsamway.platform.store import ReadResult, WriteResult
+from tests.fakes.fate import Fate
+from tests.fakes.faults import Faults
+from tests.fakes.step import Step
+
+
+class FakeStore:
+    """The platform's store, shared by all hosts; `client` gives a host's."""
+
+    def __init__(self, faults: Faults, latency_seconds: float = 0.002) -> None:
+        self.faults = faults
+        self.latency_seconds = latency_seconds
+        self.objects: dict[str, StoredObject] = {}
+        self.outage = False
+        self.cut_hosts: set[str] = set()
+        self.counts: Counter[str] = Counter()
+        """Calls by `read`, `write` and `watch`, failed ones included."""
+        self.history: list[StoredObject] = []
+        self._changed = asyncio.Condition()
+
+    def client(self, host: str) -> FakeStoreClient:
+        return FakeStoreClient(self, host)
+
+    def current(self, name: str) -> StoredObject | Absent:
+        return self.objects.get(name) or Absent(name)
+
+    async def apply(self, name: str, body: bytes, expected: int | None) -> WriteResult:
+        found = self.objects.get(name)
+        if (found.version if found else None) != expected:
+            return Conflict(self.current(name))
+        written = StoredObject(name, (expected or 0) + 1, body)
+        self.objects[name] = written
+        self.history.append(written)
+        async with self._changed:
+            self._changed.notify_all()
+        return Written(written.version)
+
+    async def wait_for_change(
+        self, name: str, after: int | None, timeout: float
+    ) -> None:
+        def changed() -> bool:
+            found = self.objects.get(name)
+            return (found.version if found else None) != after
+
+        async with self._changed:
+            try:
+                await asyncio.wait_for(self._changed.wait_for(changed), timeout)
+            except TimeoutError:
+                return
+
+    def reachable(self, host: str) -> bool:
+        return not self.outage and host not in self.cut_hosts
+
+
+class FakeStoreClient:
+    """One host's access to the fake store."""
+
+    def __init__(self, store: FakeStore, host: str) -> None:
+        self._store = store
+        self._host = host
+        self._late: set[asyncio.Task[None]] = set()
+
+    async def read(self, name: str) -> ReadResult:
+        return await self._get("read", name)
+
+    async def watch(
+        self, name: str, after_version: int | None, timeout_seconds: float
+    ) -> ReadResult:
+        fate = await self._enter("watch", name, None)
+        if fate is not Fate.PASS or not self._store.reachable(self._host):
+            return Unavailable("outage")
+        await self._store.wait_for_change(name, after_version, timeout_seconds)
+        if not self._store.reachable(self._host):
+            return Unavailable("outage")
+        return self._store.current(name)
+
+    async def write(
+        self, name: str, body: bytes, expected_version: int | None
+    ) -> WriteResult:
+        fate = await self._enter("write", name, body)
+        if fate is Fate.DROP or not self._store.reachable(self._host):
+            return Unavailable("outage")
+        if fate is Fate.APPLY_LATE:
+            self._apply_later(name, body, expected_version)
+            return WriteUnknown("no answer")
+        if fate is Fate.CONFLICT:
+            return await self._conflict(name)
+        result = await self._store.apply(name, body, expected_version)
+        if fate is Fate.LOSE_ANSWER:
+            return WriteUnknown("no answer")
+        if fate is Fate.DOUBLE:
+            self._apply_later(name, body, expected_version)
+        return result
+
+    async def _enter(self, operation: str, name: str, detail: bytes | None) -> Fate:
+        self._store.counts[operation] += 1
+        step = Step("store", operation, self._host, name, detail)
+        fate = await self._store.faults.reach(step)
+        await asyncio.sleep(self._store.latency_seconds)
+        return fate
+
+    async def _get(self, operation: str, name: str) -> ReadResult:
+        fate = await self._enter(operation, name, None)
+        if fate not in (Fate.PASS, Fate.DOUBLE):
+            return Unavailable("no answer")
+        if not self._store.reachable(self._host):
+            return Unavailable("outage")
+        return self._store.current(name)
+
+    async def _conflict(self, name: str) -> WriteResult:
+        found = self._store.objects.get(name)
+        if found is not None:
+            await self._store.apply(name, found.body, found.version)
+        return Conflict(self._store.current(name))
+
+    def _apply_later(self, name: str, body: bytes, expected: int | None) -> None:
+        async def apply() -> None:
+            await asyncio.sleep(self._store.faults.late_seconds)
+            await self._store.apply(name, body, expected)
+
+        task = asyncio.create_task(apply())
+        self._late.add(task)
+        task.add_done_callback(self._late.discard)
