--- a/src/balsamway/ownership/route.py
+++ b/src/balsamway/ownership/route.py
@@ -23,6 +23,12 @@
     revision: int
     valid_until: float
     """The end of the gateway's view, by the runtime's clock."""
+    checked: bool = False
+    """Whether the owner refuses requests of older epochs.
+
+    An attempt at an owner that does not has its deadline no later than
+    `valid_until`.
+    """
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/balsamway/slices/shard_view.py
+++ b/src/balsamway/slices/shard_view.py
@@ -21,6 +21,8 @@
     """Whether new requests wait until the slice has its next owner."""
     provisional: bool = False
     """Whether the store has not recorded this owner yet."""
+    checked: bool = False
+    """Whether the owner is known to refuse requests of older epochs."""
 
 
 @dataclass(frozen=True, slots=True)
