--- a/src/balsamway/gateway/exclusive_path.py
+++ b/src/balsamway/gateway/exclusive_path.py
@@ -93,7 +93,7 @@
         """
         request = attempt.request
         deadline = request.deadline
-        if not route.checks:
+        if not route.checked:
             deadline = min(deadline, route.valid_until)
         stack = ExitStack()
         if not stack.enter_context(self._routes.attempt(route)):
--- a/src/balsamway/gateway/subset.py
+++ b/src/balsamway/gateway/subset.py
@@ -11,8 +11,10 @@
 
     from balsamway.configuration import Service
 
-RESERVED_CONNECTIONS = 2
-"""Connections that each shard's leader has to a server."""
+PROBE_CONNECTIONS = 2
+"""Those of the entry host that probes a server, and of the next one."""
+LEADER_CONNECTIONS = 2
+"""Those of the leader of each shard: for grants, and for a release."""
 
 
 def connection_share(
@@ -34,7 +36,9 @@
     Returns:
         The most connections, 0 where the gateway is not in the subset.
     """
-    reserved = RESERVED_CONNECTIONS * (service.shards if service.exclusive_keys else 0)
+    reserved = PROBE_CONNECTIONS
+    if service.exclusive_keys:
+        reserved += LEADER_CONNECTIONS * service.shards
     available = max(0, service.connections - reserved)
     share = available // service.gateways_at_most
     if share:
--- a/src/balsamway/servers/server_health.py
+++ b/src/balsamway/membership/server_health.py
@@ -1,4 +1,4 @@
-"""What a server reports of itself; it lags and misleads."""
+"""What a server says of itself."""
 
 from __future__ import annotations
 
@@ -7,10 +7,9 @@
 
 @dataclass(frozen=True, slots=True)
 class ServerHealth:
-    """What a server reports of itself; it lags and misleads."""
+    """A server's own report; it lags and misleads."""
 
     state: str
-    """One of `warming`, `ready` and `draining`."""
     load: float = 0.0
     in_flight: int = 0
     connections: int = 0
--- a/src/balsamway/ownership/route.py
+++ b/src/balsamway/ownership/route.py
@@ -23,9 +23,12 @@
     revision: int
     valid_until: float
     """The end of the gateway's view, by the runtime's clock."""
-    checks: bool = False
-    """Whether the owner is known to refuse requests of older epochs; one that
-    does not is sent nothing that could end after `valid_until`."""
+    checked: bool = False
+    """Whether the owner refuses requests of older epochs.
+
+    An attempt at an owner that does not has its deadline no later than
+    `valid_until`.
+    """
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/balsamway/servers/http_transport.py
+++ b/src/balsamway/servers/http_transport.py
@@ -9,11 +9,11 @@
 import aiohttp
 import msgspec
 
+from balsamway.membership.server_health import ServerHealth
 from balsamway.outcome import MayHaveRun, NotRun, Reason
 from balsamway.servers import header_names
 from balsamway.servers._attempt_progress import AttemptProgress, progress_trace
 from balsamway.servers.server_answer import judge_answer
-from balsamway.servers.server_health import ServerHealth
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/tests/fakes/gateway_routes.py
+++ b/tests/fakes/gateway_routes.py
@@ -15,7 +15,7 @@
     owner: str = "s1"
     no_route: NoRoute | None = None
     view_seconds: float = 2.0
-    checks: bool = True
+    checked: bool = True
     valid: bool = True
     in_flight: int = 0
     refusals: list[Route] = field(default_factory=list)
@@ -33,7 +33,7 @@
             1,
             1,
             valid_until,
-            self.checks,
+            self.checked,
         )
 
     @contextmanager
