--- a/src/balsamway/gateway/caller_request.py
+++ b/src/balsamway/gateway/caller_request.py
@@ -23,3 +23,8 @@
     """When the caller stops waiting, by the runtime's clock."""
     body: bytes
     content_type: str = "application/octet-stream"
+
+    @property
+    def labels(self) -> tuple[str, str, str]:
+        """The names of the member, the service and the kind."""
+        return self.member.member, self.service.name, self.kind.name
--- a/src/balsamway/gateway/metrics.py
+++ b/src/balsamway/gateway/metrics.py
@@ -11,6 +11,7 @@
 if TYPE_CHECKING:
     from prometheus_client import CollectorRegistry
 
+    from balsamway.gateway.caller_request import CallerRequest
     from balsamway.outcome import Reason, Verdict
 
 _LATENCY_BUCKETS_SECONDS = (
@@ -99,20 +100,18 @@
         self._histograms: dict[tuple[str, ...], Histogram] = {}
 
     def on_request(
-        self, member: str, service: str, kind: str, verdict: Verdict, seconds: float
+        self, request: CallerRequest, verdict: Verdict, seconds: float
     ) -> None:
         """Counts a request that was answered.
 
         Args:
-            member: The member's name.
-            service: The service's name.
-            kind: The kind's name.
+            request: The request.
             verdict: The verdict on the request.
             seconds: The time it took.
         """
         name, reason = _labels(verdict)
-        self._child(self._requests, (member, service, kind, name, reason)).inc()
-        labels = (member, service, kind)
+        labels = request.labels
+        self._child(self._requests, (*labels, name, reason)).inc()
         histogram = self._histograms.get(labels)
         if histogram is None:
             histogram = self._latency.labels(*labels)
@@ -136,25 +135,21 @@
         if isinstance(verdict, Completed):
             self._child(self._busy, (member, service, server)).inc(seconds)
 
-    def on_retry(self, member: str, service: str, kind: str) -> None:
+    def on_retry(self, request: CallerRequest) -> None:
         """Counts an attempt after the first.
 
         Args:
-            member: The member's name.
-            service: The service's name.
-            kind: The kind's name.
+            request: The request.
         """
-        self._retries.labels(member, service, kind).inc()
+        self._retries.labels(*request.labels).inc()
 
-    def on_hedge(self, member: str, service: str, kind: str) -> None:
+    def on_hedge(self, request: CallerRequest) -> None:
         """Counts an attempt beside a late one.
 
         Args:
-            member: The member's name.
-            service: The service's name.
-            kind: The kind's name.
+            request: The request.
         """
-        self._hedges.labels(member, service, kind).inc()
+        self._hedges.labels(*request.labels).inc()
 
     def on_refusal(self, reason: Reason) -> None:
         """Counts a request that was refused before it was routed.
--- a/tests/test_gateway_path.py
+++ b/tests/gateway/test_whole_path.py
@@ -1,16 +1,5 @@
 from __future__ import annotations
 
-import pytest
-
-from tests.fakes.gateway_path import GatewayPath
-
-
-@pytest.fixture
-async def path():
-    path = await GatewayPath().start()
-    yield path
-    await path.stop()
-
 
 async def test_a_request_without_an_owner_is_answered(path):
     server = await path.add_server()
