--- /dev/null
+++ b/tests/gateway/test_exclusive_path.py
@@ -0,0 +1,101 @@
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from balsamway.outcome import Reason
+from balsamway.ownership.route import NoRoute
+from tests.fakes import gateway_server as fake
+
+pytestmark = pytest.mark.looptime
+
+ORDER = "/v1/stock/order"
+LOOKUP = "/v1/stock/lookup"
+
+
+@pytest.fixture
+async def owners(path):
+    first = await path.add_server(name="s1", service="stock")
+    second = await path.add_server(name="s2", service="stock")
+    return first, second
+
+
+@pytest.mark.parametrize("reason", ["wrong-epoch", "grant-lapsed", "server-draining"])
+async def test_a_refused_route_is_found_anew(path, owners, reason):
+    first, second = owners
+    first.behaviours.append(fake.refuse(reason))
+    path.routes.next_owner = "s2"
+    answer = await path.post(ORDER, Balsamway_Key="k", Balsamway_Request_Id="r1")
+    assert answer.verdict == "completed"
+    assert (first.ran, second.ran) == ([], ["r1"])
+    assert len(path.routes.refusals) == 1
+
+
+@pytest.mark.parametrize("reason", [Reason.MOVING, Reason.NO_OWNER])
+async def test_a_key_without_an_owner_is_refused_as_not_run(path, owners, reason):
+    path.routes.no_route = NoRoute(reason)
+    answer = await path.post(ORDER, Balsamway_Key="k")
+    assert (answer.status, answer.verdict, answer.reason) == (503, "not-run", reason)
+
+
+async def test_nothing_is_sent_by_a_view_that_has_lapsed(path, owners):
+    path.routes.valid = False
+    answer = await path.post(ORDER, Balsamway_Key="k", Balsamway_Timeout_Ms="300")
+    assert (answer.verdict, answer.reason) == ("not-run", "view-lapsed")
+    assert owners[0].received == []
+    assert path.routes.in_flight == 0
+
+
+async def test_an_owner_that_checks_nothing_is_given_no_time_beyond_the_view(
+    path, owners
+):
+    path.routes.checked = False
+    path.routes.view_seconds = 0.4
+    await path.post(ORDER, Balsamway_Key="k")
+    assert int(owners[0].seen[0]["Balsamway-Timeout-Ms"]) <= 400
+
+
+async def test_an_owner_that_checks_is_given_the_whole_time(path, owners):
+    path.routes.view_seconds = 0.4
+    await path.post(ORDER, Balsamway_Key="k")
+    assert int(owners[0].seen[0]["Balsamway-Timeout-Ms"]) > 400
+
+
+async def test_what_may_still_run_counts_as_in_flight_until_its_deadline(path, owners):
+    owners[0].behaviours.append(fake.run_and_lose)
+    answer = await path.post(ORDER, Balsamway_Key="k", Balsamway_Timeout_Ms="500")
+    assert answer.verdict == "may-have-run"
+    assert path.routes.in_flight == 1
+    await asyncio.sleep(0.5)
+    assert path.routes.in_flight == 0
+
+
+async def test_a_request_that_waits_for_a_stuck_owner_follows_the_key(path, owners):
+    first, second = owners
+    first.otherwise = fake.run_for(5.0)
+    stuck = [
+        asyncio.create_task(path.post(LOOKUP, Balsamway_Key="k")) for _ in range(8)
+    ]
+    await asyncio.sleep(0.1)
+    path.routes.owner = "s2"
+    answers = await asyncio.gather(*stuck)
+    followed = [answer for answer in answers if answer.verdict == "completed"]
+    assert len(followed) == len(second.ran) >= 6
+
+
+async def test_a_late_lookup_is_hedged_at_the_next_owner(path, owners):
+    first, second = owners
+    for _ in range(60):
+        await path.post(LOOKUP, Balsamway_Key="k")
+    await asyncio.sleep(1.0)
+    await path.post(LOOKUP, Balsamway_Key="k")
+    first.otherwise = fake.run_for(5.0)
+    late = asyncio.create_task(
+        path.post(LOOKUP, Balsamway_Key="k", Balsamway_Request_Id="late")
+    )
+    await asyncio.sleep(0.2)
+    assert second.received == []
+    path.routes.owner = "s2"
+    assert (await late).verdict == "completed"
+    assert second.ran == ["late"]
