Lead shards: witnesses, claims, grants, views, handover and recovery

First whole version: a host claims a shard in the store, a majority of witnesses adopts its epoch and promises, servers are granted their slices and gateways find the owners. Tests run it on the fakes.

--- /dev/null
+++ b/src/balsamway/ownership/_rank.py
@@ -0,0 +1,30 @@
+"""Ranks hosts for a shard, so that leadership spreads and no claims race."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import xxhash
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from balsamway.slices import ShardId, Witness
+
+
+def ranked(witnesses: Iterable[Witness], shard: ShardId) -> list[Witness]:
+    """Orders daemons by a hash of their host and the shard.
+
+    Args:
+        witnesses: The daemons.
+        shard: The shard.
+
+    Returns:
+        The same daemons; each host gets the same order.
+    """
+
+    def weight(witness: Witness) -> tuple[int, Witness]:
+        text = f"{shard}|{witness.host}"
+        return xxhash.xxh64_intdigest(text.encode()), witness
+
+    return sorted(witnesses, key=weight)
--- /dev/null
+++ b/src/balsamway/ownership/cluster.py
@@ -0,0 +1,47 @@
+"""What an entry host's ownership modules share."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    import random
+
+    from balsamway.membership.directory import Directory
+    from balsamway.peers.peers import Peers
+    from balsamway.platform import Store
+    from balsamway.servers.control import ServerControl
+    from balsamway.settings import Timing
+    from balsamway.slices import Witness
+
+
+@dataclass(frozen=True, slots=True)
+class Cluster:
+    """This host and the interfaces to everything around it."""
+
+    me: Witness
+    store: Store
+    peers: Peers
+    control: ServerControl
+    directory: Directory
+    timing: Timing
+    rng: random.Random
+
+    @property
+    def allowance(self) -> float:
+        """The factor that covers the difference between two clocks."""
+        return 1 + self.timing.clock_rate_allowance
+
+    @property
+    def zones(self) -> dict[str, str]:
+        """The availability zone of each entry host."""
+        return {host.name: host.zone for host in self.directory.entry_hosts()}
+
+    def change_id(self) -> str:
+        """Draws the name of a write, to tell it after a lost answer.
+
+        Returns:
+            16 hexadecimal digits.
+        """
+        return f"{self.rng.getrandbits(64):016x}"
--- /dev/null
+++ b/src/balsamway/ownership/follower.py
@@ -0,0 +1,205 @@
+"""Watches over a shard's leader from another host."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import TYPE_CHECKING
+
+from balsamway.ownership._clock import now
+from balsamway.ownership._majority import majority_of
+from balsamway.ownership._rank import ranked
+from balsamway.ownership.found_record import FoundRecord
+from balsamway.ownership.messages import LeaderQuery, LeaderQueryAnswer
+from balsamway.platform import Absent, StoredObject
+from balsamway.slices.record_codec import RecordError, decode_record
+
+if TYPE_CHECKING:
+    from balsamway.ownership.cluster import Cluster
+    from balsamway.slices import ShardId, ShardRecord, Witness
+
+logger = logging.getLogger(__name__)
+
+RANK_PAUSE_SECONDS = 0.15
+JITTER_SECONDS = 0.02
+PROMISE_MARGIN_SECONDS = 0.005
+SPARE_RANK = 3
+"""Hosts ranked lower look less often."""
+SPARE_PAUSE_SECONDS = 2.0
+SHORTEST_PAUSE_SECONDS = 0.25
+LONGEST_PAUSE_SECONDS = 4.0
+QUERY_TIMEOUT_SECONDS = 0.1
+
+
+class Follower:
+    """Waits until a shard has no leader and this host may claim it.
+
+    While a leader's promises run the store is not read at all: one witness
+    is asked each time that the last promise it told of has run out.
+
+    Args:
+        cluster: This host and its surroundings.
+        shard: The shard.
+    """
+
+    def __init__(self, cluster: Cluster, shard: ShardId) -> None:
+        self._cluster = cluster
+        self._shard = shard
+        self._found: FoundRecord | None = None
+        self._asked = 0
+        self._waited = 0.0
+        self._pause = SHORTEST_PAUSE_SECONDS
+
+    @property
+    def found(self) -> FoundRecord | None:
+        """The record as last read."""
+        return self._found
+
+    async def wait_until_claimable(self) -> FoundRecord:
+        """Waits until this host may claim the shard.
+
+        Returns:
+            The record to claim, read just before.
+        """
+        while True:
+            record = await self._known_record()
+            pause = await self._pause_before_claim(record)
+            if pause > 0:
+                await asyncio.sleep(pause)
+                continue
+            found = await self._read_again()
+            if found is not None and found.record == record:
+                return found
+
+    async def _known_record(self) -> ShardRecord | None:
+        while self._found is None:
+            await self._read()
+            if self._found is None:
+                await self._pause_for_store()
+        return self._found.record
+
+    async def _read_again(self) -> FoundRecord | None:
+        if not await self._read():
+            await self._pause_for_store()
+            return None
+        return self._found
+
+    async def _read(self) -> bool:
+        result = await self._cluster.store.read(self._shard.object_name)
+        match result:
+            case StoredObject(version=version, body=body):
+                try:
+                    self._keep(decode_record(body), version)
+                except RecordError as error:
+                    logger.error(
+                        "shard record malformed",
+                        extra={"shard": str(self._shard), "reason": str(error)},
+                    )
+                    return False
+            case Absent():
+                self._keep(None, None)
+            case _:
+                return False
+        return True
+
+    def _keep(self, record: ShardRecord | None, version: int | None) -> None:
+        known = self._found
+        if known is None or known.object_version != version:
+            self._found = FoundRecord(record, version, now())
+
+    async def _pause_for_store(self) -> None:
+        await asyncio.sleep(self._longer_pause())
+
+    def _longer_pause(self) -> float:
+        pause = self._pause * (0.5 + self._cluster.rng.random())
+        self._pause = min(2 * self._pause, LONGEST_PAUSE_SECONDS)
+        return pause
+
+    async def _pause_before_claim(self, record: ShardRecord | None) -> float:
+        if record is None:
+            return self._pause_of_rank(None)
+        running = await self._promise_of_one(record)
+        if running > 0:
+            return running + self._pause_of_spare(record)
+        return await self._pause_by_all(record)
+
+    async def _promise_of_one(self, record: ShardRecord) -> float:
+        others = [one for one in record.roster if one != record.leader]
+        if not others:
+            return 0.0
+        self._asked += 1
+        witness = others[self._asked % len(others)]
+        answer = await self._ask(witness)
+        return self._running(answer) if answer is not None else 0.0
+
+    async def _pause_by_all(self, record: ShardRecord) -> float:
+        asked = [asyncio.create_task(self._ask(one)) for one in record.roster]
+        adopted = []
+        try:
+            for done in asyncio.as_completed(asked):
+                answer = await done
+                if answer is None:
+                    continue
+                if answer.promise_seconds > 0:
+                    return self._running(answer)
+                adopted.append(answer.epoch)
+                if len(adopted) == majority_of(len(record.roster)):
+                    return self._pause_of_claim(record, max(adopted))
+        finally:
+            for one in asked:
+                one.cancel()
+        await self._read()
+        return self._longer_pause()
+
+    def _pause_of_claim(self, record: ShardRecord, adopted: int) -> float:
+        if record.leader == self._cluster.me:
+            return 0.0
+        if adopted < record.leader_epoch:
+            # Another host has won the update, and may be about to have its
+            # epoch adopted: the record must stand for longer than a lease.
+            return self._pause_of_lease()
+        return self._pause_of_rank(record)
+
+    def _pause_of_lease(self) -> float:
+        assert self._found is not None
+        lease = self._cluster.timing.promise * self._cluster.allowance
+        rest = self._found.seen_at + lease - now()
+        return rest + self._jitter() if rest > 0 else 0.0
+
+    def _pause_of_rank(self, record: ShardRecord | None) -> float:
+        turn = self._rank(record) * RANK_PAUSE_SECONDS
+        if turn == 0 or self._waited >= turn:
+            self._waited = 0.0
+            return 0.0
+        self._waited = turn
+        return turn + self._jitter()
+
+    def _pause_of_spare(self, record: ShardRecord) -> float:
+        if self._rank(record) < SPARE_RANK:
+            return PROMISE_MARGIN_SECONDS
+        return SPARE_PAUSE_SECONDS + self._jitter()
+
+    def _rank(self, record: ShardRecord | None) -> int:
+        live = ranked(self._cluster.directory.live_witnesses(), self._shard)
+        leader = record.leader if record else None
+        others = [one for one in live if one != leader]
+        me = self._cluster.me
+        return others.index(me) if me in others else len(others)
+
+    def _running(self, answer: LeaderQueryAnswer) -> float:
+        if answer.promise_seconds <= 0:
+            return 0.0
+        self._pause = SHORTEST_PAUSE_SECONDS
+        self._waited = 0.0
+        return answer.promise_seconds + PROMISE_MARGIN_SECONDS
+
+    async def _ask(self, witness: Witness) -> LeaderQueryAnswer | None:
+        answer = await self._cluster.peers.call(
+            witness.host, LeaderQuery(self._shard), QUERY_TIMEOUT_SECONDS
+        )
+        if not isinstance(answer, LeaderQueryAnswer):
+            return None
+        return answer if answer.incarnation == witness.incarnation else None
+
+    def _jitter(self) -> float:
+        return JITTER_SECONDS * self._cluster.rng.random()
--- /dev/null
+++ b/src/balsamway/ownership/leadership_service.py
@@ -0,0 +1,167 @@
+"""Takes part in the leadership of every shard."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any, TypeAlias
+
+import mode
+
+from balsamway.ownership.claim import Claim, Claimed
+from balsamway.ownership.follower import Follower
+from balsamway.ownership.messages import ViewAnswer, ViewRequest
+from balsamway.ownership.shard_leader import ShardLeader
+from balsamway.slices import ShardId
+
+if TYPE_CHECKING:
+    from balsamway.balance import Planner
+    from balsamway.configuration import MemberConfiguration, Service
+    from balsamway.configuration.configurations import Configurations
+    from balsamway.ownership.cluster import Cluster
+    from balsamway.ownership.load_source import LoadSource
+
+logger = logging.getLogger(__name__)
+
+CONFIGURATION_CHECK_SECONDS = 0.5
+
+PlannerFactory: TypeAlias = Callable[[ShardId], "Planner"]
+
+
+@dataclass(frozen=True, slots=True)
+class LedShard:
+    """A shard that this host leads now."""
+
+    shard: ShardId
+    epoch: int
+
+
+class LeadershipService(mode.Service):
+    """Follows each shard's leader, claims those left without, and leads.
+
+    Args:
+        cluster: This host and its surroundings.
+        configurations: The configurations in force.
+        planner_factory: Makes the planner of a shard that is to be led.
+        loads: The loads that gateways reported; None where nothing reports.
+    """
+
+    def __init__(
+        self,
+        cluster: Cluster,
+        configurations: Configurations,
+        planner_factory: PlannerFactory,
+        loads: LoadSource | None = None,
+    ) -> None:
+        super().__init__()
+        self._cluster = cluster
+        self._configurations = configurations
+        self._planner_factory = planner_factory
+        self._loads = loads
+        self._tasks: dict[ShardId, asyncio.Future[Any]] = {}
+        self._leaders: dict[ShardId, ShardLeader] = {}
+
+    @property
+    def led(self) -> tuple[LedShard, ...]:
+        """The shards that this host leads, in order."""
+        return tuple(
+            LedShard(shard, leader.epoch)
+            for shard, leader in sorted(self._leaders.items())
+            if leader.in_power
+        )
+
+    async def on_start(self) -> None:
+        """Answers gateways that ask for views."""
+        self._cluster.peers.handle(ViewRequest, self._on_view_request)
+
+    async def on_stop(self) -> None:
+        """Gives up every leadership."""
+        for task in self._tasks.values():
+            task.cancel()
+        for leader in list(self._leaders.values()):
+            await leader.stop()
+
+    def leader(self, shard: ShardId) -> ShardLeader | None:
+        """Finds the leader that runs on this host.
+
+        Args:
+            shard: The shard.
+
+        Returns:
+            The leader, or None where this host does not lead the shard.
+        """
+        return self._leaders.get(shard)
+
+    def dump(self) -> dict[str, object]:
+        """Describes the shards led here for the state dump.
+
+        Returns:
+            The state of each leader, by shard.
+        """
+        return {str(shard): one.dump() for shard, one in self._leaders.items()}
+
+    @mode.Service.task
+    async def _follow_configurations(self) -> None:
+        while not self.should_stop:
+            wanted = dict(self._wanted())
+            for shard in wanted.keys() - self._tasks.keys():
+                work = self._run_shard(shard, wanted[shard])
+                self._tasks[shard] = self.add_future(work)
+            for shard in self._tasks.keys() - wanted.keys():
+                self._tasks.pop(shard).cancel()
+                leader = self._leaders.pop(shard, None)
+                if leader is not None:
+                    await leader.stop()
+            await self.sleep(CONFIGURATION_CHECK_SECONDS)
+
+    def _wanted(self) -> list[tuple[ShardId, Service]]:
+        return [
+            (ShardId(member.member, service.name, index), service)
+            for member in self._configurations.members()
+            for service in member.services
+            if service.exclusive_keys
+            for index in range(service.shards)
+        ]
+
+    async def _run_shard(self, shard: ShardId, service: Service) -> None:
+        follower = Follower(self._cluster, shard)
+        claim = Claim(self._cluster, shard, service.slices)
+        while not self.should_stop:
+            found = await follower.wait_until_claimable()
+            result = await claim.attempt(found)
+            match result:
+                case Claimed():
+                    await self._lead(shard, result)
+                case _:
+                    logger.info(
+                        "claim not won",
+                        extra={"shard": str(shard), "reason": result.reason},
+                    )
+                    await self.sleep(self._cluster.rng.random() * 0.1)
+
+    async def _lead(self, shard: ShardId, claimed: Claimed) -> None:
+        member = self._configurations.member(shard.member)
+        if member is None:
+            return
+        leader = self._new_leader(shard, claimed, member)
+        self._leaders[shard] = leader
+        try:
+            await leader.start()
+            await leader.wait(leader.lapsed)
+        finally:
+            self._leaders.pop(shard, None)
+            await leader.stop()
+
+    def _new_leader(
+        self, shard: ShardId, claimed: Claimed, member: MemberConfiguration
+    ) -> ShardLeader:
+        planner = self._planner_factory(shard)
+        return ShardLeader(self._cluster, claimed, planner, self._loads, member.weights)
+
+    async def _on_view_request(self, sender: str, request: ViewRequest) -> ViewAnswer:
+        leader = self._leaders.get(request.shard)
+        if leader is None:
+            return ViewAnswer(None, False, 0.0, "not the leader")
+        return leader.answer_view(sender, request)
--- /dev/null
+++ b/src/balsamway/ownership/leaving.py
@@ -0,0 +1,54 @@
+"""Empties servers that are leaving."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from balsamway.balance import Move
+from balsamway.platform import HostState
+
+if TYPE_CHECKING:
+    from balsamway.ownership.handover import Handover
+    from balsamway.ownership.shard_context import ShardContext
+    from balsamway.slices import SliceEntry
+
+
+class Leaving:
+    """Moves everything off leaving servers at once.
+
+    Args:
+        context: The leader's parts.
+        handover: Makes the moves.
+    """
+
+    def __init__(self, context: ShardContext, handover: Handover) -> None:
+        self._context = context
+        self._handover = handover
+
+    def note_listed(self) -> None:
+        """Takes over from the host list which servers are leaving."""
+        shard = self._context.state.record.shard
+        directory = self._context.cluster.directory
+        for host in directory.servers(shard.member, shard.service):
+            keeper = self._context.keepers.get(host.name)
+            if keeper is not None and host.state is HostState.LEAVING:
+                keeper.leaving = True
+
+    async def empty(self) -> None:
+        """Moves the slices of all leaving servers in one batch."""
+        moves = [
+            Move(entry.range, target)
+            for entry in self._context.state.record.slices
+            if self._is_leaving(entry.owner) and (target := self._target(entry))
+        ]
+        if moves:
+            await self._handover.move(moves)
+
+    def _is_leaving(self, server: str) -> bool:
+        keeper = self._context.keepers.get(server)
+        return keeper is not None and keeper.leaving and not keeper.lost
+
+    def _target(self, entry: SliceEntry) -> str:
+        if self._context.usable(entry.standby):
+            return entry.standby
+        return self._context.least_loaded(self._is_leaving)
--- /dev/null
+++ b/src/balsamway/ownership/promise_keeper.py
@@ -0,0 +1,92 @@
+"""Asks a shard's witnesses for their promises, again and again."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from balsamway.ownership._clock import now
+from balsamway.ownership.messages import AdoptRequest, PromiseAnswer, PromiseRequest
+
+if TYPE_CHECKING:
+    from balsamway.ownership.authority import Authority
+    from balsamway.ownership.cluster import Cluster
+    from balsamway.slices import ShardId, Witness
+
+
+class PromiseKeeper:
+    """Extends a leader's authority by its witnesses' promises.
+
+    Args:
+        cluster: This host and its surroundings.
+        shard: The shard.
+        epoch: The leader's epoch.
+        authority: What the promises extend.
+    """
+
+    def __init__(
+        self, cluster: Cluster, shard: ShardId, epoch: int, authority: Authority
+    ) -> None:
+        self._cluster = cluster
+        self._shard = shard
+        self._epoch = epoch
+        self._authority = authority
+        self._restarted: set[Witness] = set()
+        self._running: set[asyncio.Task[None]] = set()
+
+    @property
+    def restarted(self) -> frozenset[Witness]:
+        """The witnesses in whose place another run of the daemon answered."""
+        return frozenset(self._restarted)
+
+    async def establish(self) -> bool:
+        """Asks for the first promises.
+
+        Returns:
+            Whether a majority promised.
+        """
+        give_up_at = now() + self._cluster.timing.promise
+        self._ask_all()
+        while now() < give_up_at and not self._authority.holds:
+            await asyncio.sleep(self._cluster.timing.promise / 500)
+        return self._authority.holds
+
+    async def keep(self) -> None:
+        """Renews the promises until authority has lapsed."""
+        while not self._authority.ended:
+            self._ask_all()
+            await asyncio.sleep(self._cluster.timing.renewal)
+
+    def stop(self) -> None:
+        """Gives up the questions that are under way."""
+        for task in self._running:
+            task.cancel()
+
+    def _ask_all(self) -> None:
+        for witness in self._authority.witnesses:
+            task = asyncio.create_task(self._ask(witness))
+            self._running.add(task)
+            task.add_done_callback(self._running.discard)
+
+    async def _ask(self, witness: Witness) -> None:
+        duration = self._cluster.timing.promise
+        request = PromiseRequest(
+            self._shard, self._epoch, self._cluster.me, witness, duration
+        )
+        sent_at = now()
+        answer = await self._cluster.peers.call(witness.host, request, duration)
+        if not isinstance(answer, PromiseAnswer):
+            return
+        if answer.incarnation != witness.incarnation:
+            self._restarted.add(witness)
+        elif answer.given:
+            self._authority.extend(witness, sent_at + duration)
+        elif answer.epoch < self._epoch and self._authority.holds:
+            await self._have_adopted(witness)
+
+    async def _have_adopted(self, witness: Witness) -> None:
+        # A claim waits for a majority only, and a new witness has adopted
+        # nothing yet.
+        request = AdoptRequest(self._shard, self._epoch, self._cluster.me, witness)
+        timeout = self._cluster.timing.renewal
+        await self._cluster.peers.call(witness.host, request, timeout)
--- /dev/null
+++ b/src/balsamway/ownership/recovery.py
@@ -0,0 +1,72 @@
+"""Finds out what servers hold when a new leader takes over."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+from balsamway.ownership._clock import now
+
+if TYPE_CHECKING:
+    from balsamway.ownership.grant_keeper import GrantKeeper
+    from balsamway.ownership.shard_state import ShardState
+    from balsamway.slices import SliceEntry
+
+logger = logging.getLogger(__name__)
+
+SURVEY_PAUSE_SECONDS = 0.05
+
+
+class Recovery:
+    """Takes over the grants of earlier leaders.
+
+    No slice is granted before every earlier grant must have lapsed, but for
+    one: a server that says it holds a slice, unexpired, is the only one that
+    can, and is granted it again at once. It is also recorded as the owner if
+    the record names another, as after a standby was activated while the
+    store was down.
+
+    Args:
+        state: The leader's memory.
+        lapse: When every grant and view of earlier leaders has lapsed.
+    """
+
+    def __init__(self, state: ShardState, lapse: float) -> None:
+        self._state = state
+        self._lapse = lapse
+
+    def block_all(self) -> None:
+        """Leaves every slice out of grants until earlier ones lapsed."""
+        for entry in self._state.record.slices:
+            self._state.block(entry.range, self._lapse)
+
+    async def survey(self, keeper: GrantKeeper) -> None:
+        """Asks a server what it holds, until it answers or that has lapsed.
+
+        Args:
+            keeper: The keeper of a server that may hold an earlier grant.
+        """
+        while await keeper.survey() is None:
+            if now() >= self._lapse:
+                return
+            await asyncio.sleep(SURVEY_PAUSE_SECONDS)
+        found = [self._held_entry(keeper, entry) for entry in self._state.record.slices]
+        held = [entry for entry in found if entry is not None]
+        self._state.replace_entries(held)
+        for entry in held:
+            self._state.unblock(entry.range)
+
+    def _held_entry(self, keeper: GrantKeeper, entry: SliceEntry) -> SliceEntry | None:
+        if entry.owner == keeper.name and keeper.holds(entry):
+            return replace(entry, moving_to="")
+        for one in keeper.confirmed:
+            covers = one.range.start <= entry.range.start < one.range.end
+            if covers and one.epoch > entry.epoch:
+                logger.info(
+                    "owner found that the store does not name",
+                    extra={"server": keeper.name, "epoch": one.epoch},
+                )
+                return replace(entry, owner=keeper.name, epoch=one.epoch, moving_to="")
+        return None
--- /dev/null
+++ b/src/balsamway/ownership/shard_leader.py
@@ -0,0 +1,271 @@
+"""Leads one shard."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import TYPE_CHECKING
+
+import mode
+
+from balsamway.ownership._clock import now
+from balsamway.ownership.authority import Authority
+from balsamway.ownership.grant_keeper import GrantKeeper
+from balsamway.ownership.handover import Handover
+from balsamway.ownership.leaving import Leaving
+from balsamway.ownership.loss import Loss
+from balsamway.ownership.messages import ViewAnswer, ViewRequest
+from balsamway.ownership.placement import Placement
+from balsamway.ownership.promise_keeper import PromiseKeeper
+from balsamway.ownership.record_writer import RecordWriter
+from balsamway.ownership.recovery import Recovery
+from balsamway.ownership.shard_context import ShardContext
+from balsamway.ownership.shard_state import ShardState
+from balsamway.ownership.view_server import ViewServer
+
+if TYPE_CHECKING:
+    from balsamway.balance import Planner
+    from balsamway.configuration import Weights
+    from balsamway.ownership.claim import Claimed
+    from balsamway.ownership.cluster import Cluster
+    from balsamway.ownership.load_source import LoadSource
+    from balsamway.platform import Host
+
+logger = logging.getLogger(__name__)
+
+SURVEY_WAIT_SECONDS = 0.15
+"""How long views wait for servers that do not answer a new leader."""
+SERVER_LIST_SECONDS = 0.2
+LOSS_CHECK_SECONDS = 0.05
+LEAVING_CHECK_SECONDS = 0.1
+PLAN_SECONDS = 1.0
+FLUSH_CHECK_SECONDS = 0.2
+FLUSH_TIMEOUT_SECONDS = 30.0
+
+
+class ShardLeader(mode.Service):
+    """Acts for one shard for as long as its authority holds.
+
+    Args:
+        cluster: This host and its surroundings.
+        claimed: The claim that was won.
+        planner: Decides on placement.
+        loads: The loads that gateways reported; None where nothing reports.
+        weights: What the member weighs.
+    """
+
+    def __init__(
+        self,
+        cluster: Cluster,
+        claimed: Claimed,
+        planner: Planner,
+        loads: LoadSource | None,
+        weights: Weights,
+    ) -> None:
+        super().__init__()
+        record = claimed.record
+        timing = cluster.timing
+        longest = max(timing.grant, timing.view) * cluster.allowance
+        self._earlier_until = 0.0 if claimed.first else claimed.adopted_at + longest
+        self._cluster = cluster
+        self._state = ShardState(record)
+        self._authority = Authority(record.roster)
+        self._keepers: dict[str, GrantKeeper] = {}
+        self._promises = PromiseKeeper(
+            cluster, record.shard, record.leader_epoch, self._authority
+        )
+        writer = RecordWriter(
+            cluster, self._state, self._authority, claimed.object_version
+        )
+        views = ViewServer(
+            cluster, self._state, self._authority, self._keepers, self._earlier_until
+        )
+        self._context = ShardContext(
+            cluster, self._state, self._authority, writer, self._keepers, views
+        )
+        self._recovery = Recovery(self._state, self._earlier_until)
+        self._handover = Handover(self._context)
+        self._loss = Loss(self._context)
+        self._leaving = Leaving(self._context, self._handover)
+        self._placement = Placement(
+            self._context, self._handover, planner, loads, weights
+        )
+        self._recovered = asyncio.Event()
+        self.lapsed = asyncio.Event()
+        """Set once authority has lapsed; nothing is done after that."""
+
+    @property
+    def context(self) -> ShardContext:
+        """The leader's parts."""
+        return self._context
+
+    @property
+    def handover(self) -> Handover:
+        """Makes planned moves."""
+        return self._handover
+
+    @property
+    def epoch(self) -> int:
+        """The leader's epoch."""
+        return self._state.record.leader_epoch
+
+    @property
+    def in_power(self) -> bool:
+        """Whether the leader may act now."""
+        return self._authority.holds
+
+    async def on_start(self) -> None:
+        """Blocks all grants until it is known who holds what."""
+        self._recovery.block_all()
+
+    async def on_stop(self) -> None:
+        """Gives authority up."""
+        self._authority.end()
+        self._promises.stop()
+        self.lapsed.set()
+
+    def answer_view(self, gateway: str, request: ViewRequest) -> ViewAnswer:
+        """Answers a gateway that asks for the view.
+
+        Args:
+            gateway: The gateway's host.
+            request: What it has.
+
+        Returns:
+            The answer.
+        """
+        return self._context.views.answer(gateway, request)
+
+    def dump(self) -> dict[str, object]:
+        """Describes the leader for the state dump.
+
+        Returns:
+            Its epoch, authority, witnesses, servers and slices.
+        """
+        record = self._state.record
+        return {
+            "epoch": record.leader_epoch,
+            "authority_seconds": self._authority.until - now(),
+            "roster": [one.host for one in record.roster],
+            "version": record.version,
+            "ahead_of_store": self._state.ahead,
+            "servers": {
+                name: {
+                    "answers": keeper.answers,
+                    "leaving": keeper.leaving,
+                    "checks": keeper.checks,
+                    "grant_seconds": keeper.held_until - now(),
+                    "slices": len(self._state.owned_by(name)),
+                }
+                for name, keeper in sorted(self._keepers.items())
+            },
+        }
+
+    @mode.Service.task
+    async def _lead(self) -> None:
+        if not await self._promises.establish():
+            self._authority.end()
+            self.lapsed.set()
+            return
+        logger.info(
+            "leadership taken",
+            extra={"shard": str(self._state.record.shard), "epoch": self.epoch},
+        )
+        self.add_future(self._promises.keep())
+        surveys = [
+            self.add_future(self._take_over(keeper)) for keeper in self._add_servers()
+        ]
+        if surveys:
+            await asyncio.wait(surveys, timeout=SURVEY_WAIT_SECONDS)
+        self._context.views.open()
+        self._recovered.set()
+
+    async def _take_over(self, keeper: GrantKeeper) -> None:
+        await self._recovery.survey(keeper)
+        self.add_future(keeper.keep())
+
+    @mode.Service.task
+    async def _watch_authority(self) -> None:
+        while not self.should_stop and not self._authority.ended:
+            rest = self._authority.until - now()
+            pause = rest if self._authority.holds else self._cluster.timing.renewal
+            await self.sleep(max(0.01, pause))
+        self.lapsed.set()
+
+    @mode.Service.task
+    async def _push_views(self) -> None:
+        await self._context.views.push_changes()
+
+    @mode.Service.task
+    async def _watch_server_list(self) -> None:
+        await self._recovered.wait()
+        while not self.should_stop and not self._authority.ended:
+            for keeper in self._add_servers():
+                self.add_future(self._take_over(keeper))
+            self._leaving.note_listed()
+            await self.sleep(SERVER_LIST_SECONDS)
+
+    @mode.Service.task
+    async def _watch_losses(self) -> None:
+        await self._recovered.wait()
+        while not self.should_stop and not self._authority.ended:
+            await self._loss.replace_lost()
+            self._context.views.refresh()
+            await self.sleep(LOSS_CHECK_SECONDS)
+
+    @mode.Service.task
+    async def _empty_leaving(self) -> None:
+        await self._recovered.wait()
+        while not self.should_stop and not self._authority.ended:
+            await self._leaving.empty()
+            await self.sleep(LEAVING_CHECK_SECONDS)
+
+    @mode.Service.task
+    async def _improve_placement(self) -> None:
+        await self._recovered.wait()
+        while not self.should_stop and not self._authority.ended:
+            await self._placement.improve()
+            await self.sleep(PLAN_SECONDS)
+
+    @mode.Service.task
+    async def _flush(self) -> None:
+        await self._recovered.wait()
+        writer = self._context.writer
+        while not self.should_stop and not self._authority.ended:
+            if self._state.ahead or not writer.settled:
+                give_up_at = now() + FLUSH_TIMEOUT_SECONDS
+                await writer.update(lambda record: record, give_up_at)
+                self._context.views.refresh()
+            await self.sleep(FLUSH_CHECK_SECONDS)
+
+    def _add_servers(self) -> list[GrantKeeper]:
+        added = []
+        for server in self._known_servers():
+            if server.name in self._keepers:
+                self._keepers[server.name].server = server
+                continue
+            keeper = GrantKeeper(
+                self._cluster,
+                self._state,
+                self._authority,
+                server,
+                self._earlier_until,
+                self._context.views.refresh,
+            )
+            self._keepers[server.name] = keeper
+            added.append(keeper)
+        return added
+
+    def _known_servers(self) -> list[Host]:
+        directory = self._cluster.directory
+        shard = self._state.record.shard
+        found = {
+            one.name: one for one in directory.servers(shard.member, shard.service)
+        }
+        for entry in self._state.record.slices:
+            for name in (entry.owner, entry.standby, entry.moving_to):
+                if name and name not in found:
+                    host = directory.server(name)
+                    if host is not None:
+                        found[name] = host
+        return list(found.values())
--- /dev/null
+++ b/src/balsamway/ownership/view_keeper.py
@@ -0,0 +1,231 @@
+"""Keeps a gateway's views of the shards that it routes for."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from contextlib import contextmanager
+from typing import TYPE_CHECKING
+
+import mode
+
+from balsamway.ownership._clock import now
+from balsamway.ownership.messages import (
+    ViewAnswer,
+    ViewNotice,
+    ViewNoticeAnswer,
+    ViewRequest,
+)
+from balsamway.ownership.route import NoRoute
+from balsamway.ownership.view_cache import ViewCache
+from balsamway.platform import StoredObject
+from balsamway.slices import ShardId
+from balsamway.slices.record_codec import RecordError, decode_record
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from balsamway.ownership.cluster import Cluster
+    from balsamway.ownership.route import Route
+
+logger = logging.getLogger(__name__)
+
+RETRY_PAUSE_SECONDS = 0.05
+REQUEST_TIMEOUT_SECONDS = 0.3
+NO_LEADER_SECONDS = 5.0
+"""After this time without a leader requests are refused at once."""
+STORE_READ_SECONDS = 2.0
+DRAIN_TIMEOUT_SECONDS = 0.4
+
+
+class ViewKeeper(mode.Service):
+    """Asks the leader of each shard in use for its view, and renews it.
+
+    Implements `balsamway.ownership.routes.Routes`. A view's end counts from
+    when it was asked for.
+
+    Args:
+        cluster: This host and its surroundings.
+    """
+
+    def __init__(self, cluster: Cluster) -> None:
+        super().__init__()
+        self._cluster = cluster
+        self._caches: dict[ShardId, ViewCache] = {}
+        self._leaders: dict[ShardId, str] = {}
+        self._answered_at: dict[ShardId, float] = {}
+        self._kicks: dict[ShardId, asyncio.Event] = {}
+
+    async def on_start(self) -> None:
+        """Takes the views that leaders push."""
+        self._cluster.peers.handle(ViewNotice, self._on_view_notice)
+
+    async def find(
+        self, shard: ShardId, position: int, deadline: float
+    ) -> Route | NoRoute:
+        """Finds the owner of a key, waiting while its slice is held or lost.
+
+        Args:
+            shard: The shard of the key.
+            position: The position of the key.
+            deadline: When to give up, by the runtime's clock.
+
+        Returns:
+            The route, or why there was none by the deadline.
+        """
+        cache = self._use(shard)
+        while True:
+            found = cache.route(position)
+            if not isinstance(found, NoRoute):
+                return found
+            if now() >= deadline or self._has_no_leader(cache):
+                return found
+            await cache.wait_for_change(min(deadline, now() + NO_LEADER_SECONDS))
+
+    @contextmanager
+    def attempt(self, route: Route) -> Iterator[bool]:
+        """Counts a request in flight by a route, until the context ends.
+
+        Args:
+            route: The route, found just before.
+
+        Yields:
+            False where the route no longer holds, in which case nothing may
+            be sent by it.
+        """
+        cache = self._caches.get(route.shard)
+        if cache is None or not cache.holds(route):
+            yield False
+            return
+        cache.begin(route)
+        try:
+            yield True
+        finally:
+            cache.end(route)
+
+    def refused(self, route: Route) -> None:
+        """Tells that a server refused a route, so that the view is renewed.
+
+        Args:
+            route: The route that was refused.
+        """
+        kick = self._kicks.get(route.shard)
+        if kick is not None:
+            kick.set()
+
+    def dump(self) -> dict[str, object]:
+        """Describes the views for the state dump.
+
+        Returns:
+            The leader, revision and time left of each view, by shard.
+        """
+        return {
+            str(shard): {
+                "leader": self._leaders.get(shard),
+                "leader_epoch": cache.revision[0],
+                "revision": cache.revision[1],
+                "valid_seconds": cache.valid_until - now(),
+            }
+            for shard, cache in self._caches.items()
+        }
+
+    def _use(self, shard: ShardId) -> ViewCache:
+        cache = self._caches.get(shard)
+        if cache is None:
+            cache = self._caches[shard] = ViewCache(shard)
+            self._kicks[shard] = asyncio.Event()
+            self._answered_at[shard] = now()
+            self.add_future(self._keep(cache))
+        return cache
+
+    def _has_no_leader(self, cache: ViewCache) -> bool:
+        if now() < cache.valid_until:
+            return False
+        return now() - self._answered_at[cache.shard] >= NO_LEADER_SECONDS
+
+    async def _keep(self, cache: ViewCache) -> None:
+        while not self.should_stop:
+            leader = await self._find_leader(cache.shard)
+            renewed = leader is not None and await self._renew(cache, leader)
+            await self._pause(cache.shard, renewed)
+
+    async def _pause(self, shard: ShardId, renewed: bool) -> None:
+        kick = self._kicks[shard]
+        pause = self._cluster.timing.renewal if renewed else RETRY_PAUSE_SECONDS
+        try:
+            await asyncio.wait_for(kick.wait(), pause)
+        except TimeoutError:
+            return
+        kick.clear()
+        await self.sleep(RETRY_PAUSE_SECONDS / 10)
+
+    async def _find_leader(self, shard: ShardId) -> str | None:
+        known = self._leaders.get(shard)
+        if known is not None:
+            return known
+        listed = self._cluster.directory.leader_of(shard)
+        if listed is not None:
+            return listed
+        return await self._recorded_leader(shard)
+
+    async def _recorded_leader(self, shard: ShardId) -> str | None:
+        result = await self._cluster.store.read(shard.object_name)
+        leader = None
+        if isinstance(result, StoredObject):
+            try:
+                leader = decode_record(result.body).leader
+            except RecordError:
+                logger.error("shard record malformed", extra={"shard": str(shard)})
+        if leader is None:
+            # A leader that is found meanwhile pushes its view by itself.
+            await self._pause_for_store(shard)
+            return None
+        return leader.host
+
+    async def _pause_for_store(self, shard: ShardId) -> None:
+        rest = STORE_READ_SECONDS * (0.5 + self._cluster.rng.random())
+        until = now() + rest
+        while now() < until and shard not in self._leaders:
+            if self._cluster.directory.leader_of(shard) is not None:
+                return
+            await self.sleep(RETRY_PAUSE_SECONDS)
+
+    async def _renew(self, cache: ViewCache, leader: str) -> bool:
+        epoch, revision = cache.revision
+        sent_at = now()
+        answer = await self._cluster.peers.call(
+            leader, ViewRequest(cache.shard, epoch, revision), REQUEST_TIMEOUT_SECONDS
+        )
+        if not isinstance(answer, ViewAnswer) or answer.duration_seconds <= 0:
+            self._leaders.pop(cache.shard, None)
+            return False
+        until = sent_at + answer.duration_seconds
+        if answer.view is not None:
+            cache.adopt(answer.view)
+            epoch = answer.view.leader_epoch
+        cache.extend(epoch, until)
+        self._leaders[cache.shard] = leader
+        self._answered_at[cache.shard] = now()
+        return True
+
+    async def _on_view_notice(
+        self, sender: str, notice: ViewNotice
+    ) -> ViewNoticeAnswer | None:
+        cache = self._caches.get(notice.view.shard)
+        if cache is None:
+            epoch, revision = notice.view.leader_epoch, notice.view.revision
+            return ViewNoticeAnswer(epoch, revision, drained=True)
+        before = cache.revision[0]
+        cache.adopt(notice.view)
+        if cache.revision[0] > before:
+            self._leaders[notice.view.shard] = sender
+            self._kicks[notice.view.shard].set()
+        if notice.fence:
+            await self._drain(cache)
+        epoch, revision = cache.revision
+        return ViewNoticeAnswer(epoch, revision, cache.drained)
+
+    async def _drain(self, cache: ViewCache) -> None:
+        until = now() + DRAIN_TIMEOUT_SECONDS
+        while not cache.drained and now() < until:
+            await cache.wait_for_change(until)
--- /dev/null
+++ b/tests/fakes/world.py
@@ -0,0 +1,184 @@
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from balsamway.configuration import MemberConfiguration, Service
+from balsamway.ownership.shard_leader import ShardLeader
+from balsamway.platform import Store
+from balsamway.settings import Timing
+from balsamway.slices import ShardId, ShardRecord
+from balsamway.slices.record_codec import decode_record
+from tests.fakes.configurations import FakeConfigurations
+from tests.fakes.directory import FakeHosts
+from tests.fakes.entry_host import EntryHost
+from tests.fakes.faults import Faults
+from tests.fakes.network import FakeNetwork
+from tests.fakes.ownership_interval import overlaps
+from tests.fakes.server import FakeServer
+from tests.fakes.servers import FakeServers
+from tests.fakes.store import FakeStore
+
+SHARD = ShardId("m", "s", 0)
+
+
+class World:
+    """Entry hosts and servers of one member over the fakes.
+
+    Args:
+        hosts: How many entry hosts, over three availability zones.
+        servers: How many servers; a server's clock runs at its own rate.
+        checks: Whether the servers check who gives them an order.
+        slices: How many slices the only shard starts with.
+    """
+
+    def __init__(
+        self,
+        hosts: int = 5,
+        servers: int = 4,
+        checks: bool = True,
+        slices: int = 8,
+        seed: int = 1,
+        timing: Timing | None = None,
+    ) -> None:
+        self.seed = seed
+        self.timing = timing or Timing()
+        self.faults = Faults()
+        self.store = FakeStore(self.faults)
+        self.network = FakeNetwork(self.faults)
+        self.servers = FakeServers(self.faults)
+        self.hosts = FakeHosts(self.network, self.servers)
+        service = Service("s", True, (), 3, 50, servers, slices=slices)
+        member = MemberConfiguration("m", 1, "", (), (service,), ())
+        self.configurations = FakeConfigurations(member)
+        self.entry: dict[str, EntryHost] = {}
+        self._incarnation = 100
+        self._names = [f"h{number}" for number in range(hosts)]
+        rates = (1.0, 1.005, 0.995)
+        for number in range(servers):
+            self.servers.add(
+                FakeServer(
+                    f"s{number}",
+                    f"z{number % 3}",
+                    checks,
+                    1000.0 * number,
+                    rates[number % 3],
+                )
+            )
+
+    def store_of(self, host: str) -> Store:
+        return self.store.client(host)
+
+    async def start(self) -> None:
+        for name in self._names:
+            await self.start_host(name)
+
+    async def stop(self) -> None:
+        for host in list(self.entry.values()):
+            await host.stop()
+        self.entry.clear()
+
+    async def start_host(self, name: str) -> EntryHost:
+        """Starts a host's daemon, as another incarnation each time."""
+        self._incarnation += 1
+        zone = f"z{int(name[1:]) % 3}"
+        self.hosts.add(name, zone, self._incarnation)
+        self.network.down.discard(name)
+        self.servers.down_hosts.discard(name)
+        self.store.cut_hosts.discard(name)
+        host = EntryHost(self, name, self._incarnation)
+        self.entry[name] = host
+        await host.start()
+        return host
+
+    async def lose_host(self, name: str) -> None:
+        """The daemon is gone; nothing that it says is heard any more."""
+        self.isolate(name)
+        await self.entry.pop(name).stop()
+
+    def isolate(self, name: str) -> None:
+        """The host runs on, but reaches nothing and is reached by nothing."""
+        self.network.down.add(name)
+        self.servers.down_hosts.add(name)
+        self.store.cut_hosts.add(name)
+
+    def rejoin(self, name: str) -> None:
+        self.network.down.discard(name)
+        self.servers.down_hosts.discard(name)
+        self.store.cut_hosts.discard(name)
+
+    @property
+    def record(self) -> ShardRecord:
+        return decode_record(self.store.objects[SHARD.object_name].body)
+
+    @property
+    def leader(self) -> ShardLeader | None:
+        """The leader with the highest epoch that is in power."""
+        found = [
+            leader
+            for host in self.entry.values()
+            if (leader := host.leadership.leader(SHARD)) is not None
+            and leader.in_power
+            and host.name not in self.network.down
+        ]
+        return max(found, key=lambda one: one.epoch, default=None)
+
+    @property
+    def leader_host(self) -> str:
+        leader = self.leader
+        assert leader is not None
+        return leader.context.cluster.me.host
+
+    def owners(self, position: int) -> list[str]:
+        """The servers that hold a position now: never more than one."""
+        return [
+            server.name
+            for server in self.servers.servers.values()
+            if server.owns(SHARD, position)
+        ]
+
+    def unowned(self) -> list[int]:
+        """The starts of the slices that no server holds now."""
+        starts = [entry.range.start for entry in self.record.slices]
+        return [start for start in starts if not self.owners(start)]
+
+    def overlaps(self) -> list[object]:
+        return list(overlaps(self.servers.intervals()))
+
+    async def until(
+        self, condition: Callable[[], bool], timeout_seconds: float = 10.0
+    ) -> float:
+        """Waits for a condition; gives the time that it took."""
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        while not condition():
+            assert loop.time() - started < timeout_seconds, "condition not met"
+            await asyncio.sleep(0.01)
+        return loop.time() - started
+
+    async def until_served(self, timeout_seconds: float = 10.0) -> float:
+        """Waits until every slice is held by a server."""
+        return await self.until(
+            lambda: SHARD.object_name in self.store.objects and not self.unowned(),
+            timeout_seconds,
+        )
+
+    async def unavailable(
+        self, seconds: float, positions: list[int] | None = None
+    ) -> float:
+        """Measures the longest time that any of the positions has no owner."""
+        loop = asyncio.get_running_loop()
+        end = loop.time() + seconds
+        since: dict[int, float] = {}
+        longest = 0.0
+        while loop.time() < end:
+            if positions is None:
+                positions = [entry.range.start for entry in self.record.slices]
+            for position in positions:
+                if self.owners(position):
+                    since.pop(position, None)
+                    continue
+                began = since.setdefault(position, loop.time())
+                longest = max(longest, loop.time() - began + 0.01)
+            await asyncio.sleep(0.01)
+        return longest
