--- /dev/null
+++ b/src/balsamway/gateway/gateway.py
@@ -0,0 +1,121 @@
+"""Takes requests to servers, each to one verdict."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from balsamway.gateway.dispatcher import Dispatcher
+from balsamway.gateway.exclusive_path import ExclusivePath
+from balsamway.gateway.latency_history import LatencyHistory
+from balsamway.gateway.request_run import RequestRun
+from balsamway.gateway.retry_budget import RetryBudget
+from balsamway.gateway.shared_path import SharedPath
+from balsamway.gateway.two_choices import TwoChoices
+from balsamway.gateway.zone_first import ZoneFirst
+from balsamway.outcome import Completed
+
+if TYPE_CHECKING:
+    import random
+
+    from balsamway.gateway.caller_request import CallerRequest
+    from balsamway.gateway.chooser import Chooser
+    from balsamway.gateway.load_recorder import LoadRecorder
+    from balsamway.gateway.metrics import GatewayMetrics
+    from balsamway.gateway.server_pool import ServerPool
+    from balsamway.outcome import Verdict
+    from balsamway.ownership.routes import Routes
+    from balsamway.servers.transport import ServerTransport
+
+
+class Gateway:
+    """Takes requests to servers, each through its attempts to one verdict."""
+
+    def __init__(
+        self,
+        pool: ServerPool,
+        routes: Routes,
+        transport: ServerTransport,
+        recorder: LoadRecorder,
+        metrics: GatewayMetrics,
+        zone: str,
+        rng: random.Random,
+        chooser: Chooser | None = None,
+    ) -> None:
+        """Makes a gateway.
+
+        Args:
+            pool: The servers, and what was seen of them.
+            routes: Finds the owners of keys.
+            transport: Carries attempts to servers.
+            recorder: Counts the load of slices.
+            metrics: Counts requests and attempts.
+            zone: The own availability zone.
+            rng: Draws choices and back-off.
+            chooser: Chooses servers for requests without an owner; None for
+                the better of two in the own zone.
+        """
+        dispatcher = Dispatcher(transport, metrics)
+        self._pool = pool
+        self._metrics = metrics
+        self._rng = rng
+        self._exclusive = ExclusivePath(pool, routes, dispatcher, recorder)
+        self._shared = SharedPath(
+            pool, chooser or ZoneFirst(zone, TwoChoices(rng)), dispatcher
+        )
+        self._budgets: dict[tuple[str, str], RetryBudget] = {}
+        self._latencies: dict[tuple[str, str, str], LatencyHistory] = {}
+
+    async def handle(self, request: CallerRequest) -> Verdict:
+        """Handles a request.
+
+        Args:
+            request: The request, checked.
+
+        Returns:
+            The verdict over all of its attempts, by the request's deadline.
+        """
+        loop = asyncio.get_running_loop()
+        begin = loop.time()
+        verdict = await self._run(request)
+        seconds = loop.time() - begin
+        if isinstance(verdict, Completed):
+            self._latency(request).record(seconds)
+        self._metrics.on_request(request, verdict, seconds)
+        return verdict
+
+    def dump(self) -> dict[str, object]:
+        """Gives the gateway's state for the state dump."""
+        return {
+            "servers": self._pool.dump(),
+            "retry_budgets": {
+                "/".join(name): budget.tokens for name, budget in self._budgets.items()
+            },
+            "hedge_delays": {
+                "/".join(name): history.hedge_delay()
+                for name, history in self._latencies.items()
+            },
+        }
+
+    async def _run(self, request: CallerRequest) -> Verdict:
+        path = self._exclusive if request.service.exclusive_keys else self._shared
+        budget = self._budget(request)
+        budget.deposit()
+        run = RequestRun(request, path, budget, self._metrics, self._rng)
+        return await run.run(self._latency(request).hedge_delay())
+
+    def _budget(self, request: CallerRequest) -> RetryBudget:
+        name = (request.member.member, request.service.name)
+        budget = self._budgets.get(name)
+        if budget is None:
+            budget = RetryBudget()
+            self._budgets[name] = budget
+        return budget
+
+    def _latency(self, request: CallerRequest) -> LatencyHistory:
+        name = request.labels
+        history = self._latencies.get(name)
+        if history is None:
+            history = LatencyHistory()
+            self._latencies[name] = history
+        return history
