--- a/src/balsamway/configuration/member_configuration.py
+++ b/src/balsamway/configuration/member_configuration.py
@@ -23,6 +23,8 @@
     token_hashes: tuple[str, ...]
     """SHA-256, in hexadecimal, of each token that callers may present."""
     weights: Weights = field(default_factory=Weights)
+    replaced: tuple[str, ...] = ()
+    """The change ids of the versions before, the latest first."""
 
     @property
     def object_name(self) -> str:
