Read questionnaires, generate configurations and compare them

Every problem of a questionnaire is collected in one pass with its place, what was found and what was expected.

--- /dev/null
+++ b/src/balsamway/configuration/difference.py
@@ -0,0 +1,72 @@
+"""Finds the differences between two configurations of a member."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+
+from balsamway.configuration.change import Change, ChangeKind
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from balsamway.configuration.member_configuration import MemberConfiguration
+
+BOOKKEEPING = frozenset({"version", "change_id", "replaced"})
+"""The fields that acceptance sets; they are no differences."""
+
+
+def difference(
+    before: MemberConfiguration | None, after: MemberConfiguration
+) -> tuple[Change, ...]:
+    """Finds what changes from one configuration to another.
+
+    Zones, services and kinds are compared by name, so that their order is
+    no difference.
+
+    Args:
+        before: The configuration in force; None for a new member.
+        after: The configuration to come.
+
+    Returns:
+        The changes, in the order of their paths.
+    """
+    old = {} if before is None else dict(_values("", msgspec.to_builtins(before)))
+    new = dict(_values("", msgspec.to_builtins(after)))
+    changes = (
+        _change(path, old.get(path, ""), new.get(path, ""))
+        for path in sorted(old.keys() | new.keys())
+    )
+    return tuple(change for change in changes if change is not None)
+
+
+def _change(path: str, before: str, after: str) -> Change | None:
+    if before == after:
+        return None
+    if not before:
+        return Change(ChangeKind.ADDED, path, "", after)
+    if not after:
+        return Change(ChangeKind.REMOVED, path, before, "")
+    return Change(ChangeKind.CHANGED, path, before, after)
+
+
+def _values(path: str, value: Any) -> Iterator[tuple[str, str]]:
+    if isinstance(value, dict):
+        for name, inner in value.items():
+            if not path and name in BOOKKEEPING:
+                continue
+            yield from _values(f"{path}.{name}" if path else name, inner)
+    elif isinstance(value, (list, tuple)):
+        for item in value:
+            yield from _item_values(path, item)
+    else:
+        yield path, msgspec.json.encode(value).decode()
+
+
+def _item_values(path: str, item: Any) -> Iterator[tuple[str, str]]:
+    if isinstance(item, dict):
+        yield from _values(f"{path}[{item['name']}]", item)
+    else:
+        text = msgspec.json.encode(item).decode()
+        yield f"{path}[{text}]", text
--- /dev/null
+++ b/src/balsamway/configuration/questionnaire/__init__.py
@@ -0,0 +1,25 @@
+"""A member's answers about its services, and how they are checked."""
+
+from balsamway.configuration.questionnaire.kind_answers import KindAnswers
+from balsamway.configuration.questionnaire.patience import Patience
+from balsamway.configuration.questionnaire.problem import Problem
+from balsamway.configuration.questionnaire.questionnaire import Questionnaire
+from balsamway.configuration.questionnaire.reader import (
+    parse_questionnaire,
+    read_questionnaire,
+)
+from balsamway.configuration.questionnaire.service_answers import ServiceAnswers
+from balsamway.configuration.questionnaire.weights_answers import WeightsAnswers
+from balsamway.configuration.questionnaire.zone_answers import ZoneAnswers
+
+__all__ = [
+    "KindAnswers",
+    "Patience",
+    "Problem",
+    "Questionnaire",
+    "ServiceAnswers",
+    "WeightsAnswers",
+    "ZoneAnswers",
+    "parse_questionnaire",
+    "read_questionnaire",
+]
--- /dev/null
+++ b/src/balsamway/configuration/questionnaire/weights_answers.py
@@ -0,0 +1,15 @@
+"""What a member weighs when measures are traded against each other."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from balsamway.configuration.questionnaire._constraints import Weight
+
+
+@dataclass(frozen=True, slots=True)
+class WeightsAnswers:
+    """How much each measure counts for a member; only the ratio matters."""
+
+    imbalance: Weight = 1.0
+    unavailable_time: Weight = 1.0
--- /dev/null
+++ b/src/balsamway/configuration/questionnaire/zone_answers.py
@@ -0,0 +1,16 @@
+"""What a member answers about one availability zone."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from balsamway.configuration.questionnaire._constraints import Count, Name
+
+
+@dataclass(frozen=True, slots=True)
+class ZoneAnswers:
+    """What a member answers about one availability zone."""
+
+    name: Name
+    region: Name
+    entry_hosts: Count
