Accept configurations and spread them among the entry hosts

Acceptance is a conditional update with a change id; a write whose answer was lost is sent again as it was until it is settled. Relays follow the store for their zone, pass on what they adopt, and all hosts compare versions each second.

--- /dev/null
+++ b/src/balsamway/configuration/messages/__init__.py
@@ -0,0 +1,15 @@
+"""Messages by which entry hosts spread configurations."""
+
+from balsamway.configuration.messages.configuration_digest import ConfigurationDigest
+from balsamway.configuration.messages.configuration_digest_answer import (
+    ConfigurationDigestAnswer,
+)
+from balsamway.configuration.messages.configuration_notice import ConfigurationNotice
+from balsamway.configuration.messages.member_version import MemberVersion
+
+__all__ = [
+    "ConfigurationDigest",
+    "ConfigurationDigestAnswer",
+    "ConfigurationNotice",
+    "MemberVersion",
+]
--- /dev/null
+++ b/src/balsamway/configuration/messages/configuration_digest.py
@@ -0,0 +1,19 @@
+"""Tells which versions the sender has, and asks for higher ones."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from balsamway.configuration.messages.member_version import MemberVersion
+from balsamway.peers.codec import message
+
+
+@message("configuration-digest")
+@dataclass(frozen=True, slots=True)
+class ConfigurationDigest:
+    """Tells which versions the sender has, and asks for higher ones."""
+
+    fingerprint: int
+    """Equal where two hosts have the same versions."""
+    versions: tuple[MemberVersion, ...] | None
+    """None to compare only the fingerprints."""
--- /dev/null
+++ b/src/balsamway/configuration/messages/configuration_notice.py
@@ -0,0 +1,18 @@
+"""Passes on a configuration that the sender has adopted."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from balsamway.peers.codec import message
+
+
+@message("configuration-notice")
+@dataclass(frozen=True, slots=True)
+class ConfigurationNotice:
+    """Passes on a configuration that the sender has adopted."""
+
+    member: str
+    version: int
+    body: bytes
+    """The configuration as the store holds it."""
--- /dev/null
+++ b/src/balsamway/configuration/object_watch.py
@@ -0,0 +1,58 @@
+"""Follows one object of the store."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import mode
+
+from balsamway.platform import Absent, StoredObject, Unavailable
+from balsamway.platform.backoff import Backoff
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from random import Random
+
+    from balsamway.platform import Store
+
+WATCH_SECONDS = 2.0
+PAUSE_SECONDS = 0.05
+LONGEST_BACKOFF_SECONDS = 1.0
+
+
+class ObjectWatch(mode.Service):
+    """Hands over an object's body at the start and at each change."""
+
+    def __init__(
+        self, store: Store, name: str, on_body: Callable[[bytes], None], rng: Random
+    ) -> None:
+        """Prepares the watch.
+
+        Args:
+            store: Where the object is.
+            name: The object's name.
+            on_body: Takes each body.
+            rng: Spreads the calls after a failure.
+        """
+        super().__init__()
+        self._store = store
+        self._name = name
+        self._on_body = on_body
+        self._backoff = Backoff(rng, longest_seconds=LONGEST_BACKOFF_SECONDS)
+
+    @mode.Service.task
+    async def _follow(self) -> None:
+        version: int | None = None
+        while not self.should_stop:
+            found = await self._store.watch(self._name, version, WATCH_SECONDS)
+            match found:
+                case Unavailable():
+                    await self.sleep(self._backoff.next())
+                    continue
+                case StoredObject(version=changed, body=body) if changed != version:
+                    version = changed
+                    self._on_body(body)
+                case Absent():
+                    version = None
+            self._backoff.reset()
+            await self.sleep(PAUSE_SECONDS)
--- /dev/null
+++ b/tests/fakes/configuration_network.py
@@ -0,0 +1,72 @@
+from __future__ import annotations
+
+import asyncio
+
+import msgpack
+
+from balsamway.peers.codec import Frame, decode, encode
+from balsamway.peers.peers import PeerFailure
+from balsamway.platform import Host, HostRole
+from balsamway.slices import Witness
+
+
+class ConfigurationNetwork:
+    """Entry hosts that reach each other unless a link is cut."""
+
+    def __init__(self):
+        self.zones = {}
+        self.peers = {}
+        self.cut = set()
+        self.loses_notices = False
+
+    def add(self, host, zone):
+        self.zones[host] = zone
+        self.peers[host] = ConfigurationPeers(host, self)
+        return self.peers[host]
+
+    def reaches(self, one, other):
+        return {one, other} <= self.peers.keys() and frozenset(
+            (one, other)
+        ) not in self.cut
+
+    def cut_between(self, some, others):
+        self.cut |= {frozenset((a, b)) for a in some for b in others if a != b}
+
+
+class ConfigurationPeers:
+    """Implements `Peers` and `Directory` for one host of the network."""
+
+    def __init__(self, host, network):
+        self.host = host
+        self.network = network
+        self.handlers = {}
+
+    def handle(self, message_type, handler):
+        self.handlers[message_type] = handler
+
+    async def call(self, host, message, timeout_seconds):
+        await asyncio.sleep(0.001)
+        if not self.network.reaches(self.host, host):
+            return PeerFailure("cut")
+        copied = decode(msgpack.unpackb(encode(Frame(1, False, message)))).message
+        handler = self.network.peers[host].handlers.get(type(message))
+        if handler is None:
+            return PeerFailure("no handler")
+        return await handler(self.host, copied)
+
+    def send(self, host, message):
+        if not self.network.loses_notices:
+            asyncio.get_running_loop().create_task(self.call(host, message, 1.0))
+
+    def entry_hosts(self):
+        return tuple(
+            Host(name, HostRole.ENTRY, zone, "127.0.0.1:0")
+            for name, zone in self.network.zones.items()
+        )
+
+    def live_witnesses(self):
+        return tuple(
+            Witness(name, 1)
+            for name in sorted(self.network.peers)
+            if name == self.host or self.network.reaches(self.host, name)
+        )
--- /dev/null
+++ b/tests/fakes/configuration_store.py
@@ -0,0 +1,74 @@
+from __future__ import annotations
+
+import asyncio
+
+from balsamway.platform import (
+    Absent,
+    Conflict,
+    StoredObject,
+    Unavailable,
+    WriteUnknown,
+    Written,
+)
+
+
+class ConfigurationStore:
+    """A store in memory with outages and lost answers."""
+
+    def __init__(self):
+        self.objects = {}
+        self.is_down = False
+        self.lost_writes = {}
+        """By object: `applied`, `never`, or the seconds until applied."""
+        self.writes = []
+        self._changed = asyncio.Event()
+
+    def put(self, name, body):
+        version = self.objects[name].version + 1 if name in self.objects else 1
+        self.objects[name] = StoredObject(name, version, body)
+        self._changed.set()
+        self._changed = asyncio.Event()
+        return version
+
+    async def read(self, name):
+        await asyncio.sleep(0)
+        if self.is_down:
+            return Unavailable("down")
+        return self.objects.get(name) or Absent(name)
+
+    async def write(self, name, body, expected_version):
+        await asyncio.sleep(0)
+        self.writes.append(name)
+        if self.is_down:
+            return Unavailable("down")
+        match self.lost_writes.pop(name, None):
+            case None:
+                return self._apply(name, body, expected_version)
+            case "applied":
+                self._apply(name, body, expected_version)
+            case float(seconds):
+                loop = asyncio.get_running_loop()
+                loop.call_later(seconds, self._apply, name, body, expected_version)
+        return WriteUnknown("lost")
+
+    async def watch(self, name, after_version, timeout_seconds):
+        deadline = asyncio.get_running_loop().time() + timeout_seconds
+        while True:
+            changed = self._changed
+            found = await self.read(name)
+            if isinstance(found, Unavailable):
+                return found
+            version = None if isinstance(found, Absent) else found.version
+            left = deadline - asyncio.get_running_loop().time()
+            if version != after_version or left <= 0:
+                return found
+            try:
+                await asyncio.wait_for(changed.wait(), left)
+            except TimeoutError:
+                continue
+
+    def _apply(self, name, body, expected_version):
+        current = self.objects.get(name)
+        if (current.version if current else None) != expected_version:
+            return Conflict(current or Absent(name))
+        return Written(self.put(name, body))
--- /dev/null
+++ b/tests/test_configuration_service.py
@@ -0,0 +1,214 @@
+from __future__ import annotations
+
+import asyncio
+import random
+from dataclasses import replace
+
+import pytest
+
+from balsamway.configuration import MemberConfiguration, Zone
+from balsamway.configuration.codec import encode_configuration, encode_members
+from balsamway.configuration.configuration_service import ConfigurationService
+from balsamway.configuration.constants import MEMBERS_OBJECT
+from balsamway.configuration.messages import ConfigurationNotice
+from balsamway.configuration.token_index import hash_token
+from tests.fakes.configuration_network import ConfigurationNetwork
+from tests.fakes.configuration_store import ConfigurationStore
+
+pytestmark = pytest.mark.looptime
+
+IN_FORCE_SECONDS = 4.0
+ZONES = ("z1", "z2", "z3")
+
+
+def configuration(version, member="m", token="secret"):
+    return MemberConfiguration(
+        member=member,
+        version=version,
+        change_id=f"change-{version}",
+        zones=tuple(Zone(zone, "r", 3) for zone in ZONES),
+        services=(),
+        token_hashes=(hash_token(token),),
+    )
+
+
+class Deployment:
+    """Daemons in three zones, each zone with its own way to the store."""
+
+    def __init__(self):
+        self.network = ConfigurationNetwork()
+        self.stores = {zone: ConfigurationStore() for zone in ZONES}
+        self.services = {}
+
+    def put(self, found):
+        for store in self.stores.values():
+            store.put(found.object_name, encode_configuration(found))
+            store.put(MEMBERS_OBJECT, encode_members([found.member]))
+
+    def set_down(self, *zones):
+        for zone in zones:
+            self.stores[zone].is_down = True
+
+    async def start(self, host, zone):
+        peers = self.network.add(host, zone)
+        service = ConfigurationService(
+            host, zone, self.stores[zone], peers, peers, random.Random(host)
+        )
+        self.services[host] = service
+        await service.start()
+        return service
+
+    async def start_all(self, per_zone=3):
+        for zone in ZONES:
+            for number in range(per_zone):
+                await self.start(f"{zone}-{number}", zone)
+
+    def in_force(self, member="m"):
+        return {service.versions().get(member, 0) for service in self.services.values()}
+
+
+@pytest.fixture
+async def deployment():
+    deployment = Deployment()
+    yield deployment
+    for service in deployment.services.values():
+        await service.stop()
+
+
+async def test_an_accepted_version_is_in_force_everywhere_in_time(deployment):
+    await deployment.start_all()
+    deployment.put(configuration(1))
+    await asyncio.sleep(IN_FORCE_SECONDS)
+    assert deployment.in_force() == {1}
+    deployment.put(configuration(2))
+    await asyncio.sleep(IN_FORCE_SECONDS)
+    assert deployment.in_force() == {2}
+
+
+async def test_a_zone_cut_from_the_store_hears_from_its_peers(deployment):
+    await deployment.start_all()
+    deployment.set_down("z2", "z3")
+    deployment.put(configuration(1))
+    await asyncio.sleep(IN_FORCE_SECONDS)
+    assert deployment.in_force() == {1}
+
+
+async def test_lost_notices_are_made_up_for(deployment):
+    await deployment.start_all()
+    deployment.set_down("z2", "z3")
+    deployment.network.loses_notices = True
+    deployment.put(configuration(1))
+    await asyncio.sleep(2 * IN_FORCE_SECONDS)
+    assert deployment.in_force() == {1}
+
+
+async def test_a_zone_cut_from_all_catches_up_at_its_return(deployment):
+    await deployment.start_all()
+    cut = [f"z3-{number}" for number in range(3)]
+    deployment.network.cut_between(cut, deployment.network.peers.keys() - set(cut))
+    deployment.set_down("z3")
+    deployment.put(configuration(1))
+    await asyncio.sleep(30)
+    assert deployment.in_force() == {0, 1}
+    deployment.network.cut.clear()
+    await asyncio.sleep(IN_FORCE_SECONDS)
+    assert deployment.in_force() == {1}
+
+
+async def test_a_start_while_the_store_is_down_takes_the_peers_version(deployment):
+    await deployment.start_all(per_zone=2)
+    deployment.put(configuration(3))
+    await asyncio.sleep(IN_FORCE_SECONDS)
+    deployment.set_down(*ZONES)
+    late = await deployment.start("z1-9", "z1")
+    await asyncio.sleep(1)
+    assert late.versions() == {"m": 3}
+
+
+async def test_an_old_version_replayed_by_a_peer_is_not_adopted(deployment):
+    service = await deployment.start("z1-0", "z1")
+    peer = deployment.network.add("z1-1", "z1")
+    deployment.put(configuration(5))
+    await asyncio.sleep(1)
+    for claimed in (4, 9):
+        body = encode_configuration(configuration(4))
+        await peer.call("z1-0", ConfigurationNotice("m", claimed, body), 1.0)
+    assert service.versions() == {"m": 5}
+
+
+async def test_a_stale_read_does_not_revert(deployment):
+    service = await deployment.start("z1-0", "z1")
+    deployment.put(configuration(5))
+    await asyncio.sleep(1)
+    deployment.put(configuration(4))
+    await asyncio.sleep(1)
+    assert service.versions() == {"m": 5}
+
+
+@pytest.mark.parametrize(
+    "body",
+    [b"", b"{", b"[]", b"\xff", encode_configuration(configuration(7, "other"))],
+)
+async def test_a_malformed_body_is_refused(deployment, body):
+    service = await deployment.start("z1-0", "z1")
+    peer = deployment.network.add("z1-1", "z1")
+    deployment.put(configuration(5))
+    await asyncio.sleep(1)
+    await peer.call("z1-0", ConfigurationNotice("m", 6, body), 1.0)
+    deployment.stores["z1"].put("configuration/m", body)
+    deployment.stores["z1"].put(MEMBERS_OBJECT, body)
+    await asyncio.sleep(1)
+    assert service.versions() == {"m": 5}
+    deployment.put(configuration(6))
+    await asyncio.sleep(1)
+    assert service.versions() == {"m": 6}
+
+
+async def test_only_relays_watch_the_store(deployment):
+    await deployment.start_all(per_zone=4)
+    deployment.put(configuration(1))
+    await asyncio.sleep(IN_FORCE_SECONDS)
+    relays = {
+        host
+        for host, service in deployment.services.items()
+        if service.dump()["store"]["relay"]
+    }
+    assert relays == {f"{zone}-{number}" for zone in ZONES for number in (0, 1)}
+
+
+async def test_the_next_host_becomes_relay_when_one_is_lost(deployment):
+    await deployment.start_all()
+    await asyncio.sleep(1)
+    await deployment.services.pop("z1-0").stop()
+    del deployment.network.peers["z1-0"]
+    await asyncio.sleep(1)
+    assert deployment.services["z1-2"].dump()["store"]["relay"]
+
+
+async def test_a_token_names_its_member_only(deployment):
+    service = await deployment.start("z1-0", "z1")
+    deployment.put(configuration(1))
+    await asyncio.sleep(1)
+    assert service.member_of_token("secret").member == "m"
+    assert service.member_of_token("other") is None
+    assert service.member_of_token("") is None
+    deployment.put(replace(configuration(2), token_hashes=()))
+    await asyncio.sleep(1)
+    assert service.member_of_token("secret") is None
+
+
+async def test_a_token_of_two_members_names_neither(deployment):
+    service = await deployment.start("z1-0", "z1")
+    for member in ("m", "n"):
+        deployment.put(configuration(1, member))
+        deployment.stores["z1"].put(MEMBERS_OBJECT, encode_members(["m", "n"]))
+    await asyncio.sleep(1)
+    assert service.versions() == {"m": 1, "n": 1}
+    assert service.member_of_token("secret") is None
+
+
+async def test_the_dump_shows_no_token(deployment):
+    service = await deployment.start("z1-0", "z1")
+    deployment.put(configuration(1))
+    await asyncio.sleep(1)
+    assert hash_token("secret") not in str(service.dump())
