--- /dev/null
+++ b/src/balsamway/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command; each module that has `run` is a verb."""
--- /dev/null
+++ b/src/balsamway/observe/__init__.py
@@ -0,0 +1,1 @@
+"""Metrics, logs, the state dump and the reports of members."""
--- /dev/null
+++ b/src/balsamway/observe/json_logs.py
@@ -0,0 +1,46 @@
+"""Sets up logs as JSON lines."""
+
+from __future__ import annotations
+
+import logging
+import sys
+from typing import TYPE_CHECKING, TextIO
+
+from pythonjsonlogger.json import JsonFormatter
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+LIBRARY_LEVEL = logging.WARNING
+"""What other libraries log below this level is left out."""
+
+FIELDS: Mapping[str, str] = {
+    "asctime": "time",
+    "levelname": "level",
+    "name": "logger",
+    "message": "event",
+}
+
+
+def set_up_json_logs(
+    host: str, zone: str, level: int = logging.INFO, stream: TextIO | None = None
+) -> None:
+    """Sends every log record as one line of JSON.
+
+    Args:
+        host: The name of this host, given with each line.
+        zone: The availability zone of this host, given with each line.
+        level: The lowest level of this package's records to write.
+        stream: Where to write; None for standard error.
+    """
+    formatter = JsonFormatter(
+        " ".join(f"%({name})s" for name in FIELDS),
+        rename_fields=dict(FIELDS),
+        static_fields={"host": host, "zone": zone},
+    )
+    handler = logging.StreamHandler(stream or sys.stderr)
+    handler.setFormatter(formatter)
+    root = logging.getLogger()
+    root.handlers = [handler]
+    root.setLevel(LIBRARY_LEVEL)
+    logging.getLogger("balsamway").setLevel(level)
