Add stand-ins for the platform, the servers and the callers

Demonstration, tests and benchmarks need a platform, servers and callers that show faults on request and write down what they did. They run embedded or as processes of their own.

--- /dev/null
+++ b/src/balsamway/standins/caller/caller_standin.py
@@ -0,0 +1,199 @@
+"""The caller stand-in."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from typing import TYPE_CHECKING
+
+import aiohttp
+import mode
+import msgspec
+
+from balsamway.standins.caller.zipf_keys import ZipfKeys
+from balsamway.standins.journal import AnswerCheck, Journal, Told, ToldVerdict
+from balsamway.standins.server.journal_file import JournalFile
+
+if TYPE_CHECKING:
+    from balsamway.standins.caller.call_kind import CallKind
+    from balsamway.standins.caller.caller_settings import CallerSettings
+
+DONE_POLL_SECONDS = 0.02
+
+
+class CallerStandin(mode.Service):
+    """Sends requests at their own times, whatever becomes of earlier ones."""
+
+    def __init__(self, settings: CallerSettings) -> None:
+        super().__init__()
+        self._settings = settings
+        self._rng = random.Random(settings.seed)
+        self._keys = ZipfKeys(settings, self._rng)
+        self._session: aiohttp.ClientSession | None = None
+        self._told: list[Told] = []
+        self._calls: set[asyncio.Task[None]] = set()
+        self._sent = 0
+        self._skipped = 0
+        self._calling = True
+        self._file = JournalFile(settings.journal_file)
+
+    @property
+    def journal(self) -> Journal:
+        """What the callers were told."""
+        return Journal(told=tuple(self._told))
+
+    @property
+    def sent(self) -> int:
+        """How many requests were sent."""
+        return self._sent
+
+    @property
+    def skipped(self) -> int:
+        """How many were not sent, with too many in flight."""
+        return self._skipped
+
+    async def on_start(self) -> None:
+        """Opens the session."""
+        self._file.open()
+        connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=30.0)
+        self._session = aiohttp.ClientSession(connector=connector)
+
+    async def on_stop(self) -> None:
+        """Waits for the calls in flight, and closes the session."""
+        await self.finish()
+        if self._session is not None:
+            await self._session.close()
+        self._file.close()
+
+    async def finish(self) -> None:
+        """Sends no more, and waits for the answers of what was sent."""
+        self._calling = False
+        while self._calls:
+            await asyncio.sleep(DONE_POLL_SECONDS)
+
+    async def wait_done(self) -> None:
+        """Waits until the time to call is over and all is answered."""
+        while self._calling or self._calls:
+            await asyncio.sleep(DONE_POLL_SECONDS)
+
+    def change_hot_set(self) -> None:
+        """Draws another set of hot keys."""
+        self._keys.change_hot_set()
+
+    def dump(self) -> dict[str, object]:
+        """Gives the state of the stand-in for the state dump."""
+        return {
+            "sent": self._sent,
+            "skipped": self._skipped,
+            "in_flight": len(self._calls),
+        }
+
+    @mode.Service.task
+    async def _send_requests(self) -> None:
+        loop = asyncio.get_running_loop()
+        start = due = loop.time()
+        while self._calling and not self.should_stop:
+            due += self._rng.expovariate(self._settings.requests_per_second)
+            if self._settings.seconds and due - start > self._settings.seconds:
+                self._calling = False
+                return
+            if due > loop.time():
+                await asyncio.sleep(due - loop.time())
+            self._send_one()
+
+    @mode.Service.task
+    async def _change_hot_sets(self) -> None:
+        period = self._settings.hot_change_seconds
+        while period and not self.should_stop:
+            await self.sleep(period)
+            self.change_hot_set()
+
+    def _send_one(self) -> None:
+        if len(self._calls) >= self._settings.in_flight_limit:
+            self._skipped += 1
+            return
+        self._sent += 1
+        kinds = self._settings.kinds
+        kind = self._rng.choices(kinds, [kind.share for kind in kinds])[0]
+        request_id = f"{self._settings.member}-{self._settings.seed}-{self._sent}"
+        gateway = self._rng.choice(self._settings.gateways)
+        key = self._keys.draw(kind.service)
+        call = asyncio.ensure_future(self._call(gateway, kind, key, request_id))
+        self._calls.add(call)
+        call.add_done_callback(self._calls.discard)
+
+    async def _call(
+        self, gateway: str, kind: CallKind, key: str, request_id: str
+    ) -> None:
+        start = asyncio.get_running_loop().time()
+        verdict, reason, status, check = await self._ask(gateway, kind, key, request_id)
+        told = Told(
+            member=self._settings.member,
+            service=kind.service,
+            kind=kind.kind,
+            request_id=request_id,
+            key=key,
+            idempotent=kind.idempotent,
+            verdict=verdict,
+            reason=reason,
+            status=status,
+            answer=check,
+            start=start,
+            end=asyncio.get_running_loop().time(),
+        )
+        self._told.append(told)
+        self._file.write("told", told)
+
+    async def _ask(
+        self, gateway: str, kind: CallKind, key: str, request_id: str
+    ) -> tuple[ToldVerdict, str, int, AnswerCheck]:
+        assert self._session is not None
+        headers = {
+            "Authorization": f"Bearer {self._settings.token}",
+            "Balsamway-Key": key,
+            "Balsamway-Request-Id": request_id,
+            "Balsamway-Timeout-Ms": str(int(kind.timeout_seconds * 1000)),
+        }
+        url = f"http://{gateway}/v1/{kind.service}/{kind.kind}"
+        total = kind.timeout_seconds + self._settings.grace_seconds
+        try:
+            async with self._session.post(
+                url,
+                data=b"x" * kind.body_bytes,
+                headers=headers,
+                timeout=aiohttp.ClientTimeout(total=total),
+            ) as answer:
+                return await _read_answer(answer, request_id, key)
+        except aiohttp.ClientConnectorError as error:
+            return ToldVerdict.UNREACHED, str(error), 0, AnswerCheck.NONE
+        except aiohttp.ClientPayloadError as error:
+            return ToldVerdict.NO_ANSWER, str(error), 0, AnswerCheck.TRUNCATED
+        except (aiohttp.ClientError, TimeoutError) as error:
+            return ToldVerdict.NO_ANSWER, str(error), 0, AnswerCheck.NONE
+
+
+async def _read_answer(
+    answer: aiohttp.ClientResponse, request_id: str, key: str
+) -> tuple[ToldVerdict, str, int, AnswerCheck]:
+    body = await answer.read()
+    named = answer.headers.get("Balsamway-Verdict", "")
+    reason = answer.headers.get("Balsamway-Reason", "")
+    if named not in (ToldVerdict.NOT_RUN, ToldVerdict.MAY_HAVE_RUN, "completed"):
+        return ToldVerdict.NO_ANSWER, "no verdict", answer.status, AnswerCheck.NONE
+    verdict = ToldVerdict(named)
+    check = AnswerCheck.NONE
+    if verdict is ToldVerdict.COMPLETED:
+        check = _check_body(body, request_id, key)
+    if answer.headers.get("Balsamway-Request-Id") != request_id:
+        check = AnswerCheck.SWAPPED
+    return verdict, reason, answer.status, check
+
+
+def _check_body(body: bytes, request_id: str, key: str) -> AnswerCheck:
+    try:
+        fields = msgspec.json.decode(body, type=dict[str, str | int])
+    except (msgspec.DecodeError, msgspec.ValidationError):
+        return AnswerCheck.TRUNCATED
+    if fields.get("request_id") != request_id or fields.get("key") != key:
+        return AnswerCheck.SWAPPED
+    return AnswerCheck.WHOLE
--- /dev/null
+++ b/src/balsamway/standins/journal/grant_held.py
@@ -0,0 +1,22 @@
+"""A time during which a server held a range."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from balsamway.slices import KeyRange
+
+
+@dataclass(frozen=True, slots=True)
+class GrantHeld:
+    """A server held a range of a shard from `start` up to `end`.
+
+    Times are of the runtime's clock, whatever the server's own clock says.
+    """
+
+    server: str
+    shard: str
+    range: KeyRange
+    epoch: int
+    start: float
+    end: float
--- /dev/null
+++ b/src/balsamway/standins/platform/__init__.py
@@ -0,0 +1,8 @@
+"""A stand-in for the platform: object store and host list."""
+
+from balsamway.standins.platform.call_counts import CallCounts
+from balsamway.standins.platform.platform_faults import PlatformFaults
+from balsamway.standins.platform.platform_settings import PlatformSettings
+from balsamway.standins.platform.platform_standin import PlatformStandin
+
+__all__ = ["CallCounts", "PlatformFaults", "PlatformSettings", "PlatformStandin"]
--- /dev/null
+++ b/src/balsamway/standins/platform/call_counts.py
@@ -0,0 +1,18 @@
+"""How many calls the platform stand-in has carried out and refused."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(slots=True)
+class CallCounts:
+    """Calls since the start; a watch counts as one call."""
+
+    reads: int = 0
+    writes: int = 0
+    conflicts: int = 0
+    watches: int = 0
+    open_watches: int = 0
+    host_lists: int = 0
+    refused: int = 0
--- /dev/null
+++ b/src/balsamway/standins/platform/platform_settings.py
@@ -0,0 +1,19 @@
+"""The settings of the platform stand-in."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from balsamway.platform import Host
+from balsamway.standins.platform.platform_faults import PlatformFaults
+
+
+@dataclass(frozen=True, slots=True)
+class PlatformSettings:
+    """What the platform stand-in is told at its start."""
+
+    listen: str = "127.0.0.1:0"
+    hosts: tuple[Host, ...] = ()
+    zones_by_address: dict[str, str] = field(default_factory=dict)
+    """The availability zone of callers that do not name theirs, by IP."""
+    faults: PlatformFaults = field(default_factory=PlatformFaults)
--- /dev/null
+++ b/src/balsamway/standins/server/known_request.py
@@ -0,0 +1,19 @@
+"""A request id that a server has met."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from balsamway.standins.server.attempt_result import AttemptResult
+
+
+@dataclass(slots=True)
+class KnownRequest:
+    """What became of the attempts of one request id."""
+
+    ran: bool = False
+    tasks: set[asyncio.Task[AttemptResult]] = field(default_factory=set)
+    """The attempts in progress."""
--- /dev/null
+++ b/src/balsamway/standins/server/server_standin.py
@@ -0,0 +1,314 @@
+"""The server stand-in."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import random
+import weakref
+from typing import TYPE_CHECKING, Any
+
+import aiohttp
+import msgspec
+from aiohttp import web
+
+from balsamway.platform import Host, HostRole, HostState
+from balsamway.servers.orders import (
+    GrantOrder,
+    OrderRefused,
+    ReleaseOrder,
+    ServerState,
+    SurveyOrder,
+)
+from balsamway.standins.drop_connection import drop_connection
+from balsamway.standins.http_standin import HttpStandin
+from balsamway.standins.journal import StopAsked
+from balsamway.standins.json_body import json_answer, merge_json, read_json
+from balsamway.standins.server.attempt import Attempt, parse_attempt
+from balsamway.standins.server.attempt_result import AttemptApplied, AttemptRefused
+from balsamway.standins.server.grant_table import GrantTable
+from balsamway.standins.server.pause import Pause
+from balsamway.standins.server.request_runner import RequestRunner
+from balsamway.standins.server.server_faults import ServerFaults
+from balsamway.standins.server.server_journal import ServerJournal
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from balsamway.standins.journal import Journal
+    from balsamway.standins.server.server_settings import ServerSettings
+
+DRAIN_POLL_SECONDS = 0.02
+
+
+class ServerStandin(HttpStandin):
+    """Runs requests under grants, and writes down what it did."""
+
+    def __init__(self, settings: ServerSettings) -> None:
+        super().__init__(settings.listen, settings.connection_limit)
+        self._settings = settings
+        self._faults = settings.faults
+        self._pause = Pause()
+        self._journal = ServerJournal(
+            settings.name, settings.clock_offset_seconds, settings.journal_file
+        )
+        self._grants = GrantTable(settings.checks_grants, self._journal.grants)
+        self._requests = RequestRunner(
+            settings,
+            self._grants,
+            self._pause,
+            random.Random(settings.seed),
+            self._journal.add_run,
+        )
+        self._warm_connections: weakref.WeakSet[Any] = weakref.WeakSet()
+        self._started_at = 0.0
+        self._leaving = False
+
+    @property
+    def name(self) -> str:
+        """The server's name."""
+        return self._settings.name
+
+    @property
+    def host(self) -> Host:
+        """The server as the platform's host list names it."""
+        return Host(
+            name=self._settings.name,
+            role=HostRole.SERVER,
+            zone=self._settings.zone,
+            address=self.address,
+            member=self._settings.member,
+            service=self._settings.service,
+            state=HostState.LEAVING if self._leaving else HostState.LIVE,
+        )
+
+    @property
+    def journal(self) -> Journal:
+        """All that was written down, grants still held included."""
+        return self._journal.read()
+
+    @property
+    def faults(self) -> ServerFaults:
+        """The faults that are switched on."""
+        return self._faults
+
+    @faults.setter
+    def faults(self, faults: ServerFaults) -> None:
+        self._faults = faults
+        self._pause.set(faults.frozen)
+
+    @property
+    def has_drained(self) -> bool:
+        """Whether a leaving server holds nothing and runs nothing."""
+        if not self._leaving or self._requests.in_progress:
+            return False
+        return self._grants.all_lapsed(self._clock())
+
+    def routes(self) -> Iterable[web.RouteDef]:
+        """Gives the calls that are answered."""
+        return [
+            web.post("/requests/{service}/{kind}", self._post_request),
+            web.delete("/requests/{request_id}", self._delete_request),
+            web.post("/control/grant", self._post_grant),
+            web.post("/control/release", self._post_release),
+            web.post("/control/survey", self._post_survey),
+            web.get("/health", self._get_health),
+            web.get("/standin/journal", self._get_journal),
+            web.get("/standin/faults", self._get_faults),
+            web.post("/standin/faults", self._post_faults),
+            web.post("/standin/leave", self._post_leave),
+        ]
+
+    async def on_start(self) -> None:
+        """Starts to listen and has the server listed."""
+        self._journal.open()
+        await super().on_start()
+        self._started_at = self._now()
+        self._pause.set(self._faults.frozen)
+        await self._list_at_platform()
+
+    async def on_stop(self) -> None:
+        """Stops, which cuts off what is in progress."""
+        await super().on_stop()
+        self._journal.close()
+
+    async def leave(self) -> None:
+        """Begins a planned stop: serves on until nothing is held."""
+        if self._leaving:
+            return
+        self._leaving = True
+        self._journal.add_stop(StopAsked(self.name, self._now()))
+        await self._list_at_platform()
+
+    async def wait_drained(self) -> None:
+        """Waits until a leaving server can stop and cut nothing off."""
+        while not self.has_drained:
+            await asyncio.sleep(DRAIN_POLL_SECONDS)
+
+    def dump(self) -> dict[str, object]:
+        """Gives the state of the stand-in for the state dump."""
+        return {
+            "name": self.name,
+            "address": self.address,
+            "leaving": self._leaving,
+            "load": self._requests.load,
+            "connections": self.connection_count,
+            "refused_connections": self.refused_connections,
+            "attempts": self._journal.run_count,
+        }
+
+    async def _post_request(self, request: web.Request) -> web.Response:
+        await self._pause.wait()
+        await self._warm_connection(request)
+        body = await request.read()
+        attempt = parse_attempt(request.match_info, request.headers, body, self._now())
+        runner = self._requests
+        runner.shedding = self._faults.shedding
+        runner.slowness = self._slowness()
+        result = await runner.run(attempt)
+        await self._pause.wait()
+        match result:
+            case AttemptApplied(counter):
+                return self._answer(request, attempt, counter)
+            case AttemptRefused(reason):
+                return _not_run(attempt, reason)
+
+    async def _warm_connection(self, request: web.Request) -> None:
+        if request.transport in self._warm_connections:
+            return
+        self._warm_connections.add(request.transport)
+        await asyncio.sleep(self._settings.connection_seconds)
+
+    def _slowness(self) -> float:
+        if self._is_warming():
+            return self._faults.slowness * self._settings.cold_start_slowness
+        return self._faults.slowness
+
+    def _is_warming(self) -> bool:
+        age = self._now() - self._started_at
+        return age < self._settings.cold_start_seconds
+
+    def _answer(
+        self, request: web.Request, attempt: Attempt, counter: int
+    ) -> web.Response:
+        if self._faults.lose_answers:
+            drop_connection(request)
+        request_id = attempt.request_id
+        if self._faults.swap_answers:
+            request_id = f"other-{request_id[:32]}"
+        headers = _verdict_headers(request_id, "completed")
+        answer = {
+            "request_id": request_id,
+            "key": attempt.key,
+            "counter": counter,
+            "server": self.name,
+            "body_size": attempt.body_size,
+        }
+        if self._faults.truncate_answers:
+            self._send_half(request, headers, msgspec.json.encode(answer))
+        return json_answer(answer, headers=headers)
+
+    def _send_half(
+        self, request: web.Request, headers: dict[str, str], body: bytes
+    ) -> None:
+        size = len(body)
+        lines = ["HTTP/1.1 200 OK", f"Content-Length: {size}"]
+        lines.extend("{}: {}".format(*header) for header in headers.items())
+        head = "\r\n".join(lines).encode() + b"\r\n\r\n"
+        if request.transport is not None:
+            request.transport.write(head + body[: len(body) // 2])
+            request.transport.close()
+        raise web.HTTPServiceUnavailable
+
+    async def _delete_request(self, request: web.Request) -> web.Response:
+        await self._pause.wait()
+        outcome = self._requests.cancel(request.match_info["request_id"])
+        return json_answer({"outcome": outcome})
+
+    async def _post_grant(self, request: web.Request) -> web.Response:
+        await self._before_order()
+        order = await read_json(request, GrantOrder)
+        return self._order_answer(self._grants.grant(order, self._clock()))
+
+    async def _post_release(self, request: web.Request) -> web.Response:
+        await self._before_order()
+        order = await read_json(request, ReleaseOrder)
+        result = self._grants.release(order, self._clock())
+        if isinstance(result, ServerState):
+            await self._requests.wait_quiet(order.shard, order.ranges)
+            result = self._grants.state(order.shard, self._clock())
+        return self._order_answer(result)
+
+    async def _post_survey(self, request: web.Request) -> web.Response:
+        await self._before_order()
+        order = await read_json(request, SurveyOrder)
+        return self._order_answer(self._grants.survey(order, self._clock()))
+
+    async def _before_order(self) -> None:
+        await self._pause.wait()
+        if self._faults.refuse_orders:
+            raise web.HTTPServiceUnavailable(text="orders are refused")
+
+    def _order_answer(self, result: ServerState | OrderRefused) -> web.Response:
+        match result:
+            case ServerState():
+                return json_answer(dataclasses.replace(result, leaving=self._leaving))
+            case OrderRefused():
+                return json_answer(result, status=409)
+
+    async def _get_health(self, request: web.Request) -> web.Response:
+        await self._pause.wait()
+        health = {
+            "state": self._faults.reported_state or self._true_state(),
+            "load": self._reported_load(),
+            "in_flight": self._requests.in_progress,
+            "connections": self.connection_count,
+        }
+        return json_answer(health)
+
+    def _true_state(self) -> str:
+        if self._leaving:
+            return "draining"
+        return "warming" if self._is_warming() else "ready"
+
+    def _reported_load(self) -> float:
+        if self._faults.reported_load is not None:
+            return self._faults.reported_load
+        return self._requests.load
+
+    async def _get_journal(self, request: web.Request) -> web.Response:
+        return json_answer(self.journal)
+
+    async def _get_faults(self, request: web.Request) -> web.Response:
+        return json_answer(self._faults)
+
+    async def _post_faults(self, request: web.Request) -> web.Response:
+        self.faults = await merge_json(request, self._faults)
+        return json_answer(self._faults)
+
+    async def _post_leave(self, request: web.Request) -> web.Response:
+        await self.leave()
+        return json_answer(self.host)
+
+    async def _list_at_platform(self) -> None:
+        if not self._settings.platform:
+            return
+        url = f"{self._settings.platform}/standin/hosts/{self.name}"
+        async with aiohttp.ClientSession(raise_for_status=True) as session:
+            await session.put(url, data=msgspec.json.encode(self.host))
+
+    def _now(self) -> float:
+        return asyncio.get_running_loop().time()
+
+    def _clock(self) -> float:
+        return self._now() + self._settings.clock_offset_seconds
+
+
+def _verdict_headers(request_id: str, verdict: str) -> dict[str, str]:
+    return {"Balsamway-Request-Id": request_id, "Balsamway-Verdict": verdict}
+
+
+def _not_run(attempt: Attempt, reason: str) -> web.Response:
+    headers = _verdict_headers(attempt.request_id, "not-run")
+    headers["Balsamway-Reason"] = reason
+    return json_answer({"reason": reason}, status=503, headers=headers)
