--- /dev/null
+++ b/src/balsamway/standins/checker/cut_off_run.py
@@ -0,0 +1,34 @@
+"""Finds runs that a planned stop cut off."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from balsamway.standins.checker.violation import Invariant, Violation
+from balsamway.standins.journal import RunOutcome
+
+if TYPE_CHECKING:
+    from balsamway.standins.journal import Journal, Run
+
+
+def cut_off_run(journal: Journal) -> list[Violation]:
+    """Finds runs that were cut off on a server that was asked to leave.
+
+    Args:
+        journal: The journal to check.
+
+    Returns:
+        One violation for each such run.
+    """
+    asked = {stop.server: stop.time for stop in journal.stops}
+    return [
+        _violation(run)
+        for run in journal.runs
+        if run.outcome is RunOutcome.CUT_OFF
+        and run.end >= asked.get(run.server, float("inf"))
+    ]
+
+
+def _violation(run: Run) -> Violation:
+    detail = f"{run.request_id} was cut off by the planned stop of {run.server}"
+    return Violation(Invariant.STOP_GRACEFUL, detail, run.end)
--- /dev/null
+++ b/src/balsamway/standins/checker/duplicate_run.py
@@ -0,0 +1,39 @@
+"""Finds requests that ran more often than they may."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from typing import TYPE_CHECKING
+
+from balsamway.standins.checker.violation import Invariant, Violation
+from balsamway.standins.journal import RunOutcome
+
+if TYPE_CHECKING:
+    from balsamway.standins.journal import Journal, Run
+
+
+def duplicate_run(journal: Journal) -> list[Violation]:
+    """Finds requests, not idempotent, that ran more than once.
+
+    Args:
+        journal: The journal to check.
+
+    Returns:
+        One violation for each such request.
+    """
+    runs: dict[tuple[str, str], list[Run]] = defaultdict(list)
+    for run in journal.runs:
+        if run.outcome is RunOutcome.APPLIED:
+            runs[(run.member, run.request_id)].append(run)
+    return [
+        _violation(again)
+        for told in journal.told
+        if not told.idempotent
+        and len(again := runs.get((told.member, told.request_id), [])) > 1
+    ]
+
+
+def _violation(runs: list[Run]) -> Violation:
+    servers = ", ".join(run.server for run in runs)
+    detail = f"{runs[0].request_id} ran {len(runs)} times, on {servers}"
+    return Violation(Invariant.RUN_AT_MOST_ONCE, detail, runs[-1].end)
--- a/src/balsamway/standins/server/request_runner.py
+++ b/src/balsamway/standins/server/request_runner.py
@@ -57,6 +57,7 @@
         self._in_progress: set[Attempt] = set()
         self.slowness = 1.0
         self.shedding = False
+        self.stopping = False
 
     @property
     def load(self) -> float:
@@ -125,7 +126,8 @@
         try:
             return await self._run_in_slot(attempt, known)
         except asyncio.CancelledError:
-            self._record(attempt, attempt.admitted, RunOutcome.CANCELLED)
+            outcome = RunOutcome.CUT_OFF if self.stopping else RunOutcome.CANCELLED
+            self._record(attempt, attempt.admitted, outcome)
             raise
 
     async def _run_in_slot(
--- a/src/balsamway/standins/server/server_settings.py
+++ b/src/balsamway/standins/server/server_settings.py
@@ -29,6 +29,8 @@
     cold_start_seconds: float = 0.0
     """How long the server is slow after its start."""
     cold_start_slowness: float = 4.0
+    drain_seconds: float = 0.0
+    """How long a stop waits for the grants and runs to end; 0 for none."""
     clock_offset_seconds: float = 0.0
     """What the server's own clock is ahead of the runtime's."""
     platform: str = ""
--- a/src/balsamway/standins/server/server_standin.py
+++ b/src/balsamway/standins/server/server_standin.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import dataclasses
 import random
 import weakref
@@ -128,7 +129,10 @@
         await self._list_at_platform()
 
     async def on_stop(self) -> None:
-        """Stops, which cuts off what is in progress."""
+        """Stops, and cuts off what does not end in the time to drain."""
+        if self._settings.drain_seconds:
+            await self._drain()
+        self._requests.stopping = True
         await super().on_stop()
         self._journal.close()
 
@@ -145,6 +149,12 @@
         while not self.has_drained:
             await asyncio.sleep(DRAIN_POLL_SECONDS)
 
+    async def _drain(self) -> None:
+        await self.leave()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(self._settings.drain_seconds):
+                await self.wait_drained()
+
     def dump(self) -> dict[str, object]:
         """Gives the state of the stand-in for the state dump."""
         return {
--- /dev/null
+++ b/src/balsamway/standins/summary.py
@@ -0,0 +1,157 @@
+"""Computes the measures of members from the journals."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from typing import TYPE_CHECKING
+
+from hdrh.histogram import HdrHistogram
+
+from balsamway.slices import POSITION_END
+from balsamway.standins.checker import Invariant, check
+from balsamway.standins.journal import Journal, RunOutcome, ToldVerdict
+from balsamway.standins.member_summary import MemberSummary
+
+if TYPE_CHECKING:
+    from balsamway.standins.journal import GrantHeld, Told
+
+LONGEST_LATENCY_US = 60_000_000
+SIGNIFICANT_DIGITS = 3
+
+
+def summarize(
+    journal: Journal, since: float = 0.0, servers: dict[str, int] | None = None
+) -> dict[str, MemberSummary]:
+    """Computes each member's measures.
+
+    Args:
+        journal: The merged journal.
+        since: The end of the start-up, by the runtime's clock; first grants
+            before it are no churn.
+        servers: How many servers each `member/service` has, for those that
+            ran nothing; None to count those that ran something.
+
+    Returns:
+        The measures by the members' names.
+    """
+    members = sorted({told.member for told in journal.told})
+    return {
+        member: _summarize_member(_of_member(journal, member), since, servers or {})
+        for member in members
+    }
+
+
+def _of_member(journal: Journal, member: str) -> Journal:
+    return Journal(
+        grants=tuple(
+            held for held in journal.grants if held.shard.startswith(f"{member}/")
+        ),
+        runs=tuple(run for run in journal.runs if run.member == member),
+        told=tuple(told for told in journal.told if told.member == member),
+    )
+
+
+def _summarize_member(
+    journal: Journal, since: float, servers: dict[str, int]
+) -> MemberSummary:
+    found = [violation.invariant for violation in check(journal)]
+    verdicts = [told.verdict for told in journal.told]
+    p50, p99 = _percentiles_ms(journal.told)
+    uncertain = (ToldVerdict.MAY_HAVE_RUN, ToldVerdict.NO_ANSWER)
+    refused = (ToldVerdict.NOT_RUN, ToldVerdict.UNREACHED)
+    return MemberSummary(
+        requests=len(verdicts),
+        answered=verdicts.count(ToldVerdict.COMPLETED),
+        refused_not_run=sum(verdict in refused for verdict in verdicts),
+        may_have_run=sum(verdict in uncertain for verdict in verdicts),
+        duplicate_runs=found.count(Invariant.RUN_AT_MOST_ONCE),
+        lost_runs=found.count(Invariant.ANSWER_FROM_RUN),
+        wrong_answers=found.count(Invariant.ANSWER_WHOLE),
+        owner_overlaps=found.count(Invariant.SOLE_OWNER),
+        imbalance=_imbalance(journal, servers),
+        churn=_churn(journal.grants, since),
+        unavailable_seconds=_unavailable_seconds(journal.told),
+        p50_ms=p50,
+        p99_ms=p99,
+    )
+
+
+def _percentiles_ms(all_told: tuple[Told, ...]) -> tuple[float, float]:
+    histogram = HdrHistogram(1, LONGEST_LATENCY_US, SIGNIFICANT_DIGITS)
+    for told in all_told:
+        if told.verdict is ToldVerdict.COMPLETED:
+            histogram.record_value(max(1, int((told.end - told.start) * 1e6)))
+    return tuple(
+        histogram.get_value_at_percentile(percentile) / 1000 for percentile in (50, 99)
+    )
+
+
+def _imbalance(journal: Journal, servers: dict[str, int]) -> float:
+    busy: dict[str, dict[str, float]] = defaultdict(lambda: defaultdict(float))
+    for run in journal.runs:
+        if run.outcome is RunOutcome.APPLIED:
+            service = f"{run.member}/{run.service}"
+            busy[service][run.server] += run.end - run.start
+    worst = 0.0
+    for service, times in busy.items():
+        count = max(servers.get(service, 0), len(times))
+        mean = sum(times.values()) / count
+        worst = max(worst, max(times.values()) / mean if mean else 0.0)
+    return worst
+
+
+def _churn(grants: tuple[GrantHeld, ...], since: float) -> float:
+    by_shard: dict[str, list[GrantHeld]] = defaultdict(list)
+    for held in sorted(grants, key=lambda held: held.start):
+        by_shard[held.shard].append(held)
+    moved = sum(_moved_positions(held, since) for held in by_shard.values())
+    space = POSITION_END * len(by_shard)
+    return moved / space if space else 0.0
+
+
+def _moved_positions(grants: list[GrantHeld], since: float) -> int:
+    moved = 0
+    for number, held in enumerate(grants):
+        if held.start < since:
+            continue
+        before = _last_owners(grants[:number], held)
+        moved += sum(size for server, size in before if server != held.server)
+    return moved
+
+
+def _last_owners(earlier: list[GrantHeld], held: GrantHeld) -> list[tuple[str, int]]:
+    found = []
+    gaps = [(held.range.start, held.range.end)]
+    for past in reversed(earlier):
+        left = []
+        for start, end in gaps:
+            low, high = max(start, past.range.start), min(end, past.range.end)
+            if low >= high:
+                left.append((start, end))
+                continue
+            found.append((past.server, high - low))
+            left += [gap for gap in ((start, low), (high, end)) if gap[0] < gap[1]]
+        gaps = left
+        if not gaps:
+            break
+    return found
+
+
+def _unavailable_seconds(all_told: tuple[Told, ...]) -> float:
+    by_key: dict[tuple[str, str], list[Told]] = defaultdict(list)
+    for told in all_told:
+        by_key[(told.service, told.key)].append(told)
+    return max((_longest_refusal(told) for told in by_key.values()), default=0.0)
+
+
+def _longest_refusal(all_told: list[Told]) -> float:
+    longest = 0.0
+    failing_since: float | None = None
+    for told in sorted(all_told, key=lambda told: told.start):
+        if told.verdict is ToldVerdict.COMPLETED:
+            failing_since = None
+            continue
+        if failing_since is None:
+            failing_since = told.start
+        longest = max(longest, told.end - failing_since)
+    return longest
--- /dev/null
+++ b/tests/test_checker.py
@@ -0,0 +1,135 @@
+from __future__ import annotations
+
+from dataclasses import fields, replace
+
+import pytest
+
+from balsamway.slices import POSITION_END, KeyRange
+from balsamway.standins.checker import Invariant, check
+from balsamway.standins.journal import (
+    AnswerCheck,
+    AssignmentTold,
+    GrantHeld,
+    Journal,
+    Run,
+    RunOutcome,
+    StopAsked,
+    Told,
+    ToldVerdict,
+    VersionSeen,
+)
+
+LOW = KeyRange(0, POSITION_END // 2)
+HIGH = KeyRange(POSITION_END // 2, POSITION_END)
+RUN = Run(
+    "s1", "m", "s", "order", "r1", "k", 5, "m/s/0", 1, 1.0, 1.1, 1.2, RunOutcome.APPLIED
+)
+TOLD = Told(
+    "m",
+    "s",
+    "order",
+    "r1",
+    "k",
+    False,
+    ToldVerdict.COMPLETED,
+    "",
+    200,
+    AnswerCheck.WHOLE,
+    0.9,
+    1.3,
+)
+REFUSED = replace(
+    TOLD,
+    request_id="r2",
+    verdict=ToldVerdict.NOT_RUN,
+    reason="overloaded",
+    answer=AnswerCheck.NONE,
+)
+CLEAN = Journal(
+    grants=(
+        GrantHeld("s1", "m/s/0", LOW, 1, 0.0, 2.0),
+        GrantHeld("s2", "m/s/0", HIGH, 2, 0.0, 9.0),
+        GrantHeld("s2", "m/s/0", LOW, 3, 2.0, 9.0),
+    ),
+    runs=(
+        RUN,
+        replace(RUN, request_id="r2", outcome=RunOutcome.REFUSED),
+        replace(RUN, request_id="r3", outcome=RunOutcome.CUT_OFF),
+    ),
+    told=(TOLD, REFUSED),
+    assignments_told=(AssignmentTold("m/s/0", LOW, "s1", 1, 0.5),),
+    assignments_kept=(
+        AssignmentTold("m/s/0", LOW, "s2", 3, 9.0),
+        AssignmentTold("m/s/0", HIGH, "s2", 2, 9.0),
+    ),
+    versions=(
+        VersionSeen("h1", 1, "m", 1, 0.0),
+        VersionSeen("h1", 1, "m", 2, 1.0),
+        VersionSeen("h1", 2, "m", 1, 2.0),
+    ),
+    stops=(StopAsked("s1", 1.5),),
+)
+SECOND_RUN = replace(RUN, server="s1", start=1.3, end=1.4)
+FAULTY = {
+    Invariant.SOLE_OWNER: Journal(grants=(GrantHeld("s1", "m/s/0", LOW, 4, 8.0, 8.5),)),
+    Invariant.RUN_UNDER_OWNERSHIP: Journal(
+        runs=(replace(RUN, request_id="r4", start=1.9, end=2.1),)
+    ),
+    Invariant.ASSIGNMENT_KEPT: Journal(
+        assignments_told=(AssignmentTold("m/s/0", HIGH, "s3", 3, 4.0),)
+    ),
+    Invariant.RUN_AT_MOST_ONCE: Journal(runs=(SECOND_RUN,)),
+    Invariant.ANSWER_FROM_RUN: Journal(told=(replace(TOLD, request_id="r5"),)),
+    Invariant.NOT_RUN_IS_TRUE: Journal(runs=(replace(RUN, request_id="r2"),)),
+    Invariant.VERSION_GROWS: Journal(versions=(VersionSeen("h1", 1, "m", 1, 3.0),)),
+    Invariant.ANSWER_WHOLE: Journal(
+        told=(replace(REFUSED, answer=AnswerCheck.SWAPPED),)
+    ),
+    Invariant.LEAVING_IDLE: Journal(
+        runs=(
+            replace(RUN, request_id="r6", shard="", admitted=4.6, start=4.6, end=4.7),
+        )
+    ),
+    Invariant.STOP_GRACEFUL: Journal(
+        runs=(replace(RUN, request_id="r7", end=1.6, outcome=RunOutcome.CUT_OFF),)
+    ),
+}
+
+
+def test_a_clean_journal_passes():
+    assert check(CLEAN) == ()
+
+
+@pytest.mark.parametrize("invariant", Invariant)
+def test_each_invariant_is_caught_alone(invariant):
+    found = check(CLEAN + FAULTY[invariant])
+    assert [violation.invariant for violation in found] == [invariant]
+
+
+@pytest.mark.parametrize(
+    ("kept", "lost"),
+    [
+        (AssignmentTold("m/s/0", LOW, "s9", 1, 9.0), True),
+        (AssignmentTold("m/s/0", LOW, "s1", 1, 9.0), False),
+        (AssignmentTold("m/s/0", LOW, "s9", 0, 9.0), True),
+    ],
+)
+def test_a_kept_assignment_agrees_with_what_was_told(kept, lost):
+    journal = Journal(assignments_told=CLEAN.assignments_told, assignments_kept=(kept,))
+    assert bool(check(journal)) is lost
+
+
+def test_an_idempotent_request_can_run_again():
+    journal = Journal(runs=(RUN, SECOND_RUN), told=(replace(TOLD, idempotent=True),))
+    assert check(journal) == ()
+
+
+def test_a_run_with_no_answer_told_is_no_lost_run():
+    told = replace(TOLD, verdict=ToldVerdict.MAY_HAVE_RUN, answer=AnswerCheck.NONE)
+    assert check(Journal(told=(told,))) == ()
+
+
+def test_journals_merge_field_by_field():
+    merged = CLEAN + CLEAN
+    for field in fields(Journal):
+        assert getattr(merged, field.name) == 2 * getattr(CLEAN, field.name)
