Let tests pause and lose processes on one event loop

The fakes carry messages in flight outside their sender's context, and the fake store holds no lock across a wait, so that a paused caller stops nobody else.

--- a/tests/fakes/network.py
+++ b/tests/fakes/network.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextvars
 from typing import Any
 
 from balsamway.peers.codec import Frame, encode
@@ -70,12 +71,12 @@
         step = Step("peers", type(message).__name__, self._host, host, message)
         fate = await self._network.faults.reach(step)
         if fate is Fate.APPLY_LATE:
-            self._later(self._deliver_late(host, message))
+            self._start(self._deliver_late(host, message))
         if fate in (Fate.DROP, Fate.APPLY_LATE):
             await asyncio.sleep(3600)
-        answer = await self._deliver(host, message)
+        answer = await asyncio.shield(self._start(self._deliver(host, message)))
         if fate is Fate.DOUBLE:
-            self._later(self._deliver_late(host, message))
+            self._start(self._deliver_late(host, message))
         if fate is Fate.LOSE_ANSWER:
             await asyncio.sleep(3600)
         return answer
@@ -104,6 +105,14 @@
         return answer
 
     def _later(self, work: Any) -> None:
-        task = asyncio.create_task(work)
+        self._keep(asyncio.create_task(work))
+
+    def _start(self, work: Any) -> asyncio.Task[Any]:
+        # Outside the caller's context: a message in flight arrives whatever
+        # becomes of its sender.
+        return self._keep(asyncio.create_task(work, context=contextvars.Context()))
+
+    def _keep(self, task: asyncio.Task[Any]) -> asyncio.Task[Any]:
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+        return task
--- a/tests/fakes/servers.py
+++ b/tests/fakes/servers.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextvars
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -131,7 +132,9 @@
         return answer
 
     def _start(self, work: Any) -> asyncio.Task[Any]:
-        task = asyncio.create_task(work)
+        # Outside the caller's context: a message in flight arrives whatever
+        # becomes of its sender.
+        task = asyncio.create_task(work, context=contextvars.Context())
         self._servers.late.add(task)
         task.add_done_callback(self._servers.late.discard)
         return task
--- a/tests/fakes/store.py
+++ b/tests/fakes/store.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextvars
 from collections import Counter
 
 from balsamway.platform import (
@@ -29,7 +30,7 @@
         self.counts: Counter[str] = Counter()
         """Calls by `read`, `write` and `watch`, failed ones included."""
         self.history: list[StoredObject] = []
-        self._changed = asyncio.Condition()
+        self._changes: dict[str, asyncio.Event] = {}
 
     def client(self, host: str) -> FakeStoreClient:
         return FakeStoreClient(self, host)
@@ -44,22 +45,22 @@
         written = StoredObject(name, (expected or 0) + 1, body)
         self.objects[name] = written
         self.history.append(written)
-        async with self._changed:
-            self._changed.notify_all()
+        changed = self._changes.pop(name, None)
+        if changed is not None:
+            changed.set()
         return Written(written.version)
 
     async def wait_for_change(
         self, name: str, after: int | None, timeout: float
     ) -> None:
-        def changed() -> bool:
-            found = self.objects.get(name)
-            return (found.version if found else None) != after
-
-        async with self._changed:
-            try:
-                await asyncio.wait_for(self._changed.wait_for(changed), timeout)
-            except TimeoutError:
-                return
+        found = self.objects.get(name)
+        if (found.version if found else None) != after:
+            return
+        change = self._changes.setdefault(name, asyncio.Event())
+        try:
+            await asyncio.wait_for(change.wait(), timeout)
+        except TimeoutError:
+            return
 
     def reachable(self, host: str) -> bool:
         return not self.outage and host not in self.cut_hosts
@@ -131,6 +132,8 @@
             await asyncio.sleep(self._store.faults.late_seconds)
             await self._store.apply(name, body, expected)
 
-        task = asyncio.create_task(apply())
+        # Outside the caller's context: the store applies it whatever becomes
+        # of the caller.
+        task = asyncio.create_task(apply(), context=contextvars.Context())
         self._late.add(task)
         task.add_done_callback(self._late.discard)
