--- /dev/null
+++ b/src/balsamway/balance/placement_limits.py
@@ -0,0 +1,15 @@
+"""Bounds on how finely a shard is cut."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class PlacementLimits:
+    """How many slices a shard may have."""
+
+    slices_wanted: int = 256
+    """Cold neighbours are merged while there are more slices than this."""
+    slices_at_most: int = 512
+    """No slice is split beyond this."""
