Let requests wait for a service in one queue, and pause by latency

Requests waited for one server each and chose anew every 100 ms, and a server that shed was left alone for up to 100 ms, ten times its latency. Now those of a service without exclusive keys wait in one queue for any server with room, and a pause is half a latency, doubling up to four.

Shares of connections now follow the configuration within a second, and a gateway that is new in a server's subset waits before it connects.

--- a/src/balsamway/gateway/admission.py
+++ b/src/balsamway/gateway/admission.py
@@ -1,10 +1,11 @@
-"""Admits requests to one server, and lets the others wait."""
+"""Admits requests to the servers of a group, and lets the others wait."""
 
 from __future__ import annotations
 
 import asyncio
 import bisect
 import itertools
+import math
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -12,12 +13,11 @@
 from balsamway.outcome import NotRun, Reason
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from balsamway.gateway.attempt import Attempt
+    from balsamway.gateway.server_group import ServerGroup
+    from balsamway.gateway.server_state import ServerState
 
-    from balsamway.configuration import Urgency
-    from balsamway.gateway.concurrency_limit import ConcurrencyLimit
-
-WAITERS_AT_MOST = 256
+WAITERS_AT_MOST = 1024
 RETRY_AFTER_AT_LEAST_SECONDS = 0.1
 
 
@@ -27,132 +27,133 @@
 
 
 class Admission:
-    """Admits requests to one server by urgency, then by deadline.
+    """Admits requests to a group of servers by urgency, then by deadline.
 
     A request that cannot be answered by its deadline is refused at once, and
     so is the least urgent one of too many that wait.
     """
 
-    def __init__(
-        self, limit: ConcurrencyLimit, expected_latency: Callable[[], float]
-    ) -> None:
-        """Makes the admission of a server that has no request yet.
+    def __init__(self, group: ServerGroup) -> None:
+        """Makes the queue of a group, in which nothing waits.
 
         Args:
-            limit: How many requests may be in flight at once.
-            expected_latency: Tells how long an answer takes, in seconds.
+            group: The servers.
         """
-        self._limit = limit
-        self._expected_latency = expected_latency
-        self._in_flight = 0
+        self._group = group
         self._waiters: list[Waiter] = []
         self._numbers = itertools.count()
-        self._paused_until = 0.0
-
-    @property
-    def in_flight(self) -> int:
-        """How many requests are admitted and have not left."""
-        return self._in_flight
 
     @property
     def waiting(self) -> int:
         """How many requests wait."""
         return len(self._waiters)
 
-    @property
-    def has_room(self) -> bool:
-        """Whether a request would be admitted at once."""
-        return (
-            not self._waiters
-            and self._in_flight < self._limit.value
-            and self._paused_until <= asyncio.get_running_loop().time()
-        )
+    def enter_now(self, attempt: Attempt) -> ServerState | None:
+        """Admits a request if it need not wait.
+
+        Args:
+            attempt: The attempt to admit.
+
+        Returns:
+            The server, in which the attempt is counted until its `leave` is
+            called; None where there is none with room.
+        """
+        if self._waiters:
+            return None
+        state = self._group.pick(attempt)
+        if state is not None:
+            state.enter()
+        return state
 
     async def enter(
-        self, urgency: Urgency, deadline: float, until: float
-    ) -> NotRun | StillWaiting | None:
-        """Waits until a request may be sent; `leave` must follow.
+        self, attempt: Attempt, until: float = math.inf
+    ) -> ServerState | NotRun | StillWaiting:
+        """Waits for a server that has room.
 
         Args:
-            urgency: The urgency of the request's kind.
-            deadline: The request's deadline, by the runtime's clock.
-            until: When to stop waiting for now.
+            attempt: The attempt to admit.
+            until: When to stop waiting for now, by the runtime's clock; no
+                later than the request's deadline in any case.
 
         Returns:
-            None once the request is admitted, else why it is not.
+            The server, in which the attempt is counted until its `leave` is
+            called; else why there is none.
         """
-        if self.has_room:
-            self._in_flight += 1
-            return None
-        if self._limit.value < 1:
-            return NotRun(Reason.NO_SERVER, "this host has no connection to it")
-        loop = asyncio.get_running_loop()
-        waiter = Waiter(
-            -int(urgency), deadline, next(self._numbers), loop.create_future()
-        )
+        state = self.enter_now(attempt)
+        if state is not None:
+            return state
+        if self._group.is_empty:
+            return NotRun(Reason.NO_SERVER, retry_after_seconds=1.0)
+        waiter = self._waiter(attempt)
         refused = self._refuse_on_arrival(waiter)
         if refused is not None:
             return refused
         bisect.insort(self._waiters, waiter)
         return await self._wait(waiter, until)
 
-    def leave(self) -> None:
-        """Ends an admitted request, and admits the next."""
-        self._in_flight -= 1
-        self._admit()
-
-    def pause(self, seconds: float) -> None:
-        """Admits nothing for a while.
-
-        Args:
-            seconds: How long.
-        """
-        loop = asyncio.get_running_loop()
-        self._paused_until = max(self._paused_until, loop.time() + seconds)
-        loop.call_at(self._paused_until, self._admit)
-
-    def dump(self) -> dict[str, object]:
-        """Gives the state for the state dump."""
-        return {
-            "in_flight": self._in_flight,
-            "waiting": len(self._waiters),
-            "limit": self._limit.value,
-        }
+    def admit(self) -> None:
+        """Admits those who wait, as far as there is room."""
+        while self._waiters:
+            state = self._group.pick(self._waiters[0].attempt)
+            if state is None:
+                return
+            waiter = self._waiters.pop(0)
+            if waiter.admitted.done():
+                continue
+            if self._is_late(waiter):
+                waiter.admitted.set_result(self._overloaded(0))
+                continue
+            state.enter()
+            waiter.admitted.set_result(state)
+
+    def _waiter(self, attempt: Attempt) -> Waiter:
+        request = attempt.request
+        return Waiter(
+            -int(request.kind.urgency),
+            request.deadline,
+            next(self._numbers),
+            attempt,
+            asyncio.get_running_loop().create_future(),
+        )
 
     def _refuse_on_arrival(self, waiter: Waiter) -> NotRun | None:
-        now = asyncio.get_running_loop().time()
         ahead = bisect.bisect(self._waiters, waiter)
-        wait = self._expected_wait(ahead, now)
-        if now + wait + self._expected_latency() > waiter.deadline:
-            return _overloaded(wait)
+        if self._is_late(waiter, self._expected_wait(ahead)):
+            return self._overloaded(ahead)
         if len(self._waiters) < WAITERS_AT_MOST:
             return None
         if ahead == len(self._waiters):
-            return _overloaded(wait)
-        self._waiters.pop().granted.set_result(_overloaded(wait))
+            return self._overloaded(ahead)
+        last = self._waiters.pop()
+        if not last.admitted.done():
+            last.admitted.set_result(self._overloaded(ahead))
         return None
 
-    def _expected_wait(self, ahead: int, now: float) -> float:
-        paused = max(0.0, self._paused_until - now)
-        rounds = (ahead + 1) / max(1, self._limit.value)
-        return paused + rounds * self._expected_latency()
+    def _expected_wait(self, ahead: int) -> float:
+        rate = self._group.rate
+        return (ahead + 1) / rate if rate else 0.0
+
+    def _is_late(self, waiter: Waiter, wait: float = 0.0) -> bool:
+        now = asyncio.get_running_loop().time()
+        return now + wait + self._group.expected_latency > waiter.deadline
 
-    async def _wait(self, waiter: Waiter, until: float) -> NotRun | StillWaiting | None:
+    async def _wait(
+        self, waiter: Waiter, until: float
+    ) -> ServerState | NotRun | StillWaiting:
         try:
             async with asyncio.timeout_at(min(until, waiter.deadline)):
-                return await waiter.granted
+                return await waiter.admitted
         except TimeoutError:
-            if waiter.granted.done() and not waiter.granted.cancelled():
-                return waiter.granted.result()
+            if waiter.admitted.done() and not waiter.admitted.cancelled():
+                return waiter.admitted.result()
             self._forget(waiter)
             if until < waiter.deadline:
                 return StillWaiting()
-            return _overloaded(self._expected_latency())
+            return self._overloaded(0)
         except asyncio.CancelledError:
-            if _was_admitted(waiter):
-                self.leave()
-            else:
-                self._forget(waiter)
+            self._forget(waiter)
+            if waiter.admitted.done() and not waiter.admitted.cancelled():
+                self._give_back(waiter.admitted.result())
             raise
 
     def _forget(self, waiter: Waiter) -> None:
@@ -160,29 +161,13 @@
         if place < len(self._waiters) and self._waiters[place] is waiter:
             del self._waiters[place]
 
-    def _admit(self) -> None:
-        now = asyncio.get_running_loop().time()
-        if now < self._paused_until:
-            return
-        while self._waiters and self._in_flight < self._limit.value:
-            waiter = self._waiters.pop(0)
-            if waiter.granted.done():
-                continue
-            if now + self._expected_latency() > waiter.deadline:
-                waiter.granted.set_result(_overloaded(self._expected_latency()))
-                continue
-            self._in_flight += 1
-            waiter.granted.set_result(None)
+    def _give_back(self, admitted: ServerState | NotRun) -> None:
+        if not isinstance(admitted, NotRun):
+            admitted.leave()
 
-
-def _was_admitted(waiter: Waiter) -> bool:
-    granted = waiter.granted
-    return granted.done() and not granted.cancelled() and granted.result() is None
-
-
-def _overloaded(retry_after_seconds: float) -> NotRun:
-    return NotRun(
-        Reason.OVERLOADED,
-        "no server can answer before the deadline",
-        max(RETRY_AFTER_AT_LEAST_SECONDS, retry_after_seconds),
-    )
+    def _overloaded(self, ahead: int) -> NotRun:
+        return NotRun(
+            Reason.OVERLOADED,
+            "no server can answer before the deadline",
+            max(RETRY_AFTER_AT_LEAST_SECONDS, self._expected_wait(ahead)),
+        )
--- a/src/balsamway/gateway/attempt.py
+++ b/src/balsamway/gateway/attempt.py
@@ -46,6 +46,11 @@
         """Whether the attempt was handed to the transport."""
         return self._is_sent
 
+    @property
+    def has_tried(self) -> bool:
+        """Whether the request was sent to any server before."""
+        return bool(self._tried)
+
     def was_tried(self, server: str) -> bool:
         """Tells whether the request was sent to a server before.
 
--- a/src/balsamway/gateway/chooser.py
+++ b/src/balsamway/gateway/chooser.py
@@ -17,7 +17,7 @@
         """Chooses one of the servers.
 
         Args:
-            candidates: The servers that may be used; at least one.
+            candidates: The servers that have room; at least one.
 
         Returns:
             The server to send to.
--- /dev/null
+++ b/src/balsamway/gateway/connection_budget.py
@@ -0,0 +1,73 @@
+"""How many connections this gateway may have to each server."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from balsamway.gateway.subset import equal_share, is_in_subset
+
+if TYPE_CHECKING:
+    from balsamway.configuration import Service
+    from balsamway.configuration.configurations import Configurations
+    from balsamway.membership.directory import Directory
+    from balsamway.platform import Host
+
+SETTLE_SECONDS = 10.0
+"""How long a gateway must have been in a server's subset before it connects.
+
+It outlasts the lag of the host list, in which the gateway that it replaces in
+the subset may not know of it yet."""
+
+
+class ConnectionBudget:
+    """How many connections this gateway may have to each server."""
+
+    def __init__(
+        self, gateway: str, directory: Directory, configurations: Configurations
+    ) -> None:
+        """Makes the budget of a gateway.
+
+        Args:
+            gateway: The gateway's host name.
+            directory: Which hosts there are.
+            configurations: The configurations in force.
+        """
+        self._gateway = gateway
+        self._directory = directory
+        self._configurations = configurations
+        self._chosen_at: dict[str, float] = {}
+
+    def service_of(self, host: Host) -> Service | None:
+        """Finds the service that a server runs.
+
+        Args:
+            host: The server.
+
+        Returns:
+            The service as configured now; None where there is none.
+        """
+        configuration = self._configurations.member(host.member)
+        return configuration.service(host.service) if configuration else None
+
+    def limit(self, host: Host) -> int:
+        """Tells how many connections this gateway may have to a server.
+
+        Args:
+            host: The server.
+
+        Returns:
+            The most connections; 0 for a server of no known service.
+        """
+        service = self.service_of(host)
+        if service is None:
+            return 0
+        return equal_share(service) or self._subset_share(host, service)
+
+    def _subset_share(self, host: Host, service: Service) -> int:
+        gateways = [entry.name for entry in self._directory.entry_hosts()]
+        if not is_in_subset(service, host.name, self._gateway, gateways):
+            self._chosen_at.pop(host.name, None)
+            return 0
+        now = asyncio.get_running_loop().time()
+        return int(now - self._chosen_at.setdefault(host.name, now) >= SETTLE_SECONDS)
--- a/src/balsamway/gateway/dispatcher.py
+++ b/src/balsamway/gateway/dispatcher.py
@@ -31,7 +31,7 @@
         deadline: float,
         route: Route | None = None,
     ) -> Verdict:
-        """Sends an attempt that the server's admission let in, and ends it.
+        """Sends an admitted attempt, and ends it.
 
         Args:
             state: The server.
@@ -56,7 +56,7 @@
             self._observe(state, verdict, loop.time() - begin)
             return verdict
         finally:
-            state.admission.leave()
+            state.leave()
 
     def _observe(self, state: ServerState, verdict: Verdict, seconds: float) -> None:
         state.observe(verdict, seconds)
--- a/src/balsamway/gateway/exclusive_path.py
+++ b/src/balsamway/gateway/exclusive_path.py
@@ -66,14 +66,12 @@
             if attempt.is_hedge and attempt.was_tried(route.owner):
                 await asyncio.sleep(RECHECK_SECONDS)
                 continue
-            host = self._pool.find(route.owner)
-            if host is None:
+            owner = self._pool.owner(route.owner)
+            if owner is None:
                 return NotRun(Reason.NO_OWNER, "the owner is not listed", 1.0)
-            state = self._pool.state(host, request.service)
+            state, admission = owner
             until = asyncio.get_running_loop().time() + RECHECK_SECONDS
-            admitted = await state.admission.enter(
-                request.kind.urgency, request.deadline, until
-            )
+            admitted = await admission.enter(attempt, until)
             match admitted:
                 case NotRun():
                     return admitted
@@ -98,11 +96,11 @@
         stack = ExitStack()
         if not stack.enter_context(self._routes.attempt(route)):
             stack.close()
-            state.admission.leave()
+            state.leave()
             return NotRun(Reason.VIEW_LAPSED)
         if not attempt.begin(state.name):
             stack.close()
-            state.admission.leave()
+            state.leave()
             return NotRun(Reason.OVERLOADED, "no budget for a hedge")
         loop = asyncio.get_running_loop()
         begin = loop.time()
--- a/src/balsamway/gateway/least_in_flight.py
+++ b/src/balsamway/gateway/least_in_flight.py
@@ -18,15 +18,15 @@
         self._rng = rng
 
     def choose(self, candidates: Sequence[ServerState]) -> ServerState:
-        """Chooses a server with the fewest requests in flight or waiting.
+        """Chooses a server with the fewest requests in flight.
 
         Args:
-            candidates: The servers that may be used; at least one.
+            candidates: The servers that have room; at least one.
 
         Returns:
             The server to send to.
         """
-        least = min(candidate.load for candidate in candidates)
+        least = min(candidate.in_flight for candidate in candidates)
         return self._rng.choice(
-            [candidate for candidate in candidates if candidate.load == least]
+            [candidate for candidate in candidates if candidate.in_flight == least]
         )
--- a/src/balsamway/gateway/random_choice.py
+++ b/src/balsamway/gateway/random_choice.py
@@ -21,7 +21,7 @@
         """Chooses any server.
 
         Args:
-            candidates: The servers that may be used; at least one.
+            candidates: The servers that have room; at least one.
 
         Returns:
             The server to send to.
--- a/src/balsamway/gateway/server_pool.py
+++ b/src/balsamway/gateway/server_pool.py
@@ -6,96 +6,82 @@
 import math
 from typing import TYPE_CHECKING
 
+from balsamway.gateway.admission import Admission
+from balsamway.gateway.owner_group import OwnerGroup
 from balsamway.gateway.server_state import ServerState
-from balsamway.gateway.subset import connection_share
 from balsamway.platform import HostState
 
 if TYPE_CHECKING:
-    from balsamway.configuration import Service
-    from balsamway.configuration.configurations import Configurations
+    import random
+    from collections.abc import Sequence
+
+    from balsamway.gateway.connection_budget import ConnectionBudget
     from balsamway.membership.directory import Directory
     from balsamway.platform import Host
 
+REFRESH_SECONDS = 1.0
+"""How often the shares of connections are worked out anew."""
+
 
 class ServerPool:
     """What this gateway has seen of the servers that it may use."""
 
     def __init__(
-        self, host: str, directory: Directory, configurations: Configurations
+        self, directory: Directory, budget: ConnectionBudget, rng: random.Random
     ) -> None:
         """Makes a pool that knows no server yet.
 
         Args:
-            host: This gateway's host name.
             directory: Which hosts there are.
-            configurations: The configurations in force.
+            budget: How many connections there may be to each.
+            rng: Draws the length of pauses.
         """
-        self._host = host
         self._directory = directory
-        self._configurations = configurations
+        self._budget = budget
+        self._rng = rng
         self._states: dict[str, ServerState] = {}
-        self._listed: dict[tuple[str, str], tuple[Host, ...]] = {}
+        self._hosts: dict[tuple[str, str], tuple[Host, ...]] = {}
+        self._candidates: dict[tuple[str, str], tuple[ServerState, ...]] = {}
+        self._refresh_at = 0.0
 
-    def state(self, host: Host, service: Service) -> ServerState:
-        """Gives what was seen of a server.
-
-        Args:
-            host: The server.
-            service: The service that it runs.
-
-        Returns:
-            The server's state, kept while the server is listed.
-        """
-        state = self._states.get(host.name)
-        if state is None or state.host.address != host.address:
-            state = ServerState(host, self._share(host, service), -math.inf)
-            self._states[host.name] = state
-        return state
-
-    def find(self, name: str) -> Host | None:
-        """Finds a server by name.
+    def owner(self, name: str) -> tuple[ServerState, Admission] | None:
+        """Gives what was seen of a server that owns keys, and its queue.
 
         Args:
             name: The server's name.
 
         Returns:
-            The server, or None where it is not listed.
+            The state and the queue, or None for a server that is not listed.
         """
-        return self._directory.server(name)
-
-    def candidates(self, member: str, service: Service) -> list[ServerState]:
+        self._refresh_if_due()
+        host = self._directory.server(name)
+        if host is None:
+            return None
+        state = self._states.get(name)
+        if state is None or state.host is not host:
+            state = self._update(host, -math.inf)
+        if state.admission is None:
+            state.admission = Admission(OwnerGroup(state))
+        return state, state.admission
+
+    def candidates(self, member: str, service: str) -> Sequence[ServerState]:
         """Lists the servers that a request without an owner may go to.
 
         Args:
             member: The member's name.
-            service: The service.
+            service: The service's name.
 
         Returns:
             The live servers that this gateway may connect to; the leaving
-            ones where there is no other.
-        """
-        hosts = self._directory.servers(member, service.name)
-        if hosts is not self._listed.get((member, service.name)):
-            self._refresh(member, service, hosts)
-        states = [self._states[host.name] for host in hosts]
-        states = [state for state in states if state.limit.value >= 1]
-        live = [state for state in states if state.host.state is HostState.LIVE]
-        return live or states
-
-    def connection_limit(self, host: Host) -> int:
-        """Tells how many connections this gateway may have to a server.
-
-        Args:
-            host: The server.
-
-        Returns:
-            The most connections; 0 for a server of no known service.
+            ones where there is no other. The same object while nothing
+            changes.
         """
-        configuration = self._configurations.member(host.member)
-        service = configuration.service(host.service) if configuration else None
-        if service is None:
-            return 0
-        return self._share(host, service)
+        self._refresh_if_due()
+        key = (member, service)
+        hosts = self._directory.servers(member, service)
+        if hosts is not self._hosts.get(key):
+            self._list(key, hosts)
+        return self._candidates[key]
 
     def states(self) -> tuple[ServerState, ...]:
         """Lists what was seen of every server, in the order of their names."""
@@ -105,29 +91,36 @@
         """Gives the state of each server for the state dump."""
         return [state.dump() for state in self.states()]
 
-    def _share(self, host: Host, service: Service) -> int:
-        gateways = [entry.name for entry in self._directory.entry_hosts()]
-        return connection_share(service, host.name, self._host, gateways)
-
-    def _refresh(self, member: str, service: Service, hosts: tuple[Host, ...]) -> None:
-        key = (member, service.name)
-        known = self._listed.get(key)
+    def _refresh_if_due(self) -> None:
+        now = asyncio.get_running_loop().time()
+        if now < self._refresh_at:
+            return
+        self._refresh_at = now + REFRESH_SECONDS
+        for state in self.states():
+            state.limit.set_ceiling(self._budget.limit(state.host))
+            if not state.in_flight and self._directory.server(state.name) is None:
+                del self._states[state.name]
+        for key, hosts in self._hosts.items():
+            self._list(key, hosts)
+
+    def _list(self, key: tuple[str, str], hosts: tuple[Host, ...]) -> None:
         joined_at = -math.inf
-        if known is not None:
+        if key in self._hosts:
             joined_at = asyncio.get_running_loop().time()
-        for host in hosts:
-            self._update(host, service, joined_at)
-        names = {host.name for host in hosts}
-        for host in known or ():
-            if host.name not in names:
-                self._states.pop(host.name, None)
-        self._listed[key] = hosts
-
-    def _update(self, host: Host, service: Service, joined_at: float) -> None:
+        states = [self._update(host, joined_at) for host in hosts]
+        states = [state for state in states if state.limit.value >= 1]
+        live = [state for state in states if state.host.state is HostState.LIVE]
+        self._hosts[key] = hosts
+        candidates = tuple(live or states)
+        if candidates != self._candidates.get(key):
+            self._candidates[key] = candidates
+
+    def _update(self, host: Host, joined_at: float) -> ServerState:
         state = self._states.get(host.name)
-        if state is None or state.host.address != host.address:
-            state = ServerState(host, self._share(host, service), joined_at)
-            self._states[host.name] = state
-            return
-        state.host = host
-        state.limit.set_ceiling(self._share(host, service))
+        if state is not None and state.host.address == host.address:
+            state.host = host
+            return state
+        ceiling = self._budget.limit(host)
+        state = ServerState(host, ceiling, joined_at, self._rng)
+        self._states[host.name] = state
+        return state
--- a/src/balsamway/gateway/server_state.py
+++ b/src/balsamway/gateway/server_state.py
@@ -5,11 +5,13 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from balsamway.gateway.admission import Admission
 from balsamway.gateway.concurrency_limit import ConcurrencyLimit
 from balsamway.outcome import Completed, MayHaveRun, NotRun, Reason
 
 if TYPE_CHECKING:
+    import random
+
+    from balsamway.gateway.admission import Admission
     from balsamway.outcome import Verdict
     from balsamway.platform import Host
 
@@ -18,15 +20,20 @@
 RAMP_SECONDS = 5.0
 """How long a server that joined is given less than its share."""
 RAMP_START = 0.1
-SHED_PAUSE_SECONDS = 0.002
-SHED_PAUSE_AT_MOST_SECONDS = 0.1
+PAUSE_LATENCIES = 0.5
+"""The first pause after a refusal, in latencies."""
+PAUSE_LATENCIES_AT_MOST = 4.0
+PAUSE_AT_LEAST_SECONDS = 0.001
+PAUSE_AT_MOST_SECONDS = 0.1
 FAILURES_TO_EJECT = 3
 
 
 class ServerState:
     """What this gateway has seen of one server; it outweighs reports."""
 
-    def __init__(self, host: Host, ceiling: int, joined_at: float) -> None:
+    def __init__(
+        self, host: Host, ceiling: int, joined_at: float, rng: random.Random
+    ) -> None:
         """Makes the state of a server that nothing was sent to.
 
         Args:
@@ -34,17 +41,22 @@
             ceiling: This gateway's share of the server's connections.
             joined_at: When the server joined, by the runtime's clock; minus
                 infinity for one that was there before this gateway.
+            rng: Draws the length of pauses.
         """
         self.host = host
         self.limit = ConcurrencyLimit(ceiling)
-        self.admission = Admission(self.limit, lambda: self._latency)
+        self.admission: Admission | None = None
+        """The queue that waits for this server, once there is one."""
         self.ejected_until = 0.0
         self.ejections = 0
+        self._rng = rng
         self._joined_at = joined_at
+        self._in_flight = 0
+        self._paused_until = 0.0
         self._latency = 0.0
         self._busy_seconds = 0.0
         self._failures = 0
-        self._sheds = 0
+        self._refusals = 0
         self._last_reason = ""
 
     @property
@@ -58,15 +70,38 @@
         return self._latency
 
     @property
-    def load(self) -> int:
-        """How many requests are in flight or wait."""
-        return self.admission.in_flight + self.admission.waiting
+    def in_flight(self) -> int:
+        """How many requests of this gateway the server has."""
+        return self._in_flight
+
+    @property
+    def rate(self) -> float:
+        """How many answers a second the limit allows; 0 for unknown."""
+        return self.limit.value / self._latency if self._latency else 0.0
+
+    @property
+    def has_room(self) -> bool:
+        """Whether a request may be sent at once."""
+        return (
+            self._in_flight < self.limit.value
+            and self._paused_until <= asyncio.get_running_loop().time()
+        )
 
     @property
     def is_failing(self) -> bool:
         """Whether the last attempts have all failed."""
         return self._failures >= FAILURES_TO_EJECT
 
+    def enter(self) -> None:
+        """Counts a request that is about to be sent."""
+        self._in_flight += 1
+
+    def leave(self) -> None:
+        """Counts the end of a request, and admits the next."""
+        self._in_flight -= 1
+        if self.admission is not None:
+            self.admission.admit()
+
     def ramp(self, now: float) -> float:
         """Tells what part of its share a server is given.
 
@@ -122,19 +157,21 @@
             "failures": self._failures,
             "ejected_until": self.ejected_until,
             "last_reason": self._last_reason,
-            **self.admission.dump(),
+            "in_flight": self._in_flight,
+            "limit": self.limit.value,
+            "waiting": self.admission.waiting if self.admission else 0,
         }
 
     def _observe_answer(self, seconds: float, now: float) -> None:
         self._failures = 0
-        self._sheds = 0
+        self._refusals = 0
         self.ejections = 0
         self._busy_seconds += seconds
         if self._latency:
             self._latency += LATENCY_WEIGHT * (seconds - self._latency)
         else:
             self._latency = seconds
-        self.limit.on_answer(seconds, self._latency, self.admission.in_flight, now)
+        self.limit.on_answer(seconds, self._latency, self._in_flight, now)
 
     def _observe_shed(self, now: float) -> None:
         self._last_reason = Reason.SERVER_SHED
@@ -146,6 +183,15 @@
         self._failures += 1
 
     def _pause(self) -> None:
-        seconds = SHED_PAUSE_SECONDS * 2 ** min(self._sheds, 16)
-        self._sheds += 1
-        self.admission.pause(min(SHED_PAUSE_AT_MOST_SECONDS, seconds))
+        """Sends nothing for a while, longer after each refusal in a row."""
+        latencies = PAUSE_LATENCIES * 2 ** min(self._refusals, 16)
+        seconds = self._latency * min(PAUSE_LATENCIES_AT_MOST, latencies)
+        seconds = max(PAUSE_AT_LEAST_SECONDS, seconds) * self._rng.uniform(0.5, 1.5)
+        self._refusals += 1
+        loop = asyncio.get_running_loop()
+        self._paused_until = loop.time() + min(PAUSE_AT_MOST_SECONDS, seconds)
+        loop.call_at(self._paused_until, self._resume)
+
+    def _resume(self) -> None:
+        if self.admission is not None:
+            self.admission.admit()
--- a/src/balsamway/gateway/shared_path.py
+++ b/src/balsamway/gateway/shared_path.py
@@ -2,24 +2,21 @@
 
 from __future__ import annotations
 
-import asyncio
 from typing import TYPE_CHECKING
 
-from balsamway.gateway.admission import StillWaiting
-from balsamway.gateway.ejection import usable
+from balsamway.gateway.admission import Admission, StillWaiting
+from balsamway.gateway.server_state import ServerState
+from balsamway.gateway.service_group import ServiceGroup
 from balsamway.outcome import NotRun, Reason
 
 if TYPE_CHECKING:
     from balsamway.gateway.attempt import Attempt
+    from balsamway.gateway.caller_request import CallerRequest
     from balsamway.gateway.chooser import Chooser
     from balsamway.gateway.dispatcher import Dispatcher
     from balsamway.gateway.server_pool import ServerPool
-    from balsamway.gateway.server_state import ServerState
     from balsamway.outcome import Verdict
 
-RECHOOSE_SECONDS = 0.1
-"""How long a request waits for one server before the choice is made anew."""
-
 
 class SharedPath:
     """The path to any server of a service without exclusive keys."""
@@ -30,6 +27,7 @@
         self._pool = pool
         self._chooser = chooser
         self._dispatcher = dispatcher
+        self._admissions: dict[tuple[str, str], Admission] = {}
 
     async def attempt(self, attempt: Attempt) -> Verdict:
         """Makes one attempt at the best server, one not tried if possible.
@@ -41,33 +39,39 @@
             What became of it.
         """
         request = attempt.request
-        while True:
-            state = self._choose(attempt)
-            if state is None:
-                return NotRun(Reason.NO_SERVER, retry_after_seconds=1.0)
-            until = asyncio.get_running_loop().time() + RECHOOSE_SECONDS
-            admitted = await state.admission.enter(
-                request.kind.urgency, request.deadline, until
-            )
-            match admitted:
-                case NotRun():
-                    return admitted
-                case StillWaiting():
-                    continue
-            if not attempt.begin(state.name):
-                state.admission.leave()
-                return NotRun(Reason.OVERLOADED, "no budget for a hedge")
-            return await self._dispatcher.send(state, request, request.deadline)
+        admission = self._admission(request)
+        state = await self._enter(admission, attempt)
+        if not isinstance(state, ServerState):
+            return state
+        state.admission = admission
+        if not attempt.begin(state.name):
+            state.leave()
+            return NotRun(Reason.OVERLOADED, "no budget for a hedge")
+        return await self._dispatcher.send(state, request, request.deadline)
 
-    def _choose(self, attempt: Attempt) -> ServerState | None:
-        request = attempt.request
-        states = self._pool.candidates(request.member.member, request.service)
-        states = usable(states)
-        untried = [state for state in states if not attempt.was_tried(state.name)]
+    def dump(self) -> dict[str, object]:
+        """Gives how many requests wait for each service."""
+        return {
+            "/".join(name): admission.waiting
+            for name, admission in self._admissions.items()
+        }
+
+    async def _enter(
+        self, admission: Admission, attempt: Attempt
+    ) -> ServerState | NotRun:
         if attempt.is_hedge:
-            states = [state for state in untried if state.admission.has_room]
-        elif untried:
-            states = untried
-        if not states:
-            return None
-        return self._chooser.choose(states)
+            state = admission.enter_now(attempt)
+            return state or NotRun(Reason.NO_SERVER, "no other server has room")
+        admitted = await admission.enter(attempt)
+        if isinstance(admitted, StillWaiting):
+            return NotRun(Reason.DEADLINE_EXCEEDED)
+        return admitted
+
+    def _admission(self, request: CallerRequest) -> Admission:
+        name = (request.member.member, request.service.name)
+        admission = self._admissions.get(name)
+        if admission is None:
+            group = ServiceGroup(lambda: self._pool.candidates(*name), self._chooser)
+            admission = Admission(group)
+            self._admissions[name] = admission
+        return admission
--- a/src/balsamway/gateway/subset.py
+++ b/src/balsamway/gateway/subset.py
@@ -17,15 +17,29 @@
 """Those of the leader of each shard: for grants, and for a release."""
 
 
-def connection_share(
+def equal_share(service: Service) -> int:
+    """Tells how many connections each gateway may have to a server.
+
+    The share holds for any set of gateways up to the most that the service
+    allows, so gateways that come and go never exceed what a server accepts.
+
+    Args:
+        service: The service of the server.
+
+    Returns:
+        The most connections, 0 where there are more gateways than
+        connections.
+    """
+    return available_connections(service) // service.gateways_at_most
+
+
+def is_in_subset(
     service: Service, server: str, gateway: str, gateways: Iterable[str]
-) -> int:
-    """Tells how many connections a gateway may have to a server.
+) -> bool:
+    """Tells whether a gateway is among those that connect to a server.
 
-    The equal share holds for any set of gateways up to the most that the
-    service allows, so gateways that come and go never exceed what the server
-    accepts. Where there are more gateways than connections, each server has
-    its own subset of gateways, which connect once.
+    Used where there are more gateways than connections: each server has its
+    own subset, by rendezvous hashing, and each of these connects once.
 
     Args:
         service: The service of the server.
@@ -34,17 +48,25 @@
         gateways: The host names of all gateways, this one included.
 
     Returns:
-        The most connections, 0 where the gateway is not in the subset.
+        Whether the gateway may connect.
+    """
+    ranked = sorted(gateways, key=lambda name: _rank(server, name))
+    return gateway in ranked[: available_connections(service)]
+
+
+def available_connections(service: Service) -> int:
+    """Tells how many connections of a server are for requests.
+
+    Args:
+        service: The service of the server.
+
+    Returns:
+        Those that neither leaders nor probes need.
     """
     reserved = PROBE_CONNECTIONS
     if service.exclusive_keys:
         reserved += LEADER_CONNECTIONS * service.shards
-    available = max(0, service.connections - reserved)
-    share = available // service.gateways_at_most
-    if share:
-        return share
-    ranked = sorted(gateways, key=lambda name: _rank(server, name))
-    return int(gateway in ranked[:available])
+    return max(0, service.connections - reserved)
 
 
 def _rank(server: str, gateway: str) -> int:
--- a/src/balsamway/gateway/two_choices.py
+++ b/src/balsamway/gateway/two_choices.py
@@ -29,7 +29,7 @@
         """Chooses the less loaded of two servers.
 
         Args:
-            candidates: The servers that may be used; at least one.
+            candidates: The servers that have room; at least one.
 
         Returns:
             The server to send to.
@@ -48,5 +48,5 @@
 
 def _cost(state: ServerState, beside: ServerState, now: float) -> float:
     latency = state.latency or beside.latency
-    work = (state.load + 1) * max(LEAST_LATENCY_SECONDS, latency)
+    work = (state.in_flight + 1) * max(LEAST_LATENCY_SECONDS, latency)
     return work / state.ramp(now)
--- a/src/balsamway/gateway/waiter.py
+++ b/src/balsamway/gateway/waiter.py
@@ -8,6 +8,8 @@
 if TYPE_CHECKING:
     import asyncio
 
+    from balsamway.gateway.attempt import Attempt
+    from balsamway.gateway.server_state import ServerState
     from balsamway.outcome import NotRun
 
 
@@ -20,5 +22,6 @@
     deadline: float
     number: int
     """The order of arrival."""
-    granted: asyncio.Future[NotRun | None] = field(compare=False)
-    """None once the request may be sent, else why it never will be."""
+    attempt: Attempt = field(compare=False)
+    admitted: asyncio.Future[ServerState | NotRun] = field(compare=False)
+    """The server that it may be sent to, or why it never will be."""
--- a/src/balsamway/gateway/zone_first.py
+++ b/src/balsamway/gateway/zone_first.py
@@ -1,4 +1,4 @@
-"""Chooses among the servers of the own zone while they have room."""
+"""Chooses a server of the own zone if there is one."""
 
 from __future__ import annotations
 
@@ -12,7 +12,7 @@
 
 
 class ZoneFirst:
-    """Chooses among servers with room: the own zone's first, then any."""
+    """Chooses a server of the own zone if there is one with room."""
 
     def __init__(self, zone: str, chooser: Chooser) -> None:
         """Makes the chooser of a gateway.
@@ -25,14 +25,13 @@
         self._chooser = chooser
 
     def choose(self, candidates: Sequence[ServerState]) -> ServerState:
-        """Chooses a server with room, in the own zone if there is one.
+        """Chooses a server in the own zone, else any.
 
         Args:
-            candidates: The servers that may be used; at least one.
+            candidates: The servers that have room; at least one.
 
         Returns:
             The server to send to.
         """
-        with_room = [state for state in candidates if state.admission.has_room]
-        near = [state for state in with_room if state.host.zone == self._zone]
-        return self._chooser.choose(near or with_room or candidates)
+        near = [state for state in candidates if state.host.zone == self._zone]
+        return self._chooser.choose(near or candidates)
--- /dev/null
+++ b/tests/fakes/gateway_fleet.py
@@ -0,0 +1,93 @@
+"""Gateways that share servers of a few slots, without a network."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections import Counter
+from dataclasses import dataclass, field
+
+from prometheus_client import CollectorRegistry
+
+from balsamway.gateway import CallerRequest, Gateway, GatewayMetrics
+from balsamway.gateway.connection_budget import ConnectionBudget
+from balsamway.gateway.server_pool import ServerPool
+from balsamway.outcome import Completed
+from balsamway.platform import Host, HostRole
+from tests.fakes.gateway_configurations import LIDS, PRICES, GatewayConfigurations
+from tests.fakes.gateway_directory import GatewayDirectory
+from tests.fakes.gateway_recorder import GatewayRecorder
+from tests.fakes.gateway_routes import GatewayRoutes
+from tests.fakes.gateway_slots import GatewaySlots
+
+
+@dataclass
+class GatewayFleet:
+    gateways: int = 3
+    servers: int = 3
+    zones: str = "abc"
+    transport: GatewaySlots = field(default_factory=GatewaySlots)
+    seed: int = 5
+    completed_in_time: int = 0
+    """Requests that were completed while requests were offered."""
+    verdicts: Counter = field(default_factory=Counter)
+    """How many requests ended so, by kind and reason."""
+    latest: float = 0.0
+    """The longest time that a request took beyond its deadline."""
+
+    def __post_init__(self):
+        self.rng = random.Random(self.seed)
+        names = tuple(f"g{number}" for number in range(self.gateways))
+        hosts = tuple(
+            Host(
+                f"s{number}",
+                HostRole.SERVER,
+                self.zones[number % len(self.zones)],
+                f"127.0.0.1:{number + 1}",
+                "lids",
+                "prices",
+            )
+            for number in range(self.servers)
+        )
+        self.directory = GatewayDirectory(hosts, names)
+        self.members = [self._gateway(name) for name in names]
+
+    @property
+    def capacity(self) -> float:
+        """Requests a second that the servers can run."""
+        return self.servers * self.transport.slots / self.transport.run_seconds
+
+    def _gateway(self, name):
+        budget = ConnectionBudget(name, self.directory, GatewayConfigurations())
+        pool = ServerPool(self.directory, budget, self.rng)
+        zone = self.zones[int(name[1:]) % len(self.zones)]
+        return Gateway(
+            pool,
+            GatewayRoutes(),
+            self.transport,
+            GatewayRecorder(),
+            GatewayMetrics(CollectorRegistry()),
+            zone,
+            self.rng,
+        )
+
+    async def offer(self, rate: float, seconds: float, shares) -> None:
+        """Makes requests at random times, by kinds with their shares."""
+        loop = asyncio.get_running_loop()
+        kinds, weights = zip(*shares.items(), strict=True)
+        end = loop.time() + seconds
+        async with asyncio.TaskGroup() as tasks:
+            while loop.time() < end:
+                await asyncio.sleep(self.rng.expovariate(rate))
+                kind = self.rng.choices(kinds, weights)[0]
+                tasks.create_task(self._request(kind, end))
+
+    async def _request(self, kind, end):
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + kind.timeout_seconds
+        request = CallerRequest(LIDS, PRICES, kind, "r", "", deadline, b"")
+        verdict = await self.rng.choice(self.members).handle(request)
+        self.latest = max(self.latest, loop.time() - deadline)
+        reason = "completed" if isinstance(verdict, Completed) else verdict.reason
+        self.completed_in_time += reason == "completed" and loop.time() <= end
+        self.verdicts[kind.name, str(reason)] += 1
--- a/tests/fakes/gateway_path.py
+++ b/tests/fakes/gateway_path.py
@@ -10,6 +10,7 @@
 from prometheus_client import CollectorRegistry
 
 from balsamway.gateway import CallerListener, Gateway, GatewayLimits, GatewayMetrics
+from balsamway.gateway.connection_budget import ConnectionBudget
 from balsamway.gateway.server_pool import ServerPool
 from balsamway.servers.http_transport import HttpTransport
 from tests.fakes.gateway_configurations import TOKEN, GatewayConfigurations
@@ -18,6 +19,8 @@
 from tests.fakes.gateway_routes import GatewayRoutes
 from tests.fakes.gateway_server import GatewayServer
 
+QUICK_STOP = GatewayLimits(linger_seconds=0.05)
+
 
 @dataclass(frozen=True)
 class CallerAnswer:
@@ -36,7 +39,7 @@
 
 @dataclass
 class GatewayPath:
-    limits: GatewayLimits = field(default_factory=GatewayLimits)
+    limits: GatewayLimits = QUICK_STOP
     configurations: GatewayConfigurations = field(default_factory=GatewayConfigurations)
     directory: GatewayDirectory = field(default_factory=GatewayDirectory)
     routes: GatewayRoutes = field(default_factory=GatewayRoutes)
@@ -46,8 +49,9 @@
 
     async def start(self) -> GatewayPath:
         metrics = GatewayMetrics(self.registry)
-        self.pool = ServerPool("g1", self.directory, self.configurations)
-        self.transport = HttpTransport(self.pool.connection_limit, metrics.on_open)
+        budget = ConnectionBudget("g1", self.directory, self.configurations)
+        self.pool = ServerPool(self.directory, budget, random.Random(2))
+        self.transport = HttpTransport(budget.limit, metrics.on_open)
         self.gateway = Gateway(
             self.pool,
             self.routes,
