--- a/src/balsamway/gateway/two_choices.py
+++ b/src/balsamway/gateway/two_choices.py
@@ -18,8 +18,9 @@
     """Chooses the less loaded of two servers drawn at random.
 
     The load is the work expected before an answer: the requests of this
-    gateway, this one included, times the latency, over the ramp of a server
-    that has joined. A latency not yet known is taken to be the other's.
+    gateway, this one included, times the latency. A latency not yet known is
+    taken to be the other's. A server that has joined is passed over as often
+    as its ramp says.
     """
 
     def __init__(self, rng: random.Random) -> None:
@@ -34,19 +35,19 @@
         Returns:
             The server to send to.
         """
+        now = asyncio.get_running_loop().time()
+        ready = [state for state in candidates if self._is_ready(state, now)]
+        candidates = ready or candidates
         if len(candidates) == 1:
             return candidates[0]
-        first = self._rng.randrange(len(candidates))
-        second = self._rng.randrange(len(candidates) - 1)
-        second += second >= first
-        now = asyncio.get_running_loop().time()
-        one, other = candidates[first], candidates[second]
-        if _cost(one, other, now) <= _cost(other, one, now):
-            return one
-        return other
+        one, other = self._rng.sample(candidates, 2)
+        return one if _work(one, other) <= _work(other, one) else other
+
+    def _is_ready(self, state: ServerState, now: float) -> bool:
+        ramp = state.ramp(now)
+        return ramp >= 1.0 or self._rng.random() < ramp
 
 
-def _cost(state: ServerState, beside: ServerState, now: float) -> float:
+def _work(state: ServerState, beside: ServerState) -> float:
     latency = state.latency or beside.latency
-    work = (state.in_flight + 1) * max(LEAST_LATENCY_SECONDS, latency)
-    return work / state.ramp(now)
+    return (state.in_flight + 1) * max(LEAST_LATENCY_SECONDS, latency)
--- /dev/null
+++ b/tests/gateway/test_connections.py
@@ -0,0 +1,86 @@
+from __future__ import annotations
+
+import asyncio
+from dataclasses import replace
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from balsamway.gateway.connection_budget import SETTLE_SECONDS, ConnectionBudget
+from balsamway.gateway.retry_budget import TOKENS_AT_MOST, RetryBudget
+from balsamway.gateway.subset import equal_share, is_in_subset
+from tests.fakes import gateway_server as fake
+from tests.fakes.gateway_configurations import LIDS, PRICES, GatewayConfigurations
+from tests.fakes.gateway_directory import GatewayDirectory
+from tests.fakes.gateway_path import GatewayPath
+
+services = st.builds(
+    lambda connections, at_most, exclusive, shards: replace(
+        PRICES,
+        connections=connections,
+        gateways_at_most=at_most,
+        exclusive_keys=exclusive,
+        shards=shards,
+    ),
+    st.integers(0, 130),
+    st.integers(1, 60),
+    st.booleans(),
+    st.integers(1, 4),
+)
+
+
+@given(services, st.integers(0, 60))
+def test_a_server_never_gets_more_connections_than_it_accepts(service, count):
+    gateways = [f"g{number}" for number in range(min(count, service.gateways_at_most))]
+    share = equal_share(service)
+    total = share * len(gateways)
+    if not share:
+        total = sum(is_in_subset(service, "s1", name, gateways) for name in gateways)
+    assert total <= service.connections
+
+
+@pytest.mark.looptime
+async def test_a_gateway_new_in_a_subset_waits_before_it_connects():
+    service = replace(PRICES, connections=3, gateways_at_most=16)
+    configurations = GatewayConfigurations(replace(LIDS, services=(service,)))
+    directory = GatewayDirectory()
+    host = fake.GatewayServer(address="127.0.0.1:1").host
+    budget = ConnectionBudget("g1", directory, configurations)
+    assert budget.limit(host) == 0
+    await asyncio.sleep(SETTLE_SECONDS)
+    assert budget.limit(host) == 1
+    directory.gateways = tuple(f"g{number}" for number in range(200))
+    assert budget.limit(host) == 0
+
+
+@pytest.mark.looptime
+async def test_connections_stay_within_the_share_and_are_used_again():
+    service = replace(PRICES, connections=50)
+    configurations = GatewayConfigurations(replace(LIDS, services=(service,)))
+    path = await GatewayPath(configurations=configurations).start()
+    server = await path.add_server(otherwise=fake.run_for(0.01))
+    for _ in range(3):
+        answers = await asyncio.gather(
+            *(path.post("/v1/prices/order") for _ in range(20))
+        )
+        assert {answer.verdict for answer in answers} == {"completed"}
+    assert 1 <= len(server.connections) <= equal_share(service) == 3
+    opened = path.registry.get_sample_value("balsamway_connections_opened_total")
+    assert opened == len(server.connections)
+    await path.stop()
+
+
+@pytest.mark.looptime
+async def test_retries_are_a_tenth_of_the_requests_and_a_little_more():
+    budget = RetryBudget()
+    while budget.withdraw():
+        pass
+    for _ in range(100):
+        budget.deposit()
+    assert sum(budget.withdraw() for _ in range(100)) in (9, 10)
+    await asyncio.sleep(2.0)
+    assert sum(budget.withdraw() for _ in range(100)) == 2
+    await asyncio.sleep(1000.0)
+    assert budget.withdraw()
+    assert budget.tokens <= TOKENS_AT_MOST
