Put the daemon together from its parts

Leaders, witnesses and connection shares of a member are sought only among the entry hosts in its own availability zones; leaving servers get no new work even where no other server is left.

--- a/src/balsamway/configuration/member_configuration.py
+++ b/src/balsamway/configuration/member_configuration.py
@@ -31,6 +31,11 @@
         """The name of the member's configuration in the store."""
         return f"configuration/{self.member}"
 
+    @property
+    def zone_names(self) -> frozenset[str]:
+        """The availability zones where the member's hosts stand."""
+        return frozenset(zone.name for zone in self.zones)
+
     def service(self, name: str) -> Service | None:
         """Finds a service.
 
--- /dev/null
+++ b/src/balsamway/daemon/daemon.py
@@ -0,0 +1,263 @@
+"""The services of one entry host, put together."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from typing import TYPE_CHECKING
+
+import mode
+from prometheus_client import CollectorRegistry
+
+from balsamway.balance import LoadRecorder, LoadReporter, PlacementPlanner
+from balsamway.balance.load_table import LoadTable
+from balsamway.configuration.configuration_service import ConfigurationService
+from balsamway.daemon.health import Health
+from balsamway.daemon.operator_listener import OperatorListener
+from balsamway.gateway import CallerListener, Gateway, GatewayMetrics
+from balsamway.gateway.server_pool import ServerPool
+from balsamway.membership.leadership_claim import LeadershipClaim
+from balsamway.membership.membership_service import MembershipService
+from balsamway.membership.server_prober import ServerProber
+from balsamway.ownership.cluster import Cluster
+from balsamway.ownership.leadership_service import LeadershipService
+from balsamway.ownership.view_keeper import ViewKeeper
+from balsamway.ownership.witness_service import WitnessService
+from balsamway.peers.stream_peers import StreamPeers
+from balsamway.platform import Host, HostRole
+from balsamway.platform.call_counts import CallCounts
+from balsamway.platform.http_host_list import HttpHostList
+from balsamway.platform.http_store import HttpStore
+from balsamway.servers.http_control import HttpControl
+from balsamway.servers.http_transport import HttpTransport
+from balsamway.slices import Witness
+
+if TYPE_CHECKING:
+    from balsamway.settings import Seed, Settings
+    from balsamway.slices import ShardId
+
+INCARNATION_BITS = 48
+
+
+class Daemon(mode.Service):
+    """One entry host: gateway, witness, and candidate for leadership.
+
+    The parts start in the order in which they need each other, and stop in
+    the reverse order, callers first.
+    """
+
+    def __init__(self, settings: Settings) -> None:
+        """Puts the parts together; nothing runs yet.
+
+        Args:
+            settings: What the daemon was told.
+        """
+        super().__init__()
+        self._settings = settings
+        self._rng = random.Random(settings.seed)
+        self._incarnation = random.SystemRandom().getrandbits(INCARNATION_BITS)
+        self._registry = CollectorRegistry()
+        self._stopping = False
+        self._build_platform()
+        self._build_membership()
+        self._build_ownership()
+        self._build_gateway()
+        self._operators = OperatorListener(
+            settings.listen.operators, self._registry, self.state, self.health
+        )
+
+    @property
+    def host(self) -> Host:
+        """This host, as its peers know it."""
+        return self._membership.host
+
+    @property
+    def addresses(self) -> dict[str, str]:
+        """The addresses that the listeners are bound to."""
+        return {
+            "callers": self._callers.address,
+            "peers": self._peers.address,
+            "operators": self._operators.address,
+        }
+
+    @property
+    def configurations(self) -> ConfigurationService:
+        """The configurations in force here."""
+        return self._configurations
+
+    @property
+    def leadership(self) -> LeadershipService:
+        """The shards led here."""
+        return self._leadership
+
+    @property
+    def registry(self) -> CollectorRegistry:
+        """The metrics of this daemon."""
+        return self._registry
+
+    async def on_start(self) -> None:
+        """Starts every part."""
+        await self.add_runtime_dependency(self._peers)
+        await self.add_runtime_dependency(self._operators)
+        self._membership.rename(self._describe())
+        for part in (
+            self._store,
+            self._host_list,
+            self._membership,
+            self._prober,
+            self._configurations,
+            self._witness,
+            self._leadership,
+            self._views,
+            self._load_reporter,
+            self._callers,
+        ):
+            await self.add_runtime_dependency(part)
+        self._membership.rename(self._describe())
+
+    async def stop(self) -> None:
+        """Stops gracefully: requests in progress end before anything else."""
+        self._stopping = True
+        self._membership.announce_stopping()
+        await self._callers.stop()
+        await self._leadership.stop()
+        await self._transport.close()
+        await self._control.close()
+        await super().stop()
+
+    def health(self) -> Health:
+        """Says whether this daemon takes requests."""
+        versions = dict(self._configurations.versions())
+        ready = bool(versions) and self._callers.started and not self._stopping
+        return Health(
+            self._settings.host, self._settings.zone, ready, self._stopping, versions
+        )
+
+    def state(self) -> dict[str, object]:
+        """Gives the whole state of the process, for operators."""
+        return {
+            "host": self._settings.host,
+            "zone": self._settings.zone,
+            "addresses": self.addresses,
+            "clock": asyncio.get_running_loop().time(),
+            "stopping": self._stopping,
+            "configurations": self._configurations.dump(),
+            "membership": self._membership.dump(),
+            "peers": self._peers.dump(),
+            "witness": self._witness.dump(),
+            "leadership": self._leadership.dump(),
+            "views": self._views.dump(),
+            "gateway": self._gateway.dump(),
+            "callers": self._callers.dump(),
+            "loads": self._loads.dump(),
+        }
+
+    def _build_platform(self) -> None:
+        settings = self._settings
+        counts = CallCounts(self._registry)
+        self._store = HttpStore(settings.platform, settings.zone, counts)
+        self._host_list = HttpHostList(settings.platform, settings.zone, counts)
+
+    def _build_membership(self) -> None:
+        settings = self._settings
+        self._membership = MembershipService(
+            self._described_by_settings(),
+            self._incarnation,
+            self._host_list,
+            tuple(_seed_host(seed) for seed in settings.seeds),
+            self._rng,
+        )
+        self._peers = StreamPeers(
+            settings.host,
+            self._incarnation,
+            settings.listen.peers,
+            self._membership.address_of,
+            self._rng,
+        )
+        self._membership.connect(self._peers)
+        self._prober = ServerProber(self._membership)
+        self._configurations = ConfigurationService(
+            settings.host,
+            settings.zone,
+            self._store,
+            self._peers,
+            self._membership,
+            self._rng,
+            self._registry,
+        )
+
+    def _build_ownership(self) -> None:
+        me = Witness(self._settings.host, self._incarnation)
+        self._control = HttpControl()
+        cluster = Cluster(
+            me,
+            self._store,
+            self._peers,
+            self._control,
+            self._membership,
+            self._settings.timing,
+            self._rng,
+        )
+        self._loads = LoadTable(self._peers)
+        self._witness = WitnessService(me, self._peers, self._settings.timing)
+        self._leadership = LeadershipService(
+            cluster, self._configurations, _planner, self._loads
+        )
+        self._views = ViewKeeper(cluster)
+        self._membership.announce(self._claims)
+
+    def _build_gateway(self) -> None:
+        settings = self._settings
+        metrics = GatewayMetrics(self._registry)
+        pool = ServerPool(settings.host, self._membership, self._configurations)
+        self._transport = HttpTransport(pool.connection_limit, metrics.on_open)
+        recorder = LoadRecorder()
+        self._load_reporter = LoadReporter(
+            recorder, self._views, self._membership, self._peers
+        )
+        self._gateway = Gateway(
+            pool,
+            self._views,
+            self._transport,
+            recorder,
+            metrics,
+            settings.zone,
+            self._rng,
+        )
+        self._callers = CallerListener(
+            settings.listen.callers, self._gateway, self._configurations, metrics
+        )
+
+    def _claims(self) -> tuple[LeadershipClaim, ...]:
+        return tuple(
+            LeadershipClaim(led.shard, led.epoch) for led in self._leadership.led
+        )
+
+    def _described_by_settings(self) -> Host:
+        settings = self._settings
+        return Host(
+            settings.host,
+            HostRole.ENTRY,
+            settings.zone,
+            settings.listen.peers,
+            operators_address=settings.listen.operators,
+            callers_address=settings.listen.callers,
+        )
+
+    def _describe(self) -> Host:
+        return Host(
+            self._settings.host,
+            HostRole.ENTRY,
+            self._settings.zone,
+            self._peers.address,
+            operators_address=self._operators.address,
+            callers_address=self._callers.address,
+        )
+
+
+def _planner(shard: ShardId) -> PlacementPlanner:
+    return PlacementPlanner(seed=shard.index)
+
+
+def _seed_host(seed: Seed) -> Host:
+    return Host(seed.host, HostRole.ENTRY, seed.zone, seed.peers)
--- a/src/balsamway/gateway/server_pool.py
+++ b/src/balsamway/gateway/server_pool.py
@@ -71,16 +71,15 @@
             service: The service.
 
         Returns:
-            The live servers that this gateway may connect to; the leaving
-            ones where there is no other.
+            The live servers that this gateway may connect to; leaving ones
+            get no new work.
         """
         hosts = self._directory.servers(member, service.name)
         if hosts is not self._listed.get((member, service.name)):
             self._refresh(member, service, hosts)
         states = [self._states[host.name] for host in hosts]
         states = [state for state in states if state.limit.value >= 1]
-        live = [state for state in states if state.host.state is HostState.LIVE]
-        return live or states
+        return [state for state in states if state.host.state is HostState.LIVE]
 
     def connection_limit(self, host: Host) -> int:
         """Tells how many connections this gateway may have to a server.
@@ -106,7 +105,11 @@
         return [state.dump() for state in self.states()]
 
     def _share(self, host: Host, service: Service) -> int:
-        gateways = [entry.name for entry in self._directory.entry_hosts()]
+        member = self._configurations.member(host.member)
+        zones = member.zone_names if member else frozenset()
+        gateways = [
+            entry.name for entry in self._directory.entry_hosts() if entry.zone in zones
+        ]
         return connection_share(service, host.name, self._host, gateways)
 
     def _refresh(self, member: str, service: Service, hosts: tuple[Host, ...]) -> None:
--- a/src/balsamway/membership/server_table.py
+++ b/src/balsamway/membership/server_table.py
@@ -19,6 +19,7 @@
 
     def __init__(self) -> None:
         self._listed: dict[str, Host] = {}
+        self._by_service: dict[tuple[str, str], tuple[Host, ...]] = {}
         self._departed: dict[str, tuple[Host, float]] = {}
         self._seen_leaving: dict[str, float] = {}
         self._heard_leaving: dict[str, float] = {}
@@ -49,6 +50,7 @@
             if name not in listed:
                 self._departed[name] = (server, now)
         self._listed = listed
+        self._by_service = _by_service(servers)
         self._forget(now)
 
     def mark_leaving(self, name: str, now: float) -> None:
@@ -74,11 +76,10 @@
 
     def of_service(self, member: str, service: str, now: float) -> tuple[Host, ...]:
         """Lists the servers of a service, in the order of their names."""
-        return tuple(
-            self._with_state(server, now)
-            for _, server in sorted(self._listed.items())
-            if server.member == member and server.service == service
-        )
+        found = self._by_service.get((member, service), ())
+        if not self._seen_leaving and not self._heard_leaving:
+            return found
+        return tuple(self._with_state(server, now) for server in found)
 
     def all(self, now: float) -> tuple[Host, ...]:
         """Lists every server, in the order of their names."""
@@ -122,3 +123,10 @@
             for name, at in list(marks.items()):
                 if now - at > LEAVING_MARK_SECONDS:
                     del marks[name]
+
+
+def _by_service(servers: tuple[Host, ...]) -> dict[tuple[str, str], tuple[Host, ...]]:
+    found: dict[tuple[str, str], list[Host]] = {}
+    for server in sorted(servers, key=lambda one: one.name):
+        found.setdefault((server.member, server.service), []).append(server)
+    return {service: tuple(hosts) for service, hosts in found.items()}
--- a/src/balsamway/ownership/leadership_service.py
+++ b/src/balsamway/ownership/leadership_service.py
@@ -5,11 +5,13 @@
 import asyncio
 import logging
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING, Any, TypeAlias
 
 import mode
 
+from balsamway.membership.member_directory import MemberDirectory
+from balsamway.membership.member_zones import MemberZones
 from balsamway.ownership.claim import Claim, Claimed
 from balsamway.ownership.follower import Follower
 from balsamway.ownership.messages import ViewAnswer, ViewRequest
@@ -117,17 +119,20 @@
             await self.sleep(CONFIGURATION_CHECK_SECONDS)
 
     def _wanted(self) -> list[tuple[ShardId, Service]]:
+        zone = self._cluster.zones[self._cluster.me.host]
         return [
             (ShardId(member.member, service.name, index), service)
             for member in self._configurations.members()
+            if zone in member.zone_names
             for service in member.services
             if service.exclusive_keys
             for index in range(service.shards)
         ]
 
     async def _run_shard(self, shard: ShardId, service: Service) -> None:
-        follower = Follower(self._cluster, shard)
-        claim = Claim(self._cluster, shard, service.slices)
+        cluster = self._member_cluster(shard.member)
+        follower = Follower(cluster, shard)
+        claim = Claim(cluster, shard, service.slices)
         while not self.should_stop:
             found = await follower.wait_until_claimable()
             result = await claim.attempt(found)
@@ -158,7 +163,13 @@
         self, shard: ShardId, claimed: Claimed, member: MemberConfiguration
     ) -> ShardLeader:
         planner = self._planner_factory(shard)
-        return ShardLeader(self._cluster, claimed, planner, self._loads, member.weights)
+        cluster = self._member_cluster(shard.member)
+        return ShardLeader(cluster, claimed, planner, self._loads, member.weights)
+
+    def _member_cluster(self, member: str) -> Cluster:
+        zones = MemberZones(self._configurations, member)
+        directory = MemberDirectory(self._cluster.directory, zones.current)
+        return replace(self._cluster, directory=directory)
 
     async def _on_view_request(self, sender: str, request: ViewRequest) -> ViewAnswer:
         leader = self._leaders.get(request.shard)
--- a/src/balsamway/ownership/load_source.py
+++ b/src/balsamway/ownership/load_source.py
@@ -5,16 +5,28 @@
 from typing import TYPE_CHECKING, Protocol
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from balsamway.balance import SliceLoad
     from balsamway.ownership.messages import KeyLoad
-    from balsamway.slices import ShardId
+    from balsamway.slices import KeyRange, ShardId
 
 
 class LoadSource(Protocol):
     """The loads of slices and keys, merged over all gateways."""
 
-    def slice_loads(self, shard: ShardId) -> tuple[SliceLoad, ...]:
-        """Gives the load of each slice that is known."""
+    def slice_loads(
+        self, shard: ShardId, ranges: Sequence[KeyRange]
+    ) -> tuple[SliceLoad, ...]:
+        """Estimates the load of each slice.
+
+        Args:
+            shard: The shard.
+            ranges: The slices as they are now, in order.
+
+        Returns:
+            One estimate for each slice; empty where nothing was reported.
+        """
         ...
 
     def hot_keys(self, shard: ShardId) -> tuple[KeyLoad, ...]:
--- a/src/balsamway/ownership/placement.py
+++ b/src/balsamway/ownership/placement.py
@@ -60,10 +60,11 @@
         record = self._context.state.record
         shard = record.shard
         loads = self._loads
+        ranges = [entry.range for entry in record.slices]
         return PlacementInput(
             record.slices,
             self._candidates(),
-            loads.slice_loads(shard) if loads else (),
+            loads.slice_loads(shard, ranges) if loads else (),
             loads.hot_keys(shard) if loads else (),
             self._weights,
             now(),
--- a/src/balsamway/ownership/view_keeper.py
+++ b/src/balsamway/ownership/view_keeper.py
@@ -19,7 +19,7 @@
 from balsamway.ownership.route import NoRoute
 from balsamway.ownership.view_cache import ViewCache
 from balsamway.platform import StoredObject
-from balsamway.slices import ShardId
+from balsamway.slices import KeyRange, ShardId
 from balsamway.slices.record_codec import RecordError, decode_record
 
 if TYPE_CHECKING:
@@ -113,6 +113,20 @@
         if kick is not None:
             kick.set()
 
+    def ranges_of(self, shard: ShardId) -> tuple[KeyRange, ...]:
+        """Lists the slices of a shard by the view held.
+
+        Args:
+            shard: The shard.
+
+        Returns:
+            The slices in order; empty where no view is known.
+        """
+        cache = self._caches.get(shard)
+        if cache is None or cache.view is None:
+            return ()
+        return tuple(one.range for one in cache.view.slices)
+
     def dump(self) -> dict[str, object]:
         """Describes the views for the state dump.
 
--- a/tests/fakes/world.py
+++ b/tests/fakes/world.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Callable
 
-from balsamway.configuration import MemberConfiguration, Service
+from balsamway.configuration import MemberConfiguration, Service, Zone
 from balsamway.ownership.shard_leader import ShardLeader
 from balsamway.platform import Store
 from balsamway.settings import Timing
@@ -49,7 +49,8 @@
         self.servers = FakeServers(self.faults)
         self.hosts = FakeHosts(self.network, self.servers)
         service = Service("s", True, (), 3, 50, servers, slices=slices)
-        member = MemberConfiguration("m", 1, "", (), (service,), ())
+        zones = tuple(Zone(f"z{number}", "r", 3) for number in range(3))
+        member = MemberConfiguration("m", 1, "", zones, (service,), ())
         self.configurations = FakeConfigurations(member)
         self.entry: dict[str, EntryHost] = {}
         self._incarnation = 100
