Run both members' deployments in one process as a demonstration

The thin whole path: questionnaires, accepted configuration, daemons, grants, requests and the checker over the journals.

--- a/src/balsamway/daemon/daemon.py
+++ b/src/balsamway/daemon/daemon.py
@@ -71,6 +71,11 @@
         """This host, as its peers know it."""
         return self._membership.host
 
+    @property
+    def incarnation(self) -> int:
+        """The number of this run of the daemon."""
+        return self._incarnation
+
     @property
     def addresses(self) -> dict[str, str]:
         """The addresses that the listeners are bound to."""
@@ -205,6 +210,7 @@
         )
         self._views = ViewKeeper(cluster)
         self._membership.announce(self._claims)
+        self._membership.narrow(self._zones_worked_with)
 
     def _build_gateway(self) -> None:
         settings = self._settings
@@ -233,6 +239,12 @@
             LeadershipClaim(led.shard, led.epoch) for led in self._leadership.led
         )
 
+    def _zones_worked_with(self) -> frozenset[str]:
+        zone = self._settings.zone
+        members = self._configurations.members()
+        shared = [member.zone_names for member in members if zone in member.zone_names]
+        return frozenset().union(*shared)
+
     def _described_by_settings(self) -> Host:
         settings = self._settings
         return Host(
--- /dev/null
+++ b/src/balsamway/demo/__init__.py
@@ -0,0 +1,1 @@
+"""Runs whole deployments on embedded stand-ins, in one process."""
--- /dev/null
+++ b/src/balsamway/demo/demo_result.py
@@ -0,0 +1,49 @@
+"""What a demonstration found."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from balsamway.demo.event_report import EventReport
+    from balsamway.standins.checker.violation import Violation
+    from balsamway.standins.member_summary import MemberSummary
+
+
+@dataclass(frozen=True, slots=True)
+class DemoResult:
+    """Each member's measures, and what did not hold that always must."""
+
+    members: dict[str, MemberSummary]
+    events: tuple[EventReport, ...]
+    violations: tuple[Violation, ...]
+
+    @property
+    def document(self) -> dict[str, object]:
+        """The result as the JSON line has it."""
+        summaries = list(self.members.values())
+        counts: dict[str, object] = {
+            name: sum(getattr(one, name) for one in summaries)
+            for name in (
+                "requests",
+                "answered",
+                "refused_not_run",
+                "may_have_run",
+                "duplicate_runs",
+                "lost_runs",
+                "wrong_answers",
+                "owner_overlaps",
+            )
+        }
+        members = {
+            name: {
+                "imbalance": round(one.imbalance, 3),
+                "churn": round(one.churn, 4),
+                "unavailable_seconds": round(one.unavailable_seconds, 3),
+                "p50_ms": round(one.p50_ms, 2),
+                "p99_ms": round(one.p99_ms, 2),
+            }
+            for name, one in self.members.items()
+        }
+        return {**counts, "members": members}
--- /dev/null
+++ b/src/balsamway/demo/questionnaires/__init__.py
@@ -0,0 +1,1 @@
+"""The questionnaires of the members that a demonstration shows."""
--- a/src/balsamway/membership/membership_service.py
+++ b/src/balsamway/membership/membership_service.py
@@ -70,6 +70,7 @@
         self._stopping = False
         self._peers: Peers | None = None
         self._leads: Callable[[], tuple[LeadershipClaim, ...]] = tuple
+        self._zones: Callable[[], frozenset[str]] = frozenset
 
     @property
     def host(self) -> Host:
@@ -99,6 +100,14 @@
         """
         self._leads = leads
 
+    def narrow(self, zones: Callable[[], frozenset[str]]) -> None:
+        """Sets which availability zones' entry hosts get heartbeats.
+
+        Args:
+            zones: Gives the zones that this host works with; empty for all.
+        """
+        self._zones = zones
+
     def announce_stopping(self) -> None:
         """Tells peers from now on that this daemon is about to stop."""
         self._stopping = True
@@ -266,8 +275,9 @@
             self._servers.seen_leaving(_now()),
             self._stopping,
         )
+        zones = self._zones()
         for host in self.entry_hosts():
-            if host.name != self._host.name:
+            if host.name != self._host.name and (not zones or host.zone in zones):
                 self._peers.send(host.name, beat)
 
     def _forget_lost_peers(self) -> None:
