Encode names before they are ranked, and end a daemon that crashed

Cause: the prober hashed text, crashed, and took every other service of the daemon with it, unseen: heartbeats and watches stopped. A daemon now ends with status 1 when a service crashes, so that it is restarted. The three rankings by hash share one function.

--- a/src/balsamway/daemon/main.py
+++ b/src/balsamway/daemon/main.py
@@ -23,6 +23,7 @@
     "settings", None, "The settings file, JSON with comments.", required=True
 )
 
+CRASHED_EXIT_STATUS = 1
 USAGE_EXIT_STATUS = 2
 
 logger = logging.getLogger(__name__)
@@ -40,11 +41,10 @@
         print(f"balsamwayd: {error}", file=sys.stderr)
         return USAGE_EXIT_STATUS
     set_up_json_logs(settings.host, settings.zone)
-    asyncio.run(_serve(settings))
-    return 0
+    return asyncio.run(_serve(settings))
 
 
-async def _serve(settings: Settings) -> None:
+async def _serve(settings: Settings) -> int:
     daemon = Daemon(settings)
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
@@ -53,10 +53,12 @@
     loop.add_signal_handler(signal.SIGUSR1, _write_state, daemon)
     await daemon.start()
     logger.info("daemon started", extra={"addresses": daemon.addresses})
-    await stop.wait()
-    logger.info("daemon stopping")
+    await daemon.wait_first(stop)
+    crashed = daemon.crashed
+    logger.info("daemon stopping", extra={"crashed": crashed})
     await daemon.stop()
     logger.info("daemon stopped")
+    return CRASHED_EXIT_STATUS if crashed else 0
 
 
 def _write_state(daemon: Daemon) -> None:
--- a/src/balsamway/gateway/subset.py
+++ b/src/balsamway/gateway/subset.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-import xxhash
+from balsamway.rendezvous import weight
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -43,9 +43,5 @@
     share = available // service.gateways_at_most
     if share:
         return share
-    ranked = sorted(gateways, key=lambda name: _rank(server, name))
+    ranked = sorted(gateways, key=lambda name: weight(server, name))
     return int(gateway in ranked[:available])
-
-
-def _rank(server: str, gateway: str) -> int:
-    return xxhash.xxh64_intdigest(f"{server}/{gateway}".encode())
--- a/src/balsamway/membership/server_prober.py
+++ b/src/balsamway/membership/server_prober.py
@@ -9,9 +9,9 @@
 import aiohttp
 import mode
 import msgspec
-import xxhash
 
 from balsamway.membership.server_health import ServerHealth
+from balsamway.rendezvous import weight
 
 if TYPE_CHECKING:
     from balsamway.membership.membership_service import MembershipService
@@ -65,10 +65,7 @@
 
     def _falls_to_this_host(self, server: Host) -> bool:
         live = self._membership.live_witnesses()
-        chosen = max(
-            live,
-            key=lambda one: xxhash.xxh64_intdigest(f"{server.name}|{one.host}"),
-        )
+        chosen = min(live, key=lambda one: weight(server.name, one.host))
         return chosen.host == self._membership.host.name
 
     async def _probe(self, server: Host) -> None:
--- a/src/balsamway/ownership/_rank.py
+++ b/src/balsamway/ownership/_rank.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-import xxhash
+from balsamway.rendezvous import weight
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -22,9 +22,5 @@
     Returns:
         The same daemons; each host gets the same order.
     """
-
-    def weight(witness: Witness) -> tuple[int, Witness]:
-        text = f"{shard}|{witness.host}"
-        return xxhash.xxh64_intdigest(text.encode()), witness
-
-    return sorted(witnesses, key=weight)
+    name = str(shard)
+    return sorted(witnesses, key=lambda one: (weight(name, one.host), one))
