--- a/tests/fakes/world.py
+++ b/tests/fakes/world.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from typing import Self
 
 from balsamway.configuration import MemberConfiguration, Service
 from balsamway.ownership.shard_leader import ShardLeader
@@ -69,6 +70,15 @@
     def store_of(self, host: str) -> Store:
         return self.store.client(host)
 
+    async def __aenter__(self) -> Self:
+        """Starts everything and waits until every slice has its owner."""
+        await self.start()
+        await self.until_served()
+        return self
+
+    async def __aexit__(self, *error: object) -> None:
+        await self.stop()
+
     async def start(self) -> None:
         for name in self._names:
             await self.start_host(name)
--- a/tests/ownership/conftest.py
+++ b/tests/ownership/conftest.py
@@ -6,18 +6,11 @@
 
 
 @pytest.fixture
-async def world():
-    made = World()
-    await made.start()
-    await made.until_served()
-    yield made
-    await made.stop()
+def world():
+    """Not started: the paused clock runs only inside the test."""
+    return World()
 
 
 @pytest.fixture
-async def unchecked_world():
-    made = World(checks=False)
-    await made.start()
-    await made.until_served()
-    yield made
-    await made.stop()
+def unchecked_world():
+    return World(checks=False)
--- /dev/null
+++ b/tests/ownership/test_losses.py
@@ -0,0 +1,123 @@
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from tests.fakes.world import World
+
+pytestmark = pytest.mark.looptime
+
+SERVER_LOSS_SECONDS = 3.5
+LEADER_AND_SERVER_LOSS_SECONDS = 5.0
+LEAVING_SECONDS = 3.0
+
+
+def starts_of(world: World, *servers: str) -> list[int]:
+    slices = world.record.slices
+    return [one.range.start for one in slices if one.owner in servers]
+
+
+def starts_of_others(world: World, *servers: str) -> list[int]:
+    slices = world.record.slices
+    return [one.range.start for one in slices if one.owner not in servers]
+
+
+@pytest.mark.parametrize("checks", [True, False])
+@pytest.mark.parametrize("moment", [0.0, 0.11, 0.23, 0.37])
+async def test_a_lost_server_is_replaced(checks, moment):
+    async with World(checks=checks) as world:
+        await asyncio.sleep(5 + moment)
+        others = starts_of_others(world, "s1")
+        world.servers.servers["s1"].lose()
+        of_others = asyncio.create_task(world.unavailable(6, others))
+        assert await world.until_served() < SERVER_LOSS_SECONDS
+        assert await of_others == 0
+        assert world.overlaps() == []
+        assert starts_of(world, "s1") == []
+
+
+@pytest.mark.parametrize("checks", [True, False])
+@pytest.mark.parametrize("moment", [0.0, 0.11, 0.23, 0.37])
+async def test_nothing_is_unavailable_when_the_leader_is_lost(checks, moment):
+    async with World(checks=checks) as world:
+        await asyncio.sleep(5 + moment)
+        epoch = world.leader.epoch
+        await world.lose_host(world.leader_host)
+        assert await world.unavailable(8) == 0
+        assert world.leader.epoch == epoch + 1
+        assert world.overlaps() == []
+
+
+@pytest.mark.parametrize("checks", [True, False])
+@pytest.mark.parametrize("moment", [0.0, 0.11, 0.23, 0.37])
+async def test_a_server_lost_with_the_leader_is_replaced(checks, moment):
+    async with World(checks=checks) as world:
+        await asyncio.sleep(5 + moment)
+        others = starts_of_others(world, "s2")
+        world.servers.servers["s2"].lose()
+        await world.lose_host(world.leader_host)
+        of_others = asyncio.create_task(world.unavailable(8, others))
+        assert await world.until_served() < LEADER_AND_SERVER_LOSS_SECONDS
+        assert await of_others == 0
+        assert world.overlaps() == []
+
+
+async def test_a_frozen_server_returns_without_owning_anything(world):
+    async with world:
+        server = world.servers.servers["s1"]
+        await asyncio.sleep(3)
+        server.freeze()
+        await asyncio.sleep(20)
+        assert world.unowned() == []
+        server.thaw()
+        await asyncio.sleep(5)
+        assert world.overlaps() == []
+        assert world.unowned() == []
+
+
+async def test_a_frozen_unchecked_server_returns_without_owning_anything(
+    unchecked_world,
+):
+    async with unchecked_world as world:
+        server = world.servers.servers["s1"]
+        await asyncio.sleep(3)
+        server.freeze()
+        await asyncio.sleep(20)
+        server.thaw()
+        await asyncio.sleep(5)
+        assert world.overlaps() == []
+        assert world.unowned() == []
+
+
+@pytest.mark.parametrize("said_by", ["list", "server"])
+async def test_a_leaving_server_is_emptied_without_an_unavailable_moment(
+    world, said_by
+):
+    async with world:
+        await asyncio.sleep(3)
+        held = len(starts_of(world, "s0"))
+        assert held > 0
+        if said_by == "list":
+            world.hosts.leaving.add("s0")
+        else:
+            world.servers.servers["s0"].leaving = True
+        unavailable = asyncio.create_task(world.unavailable(5))
+        took = await world.until(lambda: starts_of(world, "s0") == [])
+        assert took < LEAVING_SECONDS
+        # The hold of a move, in which gateways let requests wait.
+        assert await unavailable < 0.1
+        assert world.overlaps() == []
+
+
+async def test_a_leader_superseded_while_cut_off_does_nothing_more(world):
+    async with world:
+        await asyncio.sleep(3)
+        host = world.leader_host
+        world.isolate(host)
+        assert await world.unavailable(8) == 0
+        world.rejoin(host)
+        await asyncio.sleep(5)
+        assert world.overlaps() == []
+        assert world.leader_host != host
+        assert world.entry[host].leadership.led == ()
