Let grants outlive a change of leader with room to spare

A grant runs from the reading before it, so that just before its renewal only the duration less two renewals is left: 1.2 s of 2 s, while a change of leader takes up to 1.25 s. Leader lost at 60 moments, 10 ms apart, on the fakes: with 2.0 s 5 of 60 left slices unowned, for up to 2.42 s; with 2.2 s and 2.4 s none of 60. 2.4 s leaves room for slower links.

--- a/src/balsamway/settings.py
+++ b/src/balsamway/settings.py
@@ -26,7 +26,7 @@
 class Timing:
     """Durations that the daemons of a deployment must agree on, in seconds."""
 
-    grant: float = 2.0
+    grant: float = 2.4
     """How long a grant lasts from the server's clock reading."""
     renewal: float = 0.4
     """How often grants, promises and views are renewed."""
