--- /dev/null
+++ b/tests/matrix/entry_host.py
@@ -0,0 +1,108 @@
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING
+
+from prometheus_client import CollectorRegistry
+
+from balsamway.configuration.configuration_service import ConfigurationService
+from balsamway.gateway.gateway import Gateway
+from balsamway.gateway.metrics import GatewayMetrics
+from balsamway.gateway.server_pool import ServerPool
+from balsamway.membership.leadership_claim import LeadershipClaim
+from balsamway.membership.membership_service import MembershipService
+from balsamway.ownership.cluster import Cluster
+from balsamway.ownership.leadership_service import LeadershipService
+from balsamway.ownership.view_keeper import ViewKeeper
+from balsamway.ownership.witness_service import WitnessService
+from balsamway.settings import Timing
+from balsamway.slices import Witness
+from tests.matrix.matrix_transport import MatrixTransport
+from tests.matrix.no_load import NoLoad
+from tests.matrix.process import Process
+from tests.matrix.process_peers import ProcessPeers
+from tests.matrix.spread_planner import SpreadPlanner
+
+if TYPE_CHECKING:
+    import mode
+
+    from balsamway.platform import Host
+    from tests.matrix.world import World
+
+
+class EntryHost:
+    """One run of the daemon of an entry host: the real modules on fakes."""
+
+    def __init__(self, world: World, host: Host, incarnation: int) -> None:
+        self.host = host
+        self.incarnation = incarnation
+        self.process = Process(f"{host.name}-{incarnation}")
+        rng = random.Random(f"{world.seed}/{host.name}/{incarnation}")
+        store = world.store.client(host.name)
+        peers = ProcessPeers(world.network.peers(host.name), self.process)
+        host_list = world.hosts.client(host.name)
+        self.membership = MembershipService(
+            host, incarnation, host_list, world.entry_list, rng
+        )
+        self.membership.connect(peers)
+        self.configuration = ConfigurationService(
+            host.name, host.zone, store, peers, self.membership, rng
+        )
+        self.cluster = Cluster(
+            me=Witness(host.name, incarnation),
+            store=store,
+            peers=peers,
+            control=world.servers.control(host.name),
+            directory=self.membership,
+            timing=Timing(),
+            rng=rng,
+        )
+        self.witness = WitnessService(self.cluster.me, peers, self.cluster.timing)
+        self.leadership = LeadershipService(
+            self.cluster, self.configuration, lambda shard: SpreadPlanner()
+        )
+        self.membership.announce(self._claims)
+        self.views = ViewKeeper(self.cluster)
+        self.gateway = self._new_gateway(world, rng)
+
+    @property
+    def name(self) -> str:
+        return self.host.name
+
+    @property
+    def services(self) -> tuple[mode.Service, ...]:
+        return (
+            self.membership,
+            self.configuration,
+            self.witness,
+            self.leadership,
+            self.views,
+        )
+
+    async def start(self) -> None:
+        for service in self.services:
+            await self.process.start(service.start())
+
+    def crashes(self) -> list[str]:
+        return [
+            f"{self.name}: {service.label}: {service.crash_reason!r}"
+            for service in self.services
+            if service.crash_reason is not None
+        ]
+
+    def _claims(self) -> tuple[LeadershipClaim, ...]:
+        return tuple(
+            LeadershipClaim(led.shard, led.epoch) for led in self.leadership.led
+        )
+
+    def _new_gateway(self, world: World, rng: random.Random) -> Gateway:
+        pool = ServerPool(self.name, self.membership, self.configuration)
+        return Gateway(
+            pool,
+            self.views,
+            MatrixTransport(world.servers, self.name),
+            NoLoad(),
+            GatewayMetrics(CollectorRegistry()),
+            self.host.zone,
+            rng,
+        )
--- /dev/null
+++ b/tests/matrix/matrix_faults.py
@@ -0,0 +1,19 @@
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from tests.fakes.faults import Faults
+
+if TYPE_CHECKING:
+    from tests.fakes.fate import Fate
+    from tests.fakes.step import Step
+
+
+class MatrixFaults(Faults):
+    """Lets a process that was paused or lost at a step stop right there."""
+
+    async def reach(self, step: Step) -> Fate:
+        fate = await super().reach(step)
+        await asyncio.sleep(0)
+        return fate
--- /dev/null
+++ b/tests/matrix/matrix_server.py
@@ -0,0 +1,145 @@
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from balsamway.slices import position_of
+from balsamway.standins.journal import Run, RunOutcome
+from tests.fakes.server import FakeServer, _Holding
+
+if TYPE_CHECKING:
+    from balsamway.servers.orders import OrderRefused, ReleaseOrder, ServerState
+    from balsamway.servers.request import ServerRequest
+    from balsamway.slices import KeyRange, ShardId
+
+RUN_SECONDS = 0.005
+QUIET_POLL_SECONDS = 0.002
+
+
+@dataclass(eq=False, slots=True)
+class RunInProgress:
+    """A request that a server has admitted."""
+
+    request: ServerRequest
+    admitted: float
+    deadline: float
+    cancelled: bool = False
+
+    @property
+    def position(self) -> int:
+        return position_of(self.request.key)
+
+
+class MatrixServer(FakeServer):
+    """A fake server that runs requests and writes down each run."""
+
+    def __init__(self, name: str, **parts: object) -> None:
+        super().__init__(name, **parts)  # type: ignore[arg-type]
+        self.runs: list[Run] = []
+        self._in_progress: list[RunInProgress] = []
+        self._releasing: list[tuple[ShardId, KeyRange]] = []
+
+    async def run(self, request: ServerRequest) -> str:
+        """Runs a request; gives the reason where it was not run, or nothing."""
+        now = self.now
+        run = RunInProgress(request, now, now + request.timeout_seconds)
+        refusal = self._refusal(run)
+        if refusal:
+            self._record(run, RunOutcome.REFUSED)
+            return refusal
+        self._in_progress.append(run)
+        try:
+            await asyncio.sleep(RUN_SECONDS)
+            await self.running.wait()
+        except asyncio.CancelledError:
+            self._record(run, RunOutcome.CANCELLED)
+            raise
+        finally:
+            self._in_progress.remove(run)
+        return self._finish(run)
+
+    async def release(self, order: ReleaseOrder) -> ServerState | OrderRefused:
+        holding = self._held.setdefault(order.shard, _Holding())
+        if not self._accepts(holding, order.leader_epoch, order.generation):
+            return self._refused(holding)
+        releasing = [(order.shard, one) for one in order.ranges]
+        self._releasing += releasing
+        while self._is_busy(order) or not self.running.is_set():
+            await asyncio.sleep(QUIET_POLL_SECONDS)
+        for one in releasing:
+            self._releasing.remove(one)
+        self._close(order.shard)
+        released = set(order.ranges)
+        holding.ranges = tuple(
+            one for one in holding.ranges if one.range not in released
+        )
+        self._reopen(order.shard)
+        return self._state(order.shard)
+
+    def is_running(self, request_id: str) -> bool:
+        return any(run.request.request_id == request_id for run in self._in_progress)
+
+    def cancel(self, request_id: str) -> None:
+        for run in self._in_progress:
+            if run.request.request_id == request_id:
+                run.cancelled = True
+
+    def _refusal(self, run: RunInProgress) -> str:
+        request = run.request
+        if request.timeout_seconds <= 0:
+            return "deadline-exceeded"
+        if request.shard is None:
+            return ""
+        if self._is_released(request.shard, run.position):
+            return "grant-lapsed"
+        if not self.checks or self.owns(request.shard, run.position, request.epoch):
+            return ""
+        return "wrong-epoch"
+
+    def _finish(self, run: RunInProgress) -> str:
+        request = run.request
+        if self.lost or run.cancelled:
+            return "cancelled"
+        if self.now > run.deadline:
+            self._record(run, RunOutcome.REFUSED)
+            return "deadline-exceeded"
+        if self.checks and request.shard is not None:
+            if not self.owns(request.shard, run.position, request.epoch):
+                self._record(run, RunOutcome.REFUSED)
+                return "grant-lapsed"
+        self._record(run, RunOutcome.APPLIED)
+        return ""
+
+    def _is_released(self, shard: ShardId, position: int) -> bool:
+        return any(
+            released == shard and position in taken
+            for released, taken in self._releasing
+        )
+
+    def _is_busy(self, order: ReleaseOrder) -> bool:
+        return any(
+            run.request.shard == order.shard and run.position in taken
+            for run in self._in_progress
+            for taken in order.ranges
+        )
+
+    def _record(self, run: RunInProgress, outcome: RunOutcome) -> None:
+        request = run.request
+        self.runs.append(
+            Run(
+                server=self.name,
+                member=request.member,
+                service=request.service,
+                kind=request.kind,
+                request_id=request.request_id,
+                key=request.key,
+                position=run.position,
+                shard=str(request.shard or ""),
+                epoch=request.epoch,
+                admitted=run.admitted,
+                start=run.admitted,
+                end=self.now,
+                outcome=outcome,
+            )
+        )
--- /dev/null
+++ b/tests/matrix/no_load.py
@@ -0,0 +1,13 @@
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from balsamway.slices import ShardId
+
+
+class NoLoad:
+    """A LoadRecorder that keeps nothing."""
+
+    def record(self, shard: ShardId, position: int, busy_seconds: float) -> None:
+        return
--- /dev/null
+++ b/tests/matrix/observer.py
@@ -0,0 +1,101 @@
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from balsamway.platform import StoredObject
+from balsamway.slices.record_codec import decode_record
+from balsamway.standins.journal import (
+    AssignmentTold,
+    GrantHeld,
+    Journal,
+    Run,
+    StopAsked,
+    VersionSeen,
+)
+
+if TYPE_CHECKING:
+    from balsamway.slices import ShardView
+    from tests.matrix.entry_host import EntryHost
+    from tests.matrix.world import World
+
+LOOK_SECONDS = 0.05
+
+
+class Observer:
+    """Writes down what hosts were told, and builds the whole journal."""
+
+    def __init__(self, world: World) -> None:
+        self._world = world
+        self._assignments: set[AssignmentTold] = set()
+        self._versions: list[VersionSeen] = []
+        self._stops: list[StopAsked] = []
+        self._task: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        self._task = asyncio.create_task(self._look())
+
+    def stop_asked(self, server: str) -> None:
+        self._stops.append(StopAsked(server, self._world.now))
+
+    def journal(self) -> Journal:
+        return Journal(
+            grants=tuple(self._grants()),
+            runs=tuple(self._runs()),
+            told=tuple(self._world.callers.told),
+            assignments_told=tuple(self._assignments),
+            assignments_kept=tuple(self._kept()),
+            versions=tuple(self._versions),
+            stops=tuple(self._stops),
+        )
+
+    async def _look(self) -> None:
+        while True:
+            for entry in self._world.entry.values():
+                if not entry.process.paused:
+                    self._look_at(entry)
+            await asyncio.sleep(LOOK_SECONDS)
+
+    def _look_at(self, entry: EntryHost) -> None:
+        for member, version in entry.configuration.versions().items():
+            seen = VersionSeen(
+                entry.name, entry.incarnation, member, version, self._world.now
+            )
+            self._versions.append(seen)
+        for led in entry.leadership.led:
+            leader = entry.leadership.leader(led.shard)
+            if leader is not None:
+                self._note_view(leader.context.views.view)
+
+    def _note_view(self, view: ShardView) -> None:
+        # The time is left out, so that each assignment is kept once.
+        self._assignments |= {
+            AssignmentTold(str(view.shard), one.range, one.owner, one.epoch, 0.0)
+            for one in view.slices
+            if one.owner and not one.provisional
+        }
+
+    def _grants(self) -> list[GrantHeld]:
+        return [
+            GrantHeld(
+                one.server, str(one.shard), one.range, one.epoch, one.start, one.end
+            )
+            for one in self._world.servers.intervals()
+        ]
+
+    def _runs(self) -> list[Run]:
+        servers = self._world.servers.servers.values()
+        return [run for server in servers for run in server.runs]
+
+    def _kept(self) -> list[AssignmentTold]:
+        found = []
+        for stored in self._world.store.objects.values():
+            if isinstance(stored, StoredObject) and stored.name.startswith("shards/"):
+                record = decode_record(stored.body)
+                found += [
+                    AssignmentTold(
+                        str(record.shard), one.range, one.owner, one.epoch, 0
+                    )
+                    for one in record.slices
+                ]
+        return found
--- /dev/null
+++ b/tests/matrix/procedure_step.py
@@ -0,0 +1,23 @@
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from tests.fakes.step import Step
+from tests.matrix.step_kind import StepKind
+
+
+@dataclass(frozen=True, slots=True)
+class ProcedureStep:
+    """One step of a procedure, at which faults are injected."""
+
+    procedure: str
+    name: str
+    kind: StepKind
+    matches: Callable[[object, Step], bool]
+    """Takes the world and a call on a fake."""
+    by_operator: bool = False
+    """Whether an operator's command makes the call, not an entry host."""
+
+    def __str__(self) -> str:
+        return f"{self.procedure}/{self.name}"
--- /dev/null
+++ b/tests/matrix/procedures.py
@@ -0,0 +1,184 @@
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from balsamway.balance import Move
+from balsamway.configuration.acceptance import Acceptance
+from balsamway.slices import position_of
+from tests.matrix.procedure_step import ProcedureStep
+from tests.matrix.process import Process
+from tests.matrix.record_change import record_change
+from tests.matrix.step_kind import StepKind
+from tests.matrix.world import SHARD, World, configuration
+
+if TYPE_CHECKING:
+    from tests.fakes.step import Step
+
+OPERATOR = "operator"
+
+
+@dataclass(frozen=True, slots=True)
+class Procedure:
+    """Something the system does, and how a test has it done."""
+
+    name: str
+    drive: Callable[[World], Awaitable[None]]
+    from_nothing: bool = False
+    """Whether the procedure is the start of the deployment itself."""
+    of_ownership: bool = True
+    """Whether pairs of faults are tried on it."""
+
+
+async def _nothing(world: World) -> None:
+    return
+
+
+async def _lose_leader(world: World) -> None:
+    world.lose_entry_host(world.leader())
+
+
+async def _move(world: World) -> None:
+    entry = world.entry[world.leader()]
+    leader = entry.leadership.leader(SHARD)
+    assert leader is not None
+    first = leader.context.state.record.slices[0]
+    names = sorted(world.servers.servers)
+    to = names[(names.index(first.owner) + 1) % len(names)]
+    entry.process.start(leader.handover.move([Move(first.range, to)]))
+
+
+async def _join(world: World) -> None:
+    world.add_server("s5", "zb")
+
+
+async def _leave(world: World) -> None:
+    world.leave(world.owner_of(position_of(world.callers.keys[0])))
+
+
+async def _lose_server(world: World) -> None:
+    world.server(world.owner_of(position_of(world.callers.keys[0]))).lose()
+
+
+async def _accept(world: World) -> None:
+    store = world.store.client(OPERATOR)
+    acceptance = Acceptance(store, random.Random(world.seed))
+    operator = Process(OPERATOR)
+    operator.start(acceptance.accept(configuration(1), 1))
+    world.operator = operator
+
+
+def _store(operation: str, prefix: str) -> Callable[[object, Step], bool]:
+    def matches(world: object, step: Step) -> bool:
+        same = (step.interface, step.operation) == ("store", operation)
+        return same and step.target.startswith(prefix)
+
+    return matches
+
+
+def _record(change: str) -> Callable[[object, Step], bool]:
+    def matches(world: object, step: Step) -> bool:
+        return record_change(world, step) == change  # type: ignore[arg-type]
+
+    return matches
+
+
+def _message(name: str, held: bool | None = None) -> Callable[[object, Step], bool]:
+    def matches(world: object, step: Step) -> bool:
+        if (step.interface, step.operation) != ("peers", name):
+            return False
+        if step.source == step.target:
+            return False
+        if held is None:
+            return True
+        return any(one.held for one in step.detail.view.slices) == held
+
+    return matches
+
+
+def _order(name: str, target: str = "") -> Callable[[object, Step], bool]:
+    def matches(world: object, step: Step) -> bool:
+        same = (step.interface, step.operation) == ("servers", name)
+        return same and target in ("", step.target)
+
+    return matches
+
+
+def _request(world: object, step: Step) -> bool:
+    return step.interface == "requests"
+
+
+READ, WATCH, WRITE = StepKind.STORE_READ, StepKind.STORE_WATCH, StepKind.STORE_WRITE
+MESSAGE, ORDER, REQUEST = StepKind.MESSAGE, StepKind.ORDER, StepKind.REQUEST
+
+PROCEDURES = (
+    Procedure("first-claim", _nothing, from_nothing=True),
+    Procedure("claim", _lose_leader),
+    Procedure("renewal", _nothing),
+    Procedure("move", _move),
+    Procedure("join", _join),
+    Procedure("leave", _leave),
+    Procedure("loss", _lose_server),
+    Procedure("accept", _accept, of_ownership=False),
+    Procedure("adopt", _accept, of_ownership=False),
+    Procedure("request", _nothing, of_ownership=False),
+)
+
+STEPS = (
+    ProcedureStep("first-claim", "read", READ, _store("read", "shards/")),
+    ProcedureStep("first-claim", "create", WRITE, _record("create")),
+    ProcedureStep("first-claim", "adopt", MESSAGE, _message("AdoptRequest")),
+    ProcedureStep("first-claim", "promise", MESSAGE, _message("PromiseRequest")),
+    ProcedureStep("first-claim", "survey", ORDER, _order("survey")),
+    ProcedureStep("first-claim", "intent", WRITE, _record("intent")),
+    ProcedureStep("first-claim", "commit", WRITE, _record("commit")),
+    ProcedureStep("first-claim", "grant", ORDER, _order("grant")),
+    ProcedureStep("first-claim", "view", MESSAGE, _message("ViewRequest")),
+    ProcedureStep("claim", "query", MESSAGE, _message("LeaderQuery")),
+    ProcedureStep("claim", "read", READ, _store("read", "shards/")),
+    ProcedureStep("claim", "write", WRITE, _record("claim")),
+    ProcedureStep("claim", "adopt", MESSAGE, _message("AdoptRequest")),
+    ProcedureStep("claim", "promise", MESSAGE, _message("PromiseRequest")),
+    ProcedureStep("claim", "survey", ORDER, _order("survey")),
+    ProcedureStep("claim", "grant", ORDER, _order("grant")),
+    ProcedureStep("claim", "view", MESSAGE, _message("ViewRequest")),
+    ProcedureStep("renewal", "promise", MESSAGE, _message("PromiseRequest")),
+    ProcedureStep("renewal", "survey", ORDER, _order("survey")),
+    ProcedureStep("renewal", "grant", ORDER, _order("grant")),
+    ProcedureStep("renewal", "view", MESSAGE, _message("ViewRequest")),
+    ProcedureStep("renewal", "heartbeat", MESSAGE, _message("Heartbeat")),
+    ProcedureStep("move", "intent", WRITE, _record("intent")),
+    ProcedureStep("move", "hold", MESSAGE, _message("ViewNotice", held=True)),
+    ProcedureStep("move", "release", ORDER, _order("release")),
+    ProcedureStep("move", "commit", WRITE, _record("commit")),
+    ProcedureStep("move", "grant", ORDER, _order("grant")),
+    ProcedureStep("move", "resume", MESSAGE, _message("ViewNotice", held=False)),
+    ProcedureStep("join", "survey", ORDER, _order("survey", "s5")),
+    ProcedureStep("join", "intent", WRITE, _record("intent")),
+    ProcedureStep("join", "release", ORDER, _order("release")),
+    ProcedureStep("join", "commit", WRITE, _record("commit")),
+    ProcedureStep("join", "grant", ORDER, _order("grant", "s5")),
+    ProcedureStep("leave", "intent", WRITE, _record("intent")),
+    ProcedureStep("leave", "hold", MESSAGE, _message("ViewNotice", held=True)),
+    ProcedureStep("leave", "release", ORDER, _order("release")),
+    ProcedureStep("leave", "commit", WRITE, _record("commit")),
+    ProcedureStep("leave", "grant", ORDER, _order("grant")),
+    ProcedureStep("loss", "activate", WRITE, _record("activate")),
+    ProcedureStep("loss", "grant", ORDER, _order("grant")),
+    ProcedureStep("loss", "view", MESSAGE, _message("ViewNotice")),
+    ProcedureStep("accept", "read", READ, _store("read", "configuration"), True),
+    ProcedureStep("accept", "write", WRITE, _store("write", "configuration/"), True),
+    ProcedureStep("adopt", "watch", WATCH, _store("watch", "configuration/")),
+    ProcedureStep("adopt", "notice", MESSAGE, _message("ConfigurationNotice")),
+    ProcedureStep("adopt", "digest", MESSAGE, _message("ConfigurationDigest")),
+    ProcedureStep("request", "send", REQUEST, _request),
+    ProcedureStep("request", "view", MESSAGE, _message("ViewRequest")),
+)
+
+
+async def settle(seconds: float) -> None:
+    """Lets the deployment run on."""
+    await asyncio.sleep(seconds)
--- a/tests/matrix/process_loop.py
+++ b/tests/matrix/process_loop.py
@@ -20,6 +20,9 @@
         return task
 
     def call_soon(self, callback, *args, context=None):
+        if self.is_closed():
+            # Coroutines of lost processes are cleared away after the end.
+            return asyncio.Handle(callback, args, self, context)
         context = context or contextvars.copy_context()
         process = context.get(PROCESS)
         if process is None:
--- /dev/null
+++ b/tests/matrix/process_peers.py
@@ -0,0 +1,28 @@
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    from balsamway.peers.peers import Handler
+    from tests.fakes.network import FakePeers
+    from tests.matrix.process import Process
+
+
+class ProcessPeers:
+    """One process's end of the network; its handlers run inside it."""
+
+    def __init__(self, end: FakePeers, process: Process) -> None:
+        self._end = end
+        self._process = process
+
+    def handle(self, message_type: type, handler: Handler) -> None:
+        async def in_process(sender: str, message: Any) -> Any:
+            return await self._process.start(handler(sender, message))
+
+        self._end.handle(message_type, in_process)
+
+    async def call(self, host: str, message: Any, timeout_seconds: float) -> Any:
+        return await self._end.call(host, message, timeout_seconds)
+
+    def send(self, host: str, message: Any) -> None:
+        self._end.send(host, message)
--- /dev/null
+++ b/tests/matrix/run.py
@@ -0,0 +1,95 @@
+"""Runs the fault matrix: every fault at every step, and pairs of faults."""
+
+from __future__ import annotations
+
+import os
+import sys
+from collections import defaultdict
+from statistics import median
+from typing import TYPE_CHECKING
+
+from absl import app, flags
+
+from tests.matrix.cells import pair_cells, single_cells
+from tests.matrix.run_cell import run_cell
+
+if TYPE_CHECKING:
+    from tests.matrix.cell import Cell, CellResult
+
+DEFAULT_SEED = 20261204
+
+_SEED = flags.DEFINE_integer("seed", DEFAULT_SEED, "Seeds all random choices.")
+_PART = flags.DEFINE_enum(
+    "part", "all", ["all", "single", "pair"], "Which cells to run."
+)
+_MATCH = flags.DEFINE_string("match", "", "Runs only cells whose name has this.")
+_SHARE = flags.DEFINE_string("share", "1/1", "Runs the i-th of n shares, as i/n.")
+
+
+def main(arguments: list[str]) -> int:
+    """Runs the cells that the flags choose.
+
+    Args:
+        arguments: The program's name.
+
+    Returns:
+        1 if a cell failed, else 0.
+    """
+    results = [_run(cell) for cell in chosen_cells()]
+    _print_times(results)
+    failed = [one for one in results if not one.passed]
+    for result in failed:
+        print(f"FAILED {result.cell}: {'; '.join(result.failures)[:600]}")
+    reached = sum(one.reached for one in results)
+    missed = len(results) - reached
+    if missed:
+        print(f"{missed} cells never reached their fault")
+    print(f"cells={reached} failed={len(failed)} seed={_SEED.value}")
+    return 1 if failed else 0
+
+
+def chosen_cells() -> list[Cell]:
+    """Lists the cells that the flags choose."""
+    cells: list[Cell] = []
+    if _PART.value != "pair":
+        cells += single_cells()
+    if _PART.value != "single":
+        cells += pair_cells()
+    cells = [cell for cell in cells if _MATCH.value in str(cell)]
+    index, count = map(int, _SHARE.value.split("/"))
+    return cells[index - 1 :: count]
+
+
+def _run(cell: Cell) -> CellResult:
+    result = run_cell(cell, _SEED.value)
+    if not result.passed:
+        reasons = "; ".join(result.failures)[:400]
+        print(f"failed {cell}: {reasons}", file=sys.stderr, flush=True)
+    return result
+
+
+def _print_times(results: list[CellResult]) -> None:
+    times: dict[str, list[float]] = defaultdict(list)
+    for result in results:
+        if result.reached:
+            faults = str(result.cell).split(":")[1]
+            times[f"{result.cell.step.procedure:12} {faults}"].append(
+                result.unavailable_seconds
+            )
+    for name, found in sorted(times.items()):
+        print(
+            f"{name:60} cells={len(found):3}"
+            f" median={median(found):6.3f} worst={max(found):6.3f}"
+        )
+
+
+def _fix_hashes() -> None:
+    """Starts anew where the order of sets would differ from run to run."""
+    if os.environ.get("PYTHONHASHSEED") != "0":
+        arguments = [sys.executable, "-m", "tests.matrix.run", *sys.argv[1:]]
+        os.execve(sys.executable, arguments, os.environ | {"PYTHONHASHSEED": "0"})
+
+
+if __name__ == "__main__":
+    _fix_hashes()
+    app.run(main)
--- /dev/null
+++ b/tests/matrix/world.py
@@ -0,0 +1,176 @@
+from __future__ import annotations
+
+import asyncio
+import random
+from typing import TYPE_CHECKING
+
+from balsamway.configuration import (
+    MemberConfiguration,
+    RequestKind,
+    Service,
+    Zone,
+)
+from balsamway.configuration.codec import encode_configuration, encode_members
+from balsamway.configuration.constants import MEMBERS_OBJECT
+from balsamway.platform import Host, HostRole, HostState
+from balsamway.slices import ShardId
+from tests.fakes.network import FakeNetwork
+from tests.fakes.servers import FakeServers
+from tests.fakes.store import FakeStore
+from tests.matrix.callers import Callers
+from tests.matrix.entry_host import EntryHost
+from tests.matrix.matrix_faults import MatrixFaults
+from tests.matrix.matrix_hosts import MatrixHosts
+from tests.matrix.matrix_server import MatrixServer
+from tests.matrix.observer import Observer
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from tests.fakes.faults import Injection
+    from tests.matrix.process import Process
+
+ZONES = ("za", "zb", "zc")
+ENTRY_HOSTS = {"e1": "za", "e2": "zb", "e3": "zc", "e4": "za", "e5": "zb"}
+SERVERS = {"s1": "za", "s2": "zb", "s3": "zc", "s4": "za"}
+NOT_CHECKING = ("s3", "s4")
+MEMBER = "m"
+SHARD = ShardId(MEMBER, "s")
+SLICES = 8
+READY_TIMEOUT_SECONDS = 20.0
+POLL_SECONDS = 0.05
+
+
+def configuration(version: int) -> MemberConfiguration:
+    """Gives the member's configuration, as accepted for the nth time."""
+    kinds = (
+        RequestKind("read", idempotent=True, timeout_seconds=2.0),
+        RequestKind("order", idempotent=False, timeout_seconds=2.0),
+    )
+    service = Service("s", True, kinds, 3, 50, len(SERVERS), slices=SLICES)
+    zones = tuple(Zone(name, "r", 2) for name in ZONES)
+    return MemberConfiguration(
+        MEMBER, version, f"change-{version}", zones, (service,), ()
+    )
+
+
+class World:
+    """A deployment on one event loop: real modules, fake surroundings."""
+
+    def __init__(self, seed: int) -> None:
+        self.seed = seed
+        self.rng = random.Random(seed)
+        self.faults = MatrixFaults()
+        self.store = FakeStore(self.faults)
+        self.network = FakeNetwork(self.faults)
+        self.servers = FakeServers(self.faults)
+        self.hosts = MatrixHosts(self.store)
+        self.entry: dict[str, EntryHost] = {}
+        self.gone: list[EntryHost] = []
+        self.entry_list = tuple(
+            Host(name, HostRole.ENTRY, zone, f"{name}:1")
+            for name, zone in ENTRY_HOSTS.items()
+        )
+        self.incarnations = 0
+        self.lapses: list[Injection] = []
+        self.lost_leader = ""
+        self.paused_leader = ""
+        self.operator: Process | None = None
+        self.callers = Callers(self)
+        self.observer = Observer(self)
+
+    @property
+    def now(self) -> float:
+        return asyncio.get_running_loop().time()
+
+    def server(self, name: str) -> MatrixServer:
+        return self.servers.servers[name]
+
+    async def start(self) -> None:
+        for host in self.entry_list:
+            self.hosts.put(host)
+        for name, zone in SERVERS.items():
+            self.add_server(name, zone)
+        await self.store.apply(MEMBERS_OBJECT, encode_members([MEMBER]), None)
+        first = configuration(1)
+        await self.store.apply(first.object_name, encode_configuration(first), None)
+        for name in ENTRY_HOSTS:
+            await self.start_entry_host(name)
+        self.observer.start()
+
+    def add_server(self, name: str, zone: str) -> MatrixServer:
+        server = MatrixServer(
+            name, zone=zone, checks=name not in NOT_CHECKING, member=MEMBER, service="s"
+        )
+        server.clock_offset = 1000.0 * (1 + len(self.servers.servers))
+        self.servers.add(server)
+        self.hosts.put(server.host)
+        return server
+
+    def leave(self, name: str) -> None:
+        server = self.server(name)
+        server.leaving = True
+        host = server.host
+        self.hosts.put(
+            Host(
+                host.name,
+                host.role,
+                host.zone,
+                host.address,
+                host.member,
+                host.service,
+                HostState.LEAVING,
+            )
+        )
+        self.observer.stop_asked(name)
+
+    async def start_entry_host(self, name: str) -> None:
+        self.incarnations += 1
+        host = next(one for one in self.entry_list if one.name == name)
+        self.network.down.discard(name)
+        self.servers.down_hosts.discard(name)
+        self.entry[name] = EntryHost(self, host, self.incarnations)
+        await self.entry[name].start()
+
+    def lose_entry_host(self, name: str) -> None:
+        entry = self.entry.pop(name, None)
+        if entry is None:
+            return
+        entry.process.lose()
+        self.gone.append(entry)
+        self.network.down.add(name)
+        self.servers.down_hosts.add(name)
+
+    def leader(self) -> str:
+        """Names the host that leads the shard; empty for none."""
+        led = [
+            (entry.leadership.led[0].epoch, name)
+            for name, entry in self.entry.items()
+            if entry.leadership.led and not entry.process.paused
+        ]
+        return max(led)[1] if led else ""
+
+    def owner_of(self, position: int) -> str:
+        """Names the server that holds a position; empty for none."""
+        for server in self.servers.servers.values():
+            if server.owns(SHARD, position):
+                return server.name
+        return ""
+
+    def crashes(self) -> list[str]:
+        return [one for entry in self.entry.values() for one in entry.crashes()]
+
+    async def wait(self, condition: Callable[[], bool], seconds: float) -> bool:
+        until = self.now + seconds
+        while not condition():
+            if self.now >= until:
+                return False
+            await asyncio.sleep(POLL_SECONDS)
+        return True
+
+    async def wait_ready(self) -> bool:
+        """Waits until every key is served and placement is at rest."""
+        if not await self.wait(self.callers.all_served, READY_TIMEOUT_SECONDS):
+            return False
+        await asyncio.sleep(3.0)
+        return self.callers.all_served()
