--- /dev/null
+++ b/src/balsamway/observe/experiments/__init__.py
@@ -0,0 +1,6 @@
+"""Named experiments with real policies and small fakes around them."""
+
+from balsamway.observe.experiments.registry import EXPERIMENTS
+from balsamway.observe.experiments.result import ExperimentResult, Goal, Row, Series
+
+__all__ = ["EXPERIMENTS", "ExperimentResult", "Goal", "Row", "Series"]
--- /dev/null
+++ b/src/balsamway/observe/experiments/keyed_run.py
@@ -0,0 +1,173 @@
+"""Carries a keyed workload under one placement policy."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, replace
+from typing import TYPE_CHECKING
+
+from balsamway.balance import (
+    Candidate,
+    CandidateState,
+    LoadEstimate,
+    LoadRecorder,
+    PlacementInput,
+)
+from balsamway.observe.experiments.keyed_trace import WINDOW_SECONDS, KeyedTrace
+from balsamway.observe.experiments.server_event import ServerChange, ServerEvent
+from balsamway.observe.experiments.shard_table import ShardTable
+from balsamway.observe.experiments.slot_server import SlotServer
+from balsamway.slices import POSITION_END, ShardId
+
+if TYPE_CHECKING:
+    from balsamway.balance import Plan, Planner
+    from balsamway.configuration import Weights
+    from balsamway.observe.experiments.arrival import Arrival
+    from balsamway.observe.experiments.keyed_workload import KeyedWorkload
+    from balsamway.observe.measures import Imbalance
+
+SHARD = ShardId("member", "service")
+
+HOLD_SECONDS = 0.02
+"""How long requests wait while their slice is handed over."""
+
+
+@dataclass(frozen=True, slots=True)
+class KeyedSetup:
+    """What all policies of one experiment have in common."""
+
+    workload: KeyedWorkload
+    seconds: int
+    seed: int
+    weights: Weights
+    servers: int = 12
+    zones: int = 4
+    slots: int = 3
+    slices: int = 256
+    events: tuple[ServerEvent, ...] = ()
+
+
+class KeyedRun:
+    """One policy on the arrivals of a setup."""
+
+    def __init__(self, setup: KeyedSetup, planner: Planner) -> None:
+        """Prepares a run.
+
+        Args:
+            setup: The workload and the servers.
+            planner: The policy.
+        """
+        self.trace = KeyedTrace()
+        self.windows: list[Imbalance] = []
+        self._setup = setup
+        self._planner = planner
+        self._table = ShardTable(setup.slices)
+        self._estimate = LoadEstimate()
+        self._recorders = [LoadRecorder() for _ in range(setup.workload.gateways)]
+        self._candidates = {
+            name: Candidate(name, f"zone-{index % setup.zones}")
+            for index, name in enumerate(_names(setup.servers))
+        }
+        self._servers = {name: SlotServer(setup.slots) for name in self._candidates}
+        self._failed: set[str] = set()
+        self._held_until: dict[int, float] = {}
+
+    def run(self) -> KeyedTrace:
+        """Carries the whole workload.
+
+        Returns:
+            What was measured.
+        """
+        self._plan(0.0)
+        arrivals = self._setup.workload.seconds(self._setup.seed, self._setup.seconds)
+        steady = set(self._candidates)
+        for second, requests in enumerate(arrivals):
+            self._change_servers(second)
+            for request in requests:
+                self._carry(request)
+            self._report()
+            self._plan(second + 1.0)
+            steady &= self._live()
+            if (second + 1) % WINDOW_SECONDS == 0:
+                window = second // WINDOW_SECONDS
+                self.windows.append(self.trace.close_window(window, sorted(steady)))
+                steady = self._live()
+        return self.trace
+
+    def _carry(self, request: Arrival) -> None:
+        entry = self._table.find(request.position)
+        if entry.owner in self._failed:
+            self.trace.on_refused(request.at)
+            return
+        start = max(request.at, self._held_until.get(entry.range.start, 0.0))
+        end = self._servers[entry.owner].serve(start, request.service_seconds)
+        self._recorders[request.gateway].record(SHARD, request.position, end - start)
+        self.trace.on_run(
+            entry.owner,
+            request.position,
+            request.at,
+            request.service_seconds,
+            end - request.at,
+        )
+
+    def _report(self) -> None:
+        ranges = self._table.ranges
+        for index, recorder in enumerate(self._recorders):
+            for shard in recorder.shards:
+                report = recorder.take(shard, 1.0, ranges)
+                self._estimate.update(f"gateway-{index}", report, 0.0)
+
+    def _plan(self, now: float) -> None:
+        state = PlacementInput(
+            self._table.entries,
+            tuple(self._candidates.values()),
+            self._estimate.loads(self._table.ranges),
+            self._estimate.hot_keys(),
+            self._setup.weights,
+            now,
+        )
+        plan = self._planner.plan(state)
+        self._apply(plan, now)
+
+    def _apply(self, plan: Plan, now: float) -> None:
+        moved = self._table.apply(plan)
+        loads = self._estimate.loads(self._table.ranges)
+        total = sum(each.load for each in loads) or 1.0
+        by_range = {each.range: each.load for each in loads}
+        self._held_until = {}
+        for entry in moved:
+            self._held_until[entry.range.start] = now + HOLD_SECONDS
+            self.trace.moves += 1
+            self.trace.key_space_moved += entry.range.size / POSITION_END
+            self.trace.traffic_moved += by_range[entry.range] / total
+        self.trace.slices_at_most = max(
+            self.trace.slices_at_most, len(self._table.ranges)
+        )
+
+    def _change_servers(self, second: int) -> None:
+        for event in self._setup.events:
+            if event.at == second:
+                self._change(event)
+
+    def _change(self, event: ServerEvent) -> None:
+        if event.change is ServerChange.FAILS:
+            self._failed.add(event.server)
+            return
+        state = CandidateState(event.change.value)
+        if event.server in self._candidates:
+            known = self._candidates[event.server]
+            self._candidates[event.server] = replace(known, state=state)
+            return
+        zone = f"zone-{len(self._candidates) % self._setup.zones}"
+        self._candidates[event.server] = Candidate(event.server, zone, state)
+        self._servers[event.server] = SlotServer(self._setup.slots)
+
+    def _live(self) -> set[str]:
+        return {
+            each.name
+            for each in self._candidates.values()
+            if each.state is CandidateState.LIVE and each.name not in self._failed
+        }
+
+
+def _names(count: int) -> list[str]:
+    return [f"server-{index:03}" for index in range(count)]
--- /dev/null
+++ b/src/balsamway/observe/measures/__init__.py
@@ -0,0 +1,8 @@
+"""The measures that members are shown: imbalance, churn, unavailable time."""
+
+from balsamway.observe.measures.churn import Churn
+from balsamway.observe.measures.cost import Cost
+from balsamway.observe.measures.imbalance import Imbalance
+from balsamway.observe.measures.unavailability import Outage, Unavailability
+
+__all__ = ["Churn", "Cost", "Imbalance", "Outage", "Unavailability"]
