--- a/src/balsamway/membership/server_prober.py
+++ b/src/balsamway/membership/server_prober.py
@@ -55,18 +55,18 @@
     @mode.Service.task
     async def _probe_all(self) -> None:
         while not self.should_stop:
+            live = [one.host for one in self._membership.live_witnesses()]
             mine = [
                 server
                 for server in self._membership.all_servers()
-                if self._falls_to_this_host(server)
+                if self._falls_to_this_host(server, live)
             ]
             await asyncio.gather(*(self._probe(server) for server in mine))
             await self.sleep(PROBE_SECONDS)
 
-    def _falls_to_this_host(self, server: Host) -> bool:
-        live = self._membership.live_witnesses()
-        chosen = min(live, key=lambda one: weight(server.name, one.host))
-        return chosen.host == self._membership.host.name
+    def _falls_to_this_host(self, server: Host, live: list[str]) -> bool:
+        chosen = min(live, key=lambda host: weight(server.name, host))
+        return chosen == self._membership.host.name
 
     async def _probe(self, server: Host) -> None:
         if self._session is None:
