--- a/src/balsamway/ownership/shard_leader.py
+++ b/src/balsamway/ownership/shard_leader.py
@@ -19,6 +19,7 @@
 from balsamway.ownership.promise_keeper import PromiseKeeper
 from balsamway.ownership.record_writer import RecordWriter
 from balsamway.ownership.recovery import Recovery
+from balsamway.ownership.roster import Roster
 from balsamway.ownership.shard_context import ShardContext
 from balsamway.ownership.shard_state import ShardState
 from balsamway.ownership.view_server import ViewServer
@@ -39,6 +40,7 @@
 LOSS_CHECK_SECONDS = 0.05
 LEAVING_CHECK_SECONDS = 0.1
 PLAN_SECONDS = 1.0
+ROSTER_CHECK_SECONDS = 0.5
 FLUSH_CHECK_SECONDS = 0.2
 FLUSH_TIMEOUT_SECONDS = 30.0
 
@@ -227,6 +229,14 @@
             await self._placement.improve()
             await self.sleep(PLAN_SECONDS)
 
+    @mode.Service.task
+    async def _mend_roster(self) -> None:
+        await self._recovered.wait()
+        roster = Roster(self._context, self._promises)
+        while not self.should_stop and not self._authority.ended:
+            await roster.mend()
+            await self.sleep(ROSTER_CHECK_SECONDS)
+
     @mode.Service.task
     async def _flush(self) -> None:
         await self._recovered.wait()
