Reach the store through peers, and outlive the end of a whole roster

A store call that takes long counts as of unknown fate when its time is over, so that a slow store does not hold up the activation of a standby. A claim names a new roster only where other runs of their daemons answered in the place of so many witnesses that no majority can promise.

--- a/src/balsamway/ownership/claim.py
+++ b/src/balsamway/ownership/claim.py
@@ -74,22 +74,18 @@
         self._slices = slices
         self._led_epoch = 0
 
-    async def attempt(
-        self, found: FoundRecord, roster: tuple[Witness, ...] | None = None
-    ) -> ClaimResult:
+    async def attempt(self, found: FoundRecord) -> ClaimResult:
         """Claims the epoch after the one in the record found.
 
         Args:
             found: The record, read just before.
-            roster: The roster to name in place of the record's, where a
-                majority of that one is proved to be gone.
 
         Returns:
             Whether this host leads the shard.
         """
-        if self._won_before(found.record):
+        if not found.roster_gone and self._won_before(found.record):
             return await self._adopt(found.record, found.object_version or 0, False)
-        record = self._next_record(found.record, roster)
+        record = self._next_record(found)
         if not record.roster:
             return NotClaimed("no witnesses known")
         version = await self._write(record, found.object_version)
@@ -103,23 +99,25 @@
             return False
         return record.leader_epoch != self._led_epoch
 
-    def _next_record(
-        self, record: ShardRecord | None, roster: tuple[Witness, ...] | None
-    ) -> ShardRecord:
+    def _next_record(self, found: FoundRecord) -> ShardRecord:
         change_id = self._cluster.change_id()
+        record = found.record
         if record is None:
             return self._first_record(change_id)
         return replace(
             record,
             leader=self._cluster.me,
             leader_epoch=record.leader_epoch + 1,
-            roster=roster or record.roster,
+            roster=self._new_roster() if found.roster_gone else record.roster,
             change_id=change_id,
         )
 
-    def _first_record(self, change_id: str) -> ShardRecord:
+    def _new_roster(self) -> tuple[Witness, ...]:
         live = self._cluster.directory.live_witnesses()
-        roster = choose_roster(live, self._cluster.zones, self._shard)
+        return choose_roster(live, self._cluster.zones, self._shard)
+
+    def _first_record(self, change_id: str) -> ShardRecord:
+        roster = self._new_roster()
         bounds = [POSITION_END * i // self._slices for i in range(self._slices + 1)]
         slices = tuple(
             SliceEntry(KeyRange(start, end), owner="", epoch=0)
--- a/src/balsamway/ownership/follower.py
+++ b/src/balsamway/ownership/follower.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from balsamway.ownership._clock import now
@@ -48,6 +49,7 @@
         self._found: FoundRecord | None = None
         self._asked = 0
         self._waited = 0.0
+        self._gone: dict[Witness, float] = {}
         self._pause = SHORTEST_PAUSE_SECONDS
 
     @property
@@ -69,7 +71,7 @@
                 continue
             found = await self._read_again()
             if found is not None and found.record == record:
-                return found
+                return replace(found, roster_gone=self._is_roster_gone(record))
 
     async def _known_record(self) -> ShardRecord | None:
         while self._found is None:
@@ -105,8 +107,13 @@
     def _keep(self, record: ShardRecord | None, version: int | None) -> None:
         known = self._found
         if known is None or known.object_version != version:
+            self._forget_gone(record)
             self._found = FoundRecord(record, version, now())
 
+    def _forget_gone(self, record: ShardRecord | None) -> None:
+        roster = record.roster if record else ()
+        self._gone = {one: at for one, at in self._gone.items() if one in roster}
+
     async def _pause_for_store(self) -> None:
         await asyncio.sleep(self._longer_pause())
 
@@ -149,8 +156,23 @@
             for one in asked:
                 one.cancel()
         await self._read()
+        if self._is_roster_gone(record):
+            return self._pause_of_gone_roster(record)
         return self._longer_pause()
 
+    def _is_roster_gone(self, record: ShardRecord | None) -> bool:
+        if record is None:
+            return False
+        rest = [one for one in record.roster if one not in self._gone]
+        return len(rest) < majority_of(len(record.roster))
+
+    def _pause_of_gone_roster(self, record: ShardRecord) -> float:
+        # Promises that the witnesses gave before they ended may still count.
+        promise = self._cluster.timing.promise * self._cluster.allowance
+        ends = [seen + promise for one, seen in self._gone.items()]
+        rest = max(ends) - now()
+        return rest if rest > 0 else self._pause_of_rank(record)
+
     def _pause_of_claim(self, record: ShardRecord, adopted: int) -> float:
         if record.leader == self._cluster.me:
             return 0.0
@@ -199,7 +221,10 @@
         )
         if not isinstance(answer, LeaderQueryAnswer):
             return None
-        return answer if answer.incarnation == witness.incarnation else None
+        if answer.incarnation != witness.incarnation:
+            self._gone.setdefault(witness, now())
+            return None
+        return answer
 
     def _jitter(self) -> float:
         return JITTER_SECONDS * self._cluster.rng.random()
--- a/src/balsamway/ownership/found_record.py
+++ b/src/balsamway/ownership/found_record.py
@@ -18,3 +18,5 @@
     object_version: int | None
     seen_at: float
     """When this version was first seen, by the runtime's clock."""
+    roster_gone: bool = False
+    """Whether the roster has no majority left that can promise anything."""
--- a/src/balsamway/ownership/messages/__init__.py
+++ b/src/balsamway/ownership/messages/__init__.py
@@ -9,6 +9,9 @@
 from balsamway.ownership.messages.promise_answer import PromiseAnswer
 from balsamway.ownership.messages.promise_request import PromiseRequest
 from balsamway.ownership.messages.range_load import RangeLoad
+from balsamway.ownership.messages.store_answer import StoreAnswer, StoreOutcome
+from balsamway.ownership.messages.store_read import StoreRead
+from balsamway.ownership.messages.store_write import StoreWrite
 from balsamway.ownership.messages.view_answer import ViewAnswer
 from balsamway.ownership.messages.view_notice import ViewNotice
 from balsamway.ownership.messages.view_notice_answer import ViewNoticeAnswer
@@ -24,6 +27,10 @@
     "PromiseAnswer",
     "PromiseRequest",
     "RangeLoad",
+    "StoreAnswer",
+    "StoreOutcome",
+    "StoreRead",
+    "StoreWrite",
     "ViewAnswer",
     "ViewNotice",
     "ViewNoticeAnswer",
--- a/src/balsamway/ownership/record_writer.py
+++ b/src/balsamway/ownership/record_writer.py
@@ -10,7 +10,13 @@
 from typing import TYPE_CHECKING, TypeAlias
 
 from balsamway.ownership._clock import now
-from balsamway.platform import Conflict, StoredObject, Unavailable, Written
+from balsamway.platform import (
+    Conflict,
+    StoredObject,
+    Unavailable,
+    WriteUnknown,
+    Written,
+)
 from balsamway.slices.record_codec import decode_record, encode_record
 from balsamway.slices.shard_record import ShardRecord
 
@@ -25,6 +31,7 @@
 
 SHORTEST_PAUSE_SECONDS = 0.05
 LONGEST_PAUSE_SECONDS = 2.0
+SHORTEST_CALL_SECONDS = 0.05
 
 RecordChange: TypeAlias = Callable[[ShardRecord], ShardRecord]
 
@@ -94,7 +101,7 @@
         while self._authority.holds and await self._wait_for_turn(give_up_at):
             change_id = self._cluster.change_id()
             record = replace(change(self._state.record), change_id=change_id)
-            result = await self._write(record)
+            result = await self._write(record, give_up_at)
             match result:
                 case Written(version=version):
                     self._accept(record, version)
@@ -111,7 +118,7 @@
                 case Unavailable():
                     pass
                 case _:
-                    maybe = await self._read_back()
+                    maybe = await self._read_back(give_up_at)
                     if not maybe and self._state.stored.change_id == change_id:
                         self._state.record = change(self._state.record)
                         return WriteOutcome.WRITTEN
@@ -128,14 +135,16 @@
         self._next_try = now() + self._pause * (0.5 + self._cluster.rng.random())
         self._pause = min(2 * self._pause, LONGEST_PAUSE_SECONDS)
 
-    async def _write(self, record: ShardRecord) -> WriteResult:
+    async def _write(self, record: ShardRecord, give_up_at: float) -> WriteResult:
         self._require(record.roster)
         if not self._authority.holds:
             return Unavailable("authority lapsed")
         name = record.shard.object_name
-        result = await self._cluster.store.write(
-            name, encode_record(record), self._version
-        )
+        work = self._cluster.store.write(name, encode_record(record), self._version)
+        try:
+            result = await asyncio.wait_for(work, _bounded(give_up_at))
+        except TimeoutError:
+            result = WriteUnknown("timeout")
         if isinstance(result, Unavailable):
             self._require()
         elif not isinstance(result, Written | Conflict):
@@ -170,15 +179,26 @@
             self._state.record = acted_by
         return True
 
-    async def _read_back(self) -> bool:
+    async def _read_back(self, give_up_at: float) -> bool:
         """Reads back after a lost answer.
 
+        Args:
+            give_up_at: When to stop waiting, by the runtime's clock.
+
         Returns:
             Whether the write may still take effect.
         """
         name = self._state.record.shard.object_name
-        found = await self._cluster.store.read(name)
+        work = self._cluster.store.read(name)
+        try:
+            found = await asyncio.wait_for(work, _bounded(give_up_at))
+        except TimeoutError:
+            return True
         if not isinstance(found, StoredObject) or found.version == self._version:
             return True
         self._take_over(found)
         return False
+
+
+def _bounded(give_up_at: float) -> float:
+    return max(SHORTEST_CALL_SECONDS, give_up_at - now())
--- /dev/null
+++ b/src/balsamway/ownership/store_relay.py
@@ -0,0 +1,136 @@
+"""Reaches the store through other hosts where this one cannot."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, TypeVar
+
+from balsamway.ownership._clock import now
+from balsamway.ownership._store_answers import (
+    answer_of,
+    read_result_of,
+    write_result_of,
+)
+from balsamway.ownership.messages import StoreAnswer, StoreRead, StoreWrite
+from balsamway.platform import Unavailable, WriteUnknown
+
+if TYPE_CHECKING:
+    import random
+
+    from balsamway.membership.directory import Directory
+    from balsamway.peers.peers import Peers
+    from balsamway.platform import Store
+    from balsamway.platform.store import ReadResult, WriteResult
+
+RELAYS_AT_MOST = 2
+RELAY_TIMEOUT_SECONDS = 0.6
+DOWN_SECONDS = 1.0
+"""How long calls of peers are refused after an own call was not possible."""
+
+R = TypeVar("R")
+
+
+class RelayedStore:
+    """Calls the store, or asks peers to where it cannot be reached.
+
+    Peers of other availability zones are asked first. A write is passed on
+    only after it is known not to have been carried out; one whose fate is
+    unknown is left to the caller to settle by reading back.
+
+    Args:
+        host: This host's name.
+        store: This host's own access to the store.
+        peers: The other entry hosts.
+        directory: Which entry hosts there are.
+        rng: Spreads the calls over peers.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        store: Store,
+        peers: Peers,
+        directory: Directory,
+        rng: random.Random,
+    ) -> None:
+        self._host = host
+        self._store = store
+        self._peers = peers
+        self._directory = directory
+        self._rng = rng
+        self._down_until = 0.0
+        peers.handle(StoreRead, self._on_store_read)
+        peers.handle(StoreWrite, self._on_store_write)
+
+    async def read(self, name: str) -> ReadResult:
+        """Reads one object; see `Store`."""
+        result = self._note(await self._store.read(name))
+        if not isinstance(result, Unavailable):
+            return result
+        for host in self._relays():
+            answer = await self._peers.call(
+                host, StoreRead(name), RELAY_TIMEOUT_SECONDS
+            )
+            if isinstance(answer, StoreAnswer):
+                passed_on = read_result_of(answer)
+                if not isinstance(passed_on, Unavailable):
+                    return passed_on
+        return result
+
+    async def write(
+        self, name: str, body: bytes, expected_version: int | None
+    ) -> WriteResult:
+        """Updates one object if its version is as expected; see `Store`."""
+        result = self._note(await self._store.write(name, body, expected_version))
+        if not isinstance(result, Unavailable):
+            return result
+        for host in self._relays():
+            answer = await self._peers.call(
+                host, StoreWrite(name, body, expected_version), RELAY_TIMEOUT_SECONDS
+            )
+            if not isinstance(answer, StoreAnswer):
+                return WriteUnknown("no answer from the peer that was asked")
+            passed_on = write_result_of(answer)
+            if not isinstance(passed_on, Unavailable):
+                return passed_on
+        return result
+
+    async def watch(
+        self, name: str, after_version: int | None, timeout_seconds: float
+    ) -> ReadResult:
+        """Waits until an object has changed; see `Store`.
+
+        A watch is not passed on: where the store cannot be reached, peers
+        are asked for the object as it is, once.
+        """
+        result = await self._store.watch(name, after_version, timeout_seconds)
+        if isinstance(result, Unavailable):
+            return await self.read(name)
+        return result
+
+    def _relays(self) -> list[str]:
+        zones = {host.name: host.zone for host in self._directory.entry_hosts()}
+        own = zones.get(self._host, "")
+        live = [
+            one.host
+            for one in self._directory.live_witnesses()
+            if one.host != self._host
+        ]
+        self._rng.shuffle(live)
+        live.sort(key=lambda name: zones.get(name, "") == own)
+        return live[:RELAYS_AT_MOST]
+
+    def _note(self, result: R) -> R:
+        if isinstance(result, Unavailable):
+            self._down_until = now() + DOWN_SECONDS
+        return result
+
+    async def _on_store_read(self, sender: str, call: StoreRead) -> StoreAnswer:
+        if now() < self._down_until:
+            return answer_of(call.name, Unavailable("the store cannot be reached"))
+        return answer_of(call.name, self._note(await self._store.read(call.name)))
+
+    async def _on_store_write(self, sender: str, call: StoreWrite) -> StoreAnswer:
+        if now() < self._down_until:
+            return answer_of(call.name, Unavailable("the store cannot be reached"))
+        result = await self._store.write(call.name, call.body, call.expected_version)
+        return answer_of(call.name, self._note(result))
--- a/src/balsamway/ownership/view_keeper.py
+++ b/src/balsamway/ownership/view_keeper.py
@@ -18,7 +18,7 @@
 )
 from balsamway.ownership.route import NoRoute
 from balsamway.ownership.view_cache import ViewCache
-from balsamway.platform import StoredObject
+from balsamway.platform import StoredObject, Unavailable
 from balsamway.slices import KeyRange, ShardId
 from balsamway.slices.record_codec import RecordError, decode_record
 
@@ -183,8 +183,12 @@
         return await self._recorded_leader(shard)
 
     async def _recorded_leader(self, shard: ShardId) -> str | None:
-        result = await self._cluster.store.read(shard.object_name)
+        work = self._cluster.store.read(shard.object_name)
         leader = None
+        try:
+            result = await asyncio.wait_for(work, REQUEST_TIMEOUT_SECONDS)
+        except TimeoutError:
+            result = Unavailable("timeout")
         if isinstance(result, StoredObject):
             try:
                 leader = decode_record(result.body).leader
--- a/tests/fakes/entry_host.py
+++ b/tests/fakes/entry_host.py
@@ -5,6 +5,7 @@
 
 from balsamway.ownership.cluster import Cluster
 from balsamway.ownership.leadership_service import LeadershipService
+from balsamway.ownership.store_relay import RelayedStore
 from balsamway.ownership.view_keeper import ViewKeeper
 from balsamway.ownership.witness_service import WitnessService
 from balsamway.slices import Witness
@@ -21,14 +22,16 @@
         self.name = name
         self.me = Witness(name, incarnation)
         peers = world.network.peers(name)
+        directory = world.hosts.directory(name)
+        rng = random.Random(f"{world.seed}/{name}/{incarnation}")
         self.cluster = Cluster(
             self.me,
-            world.store_of(name),
+            RelayedStore(name, world.store_of(name), peers, directory, rng),
             peers,
             world.servers.control(name),
-            world.hosts.directory(name),
+            directory,
             world.timing,
-            random.Random(f"{world.seed}/{name}/{incarnation}"),
+            rng,
         )
         self.witness = WitnessService(self.me, peers, world.timing)
         self.leadership = LeadershipService(
--- a/tests/ownership/test_roster.py
+++ b/tests/ownership/test_roster.py
@@ -84,6 +84,32 @@
         assert world.unowned() == []
 
 
+async def test_a_shard_outlives_the_restart_of_every_daemon():
+    async with World(hosts=5) as world:
+        await asyncio.sleep(4)
+        for name in list(world.entry):
+            await world.lose_host(name)
+        await asyncio.sleep(0.5)
+        for name in ["h0", "h1", "h2", "h3", "h4"]:
+            await world.start_host(name)
+        await world.until_served(8)
+        await asyncio.sleep(5)
+        assert world.unowned() == []
+        assert world.overlaps() == []
+
+
+async def test_witnesses_that_are_only_cut_off_do_not_count_as_gone():
+    """The leader keeps its majority, which the others cannot reach."""
+    async with World(hosts=7) as world:
+        await asyncio.sleep(4)
+        leader = world.leader
+        group = {one.host for one in world.record.roster} | {world.leader_host}
+        world.network.partition(group, set(world.entry) - group)
+        assert await world.unavailable(20) == 0
+        assert world.leader is leader
+        assert world.overlaps() == []
+
+
 async def test_a_leader_survives_the_loss_of_two_witnesses_at_once():
     async with World(hosts=5) as world:
         await asyncio.sleep(4)
--- a/tests/ownership/test_store_faults.py
+++ b/tests/ownership/test_store_faults.py
@@ -63,6 +63,21 @@
         assert world.overlaps() == []
 
 
+async def test_a_server_lost_while_the_store_is_slow_is_replaced_in_time():
+    async with World() as world:
+        await asyncio.sleep(3)
+        world.store.latency_seconds = 3.0
+        await asyncio.sleep(5)
+        world.servers.servers["s1"].lose()
+        assert await world.until_served() < 3.5
+        await asyncio.sleep(20)
+        world.store.latency_seconds = 0.002
+        await asyncio.sleep(5)
+        assert world.unowned() == []
+        assert world.overlaps() == []
+        assert not world.leader.context.state.ahead
+
+
 async def test_a_standby_activated_in_an_outage_outlives_its_leader():
     async with World() as world:
         await asyncio.sleep(3)
--- /dev/null
+++ b/tests/ownership/test_store_relay.py
@@ -0,0 +1,107 @@
+from __future__ import annotations
+
+import asyncio
+import random
+
+import pytest
+
+from balsamway.balance import Move
+from balsamway.ownership.store_relay import RelayedStore
+from balsamway.platform import (
+    Absent,
+    Conflict,
+    StoredObject,
+    Unavailable,
+    WriteUnknown,
+    Written,
+)
+from tests.fakes.directory import FakeHosts
+from tests.fakes.fate import Fate
+from tests.fakes.faults import Faults, Injection
+from tests.fakes.network import FakeNetwork
+from tests.fakes.servers import FakeServers
+from tests.fakes.store import FakeStore
+from tests.fakes.world import World
+
+pytestmark = pytest.mark.looptime
+
+
+class Relays:
+    """Three hosts, each in a zone of its own, and what they share."""
+
+    def __init__(self) -> None:
+        self.faults = Faults()
+        self.store = FakeStore(self.faults)
+        network = FakeNetwork(self.faults)
+        hosts = FakeHosts(network, FakeServers(self.faults))
+        self.stores = {}
+        for number, name in enumerate("abc"):
+            hosts.add(name, f"z{number}", number)
+            self.stores[name] = RelayedStore(
+                name,
+                self.store.client(name),
+                network.peers(name),
+                hosts.directory(name),
+                random.Random(number),
+            )
+
+
+async def test_a_host_cut_from_the_store_calls_it_through_a_peer():
+    relays = Relays()
+    relays.store.cut_hosts = {"a", "b"}
+    store = relays.stores["a"]
+    assert await store.read("x") == Absent("x")
+    assert await store.write("x", b"1", None) == Written(1)
+    assert await store.read("x") == StoredObject("x", 1, b"1")
+    conflict = await store.write("x", b"2", None)
+    assert conflict == Conflict(StoredObject("x", 1, b"1"))
+    assert await store.write("y", b"2", 3) == Conflict(Absent("y"))
+
+
+async def test_where_no_host_reaches_the_store_it_is_unavailable():
+    relays = Relays()
+    relays.store.outage = True
+    assert isinstance(await relays.stores["a"].read("x"), Unavailable)
+    assert isinstance(await relays.stores["a"].write("x", b"", None), Unavailable)
+
+
+@pytest.mark.parametrize("interface", ["peers", "store"])
+async def test_a_write_of_unknown_fate_is_not_repeated(interface):
+    relays = Relays()
+    relays.store.cut_hosts = {"a"}
+    relays.faults.inject(
+        Injection(
+            lambda step: (
+                step.interface == interface and step.source != "a"
+                if interface == "store"
+                else step.interface == interface
+            ),
+            Fate.LOSE_ANSWER,
+        )
+    )
+    result = await relays.stores["a"].write("x", b"1", None)
+    assert isinstance(result, WriteUnknown)
+    assert len(relays.store.history) == 1
+
+
+async def test_a_peer_that_lost_the_store_lately_says_so_at_once():
+    relays = Relays()
+    relays.store.outage = True
+    await relays.stores["b"].read("x")
+    await relays.stores["c"].read("x")
+    relays.store.counts.clear()
+    await relays.stores["a"].read("x")
+    assert relays.store.counts["read"] == 1
+
+
+async def test_a_leader_cut_from_the_store_moves_slices_through_its_peers():
+    async with World() as world:
+        await asyncio.sleep(3)
+        world.store.cut_hosts.add(world.leader_host)
+        leader = world.leader
+        entry = world.record.slices[0]
+        to = "s3" if entry.owner != "s3" else "s2"
+        assert await leader.handover.move([Move(entry.range, to)]) == 1
+        await world.until_served()
+        assert world.owners(entry.range.start) == [to]
+        assert world.leader is leader
