--- a/src/balsamway/gateway/connection_budget.py
+++ b/src/balsamway/gateway/connection_budget.py
@@ -65,7 +65,11 @@
         return equal_share(service) or self._subset_share(host, service)
 
     def _subset_share(self, host: Host, service: Service) -> int:
-        gateways = [entry.name for entry in self._directory.entry_hosts()]
+        member = self._configurations.member(host.member)
+        zones = member.zone_names if member else frozenset()
+        gateways = [
+            entry.name for entry in self._directory.entry_hosts() if entry.zone in zones
+        ]
         if not is_in_subset(service, host.name, self._gateway, gateways):
             self._chosen_at.pop(host.name, None)
             return 0
--- a/src/balsamway/gateway/server_pool.py
+++ b/src/balsamway/gateway/server_pool.py
@@ -4,18 +4,19 @@
 
 import asyncio
 import math
+import random
 from typing import TYPE_CHECKING
 
 from balsamway.gateway.admission import Admission
+from balsamway.gateway.connection_budget import ConnectionBudget
 from balsamway.gateway.owner_group import OwnerGroup
 from balsamway.gateway.server_state import ServerState
 from balsamway.platform import HostState
 
 if TYPE_CHECKING:
-    import random
     from collections.abc import Sequence
 
-    from balsamway.gateway.connection_budget import ConnectionBudget
+    from balsamway.configuration.configurations import Configurations
     from balsamway.membership.directory import Directory
     from balsamway.platform import Host
 
@@ -27,18 +28,23 @@
     """What this gateway has seen of the servers that it may use."""
 
     def __init__(
-        self, directory: Directory, budget: ConnectionBudget, rng: random.Random
+        self,
+        gateway: str,
+        directory: Directory,
+        configurations: Configurations,
+        rng: random.Random | None = None,
     ) -> None:
         """Makes a pool that knows no server yet.
 
         Args:
+            gateway: This gateway's host name.
             directory: Which hosts there are.
-            budget: How many connections there may be to each.
-            rng: Draws the length of pauses.
+            configurations: The configurations in force.
+            rng: Draws the length of pauses; None seeds by the host name.
         """
         self._directory = directory
-        self._budget = budget
-        self._rng = rng
+        self._budget = ConnectionBudget(gateway, directory, configurations)
+        self._rng = rng or random.Random(gateway)
         self._states: dict[str, ServerState] = {}
         self._hosts: dict[tuple[str, str], tuple[Host, ...]] = {}
         self._candidates: dict[tuple[str, str], tuple[ServerState, ...]] = {}
@@ -72,17 +78,27 @@
             service: The service's name.
 
         Returns:
-            The live servers that this gateway may connect to; the leaving
-            ones where there is no other. The same object while nothing
-            changes.
+            The live servers that this gateway may connect to; leaving ones
+            get no new work. The same object while nothing changes.
         """
         self._refresh_if_due()
         key = (member, service)
         hosts = self._directory.servers(member, service)
-        if hosts is not self._hosts.get(key):
+        if hosts != self._hosts.get(key):
             self._list(key, hosts)
         return self._candidates[key]
 
+    def connection_limit(self, host: Host) -> int:
+        """Tells how many connections this gateway may have to a server.
+
+        Args:
+            host: The server.
+
+        Returns:
+            The most connections; 0 for a server of no known service.
+        """
+        return self._budget.limit(host)
+
     def states(self) -> tuple[ServerState, ...]:
         """Lists what was seen of every server, in the order of their names."""
         return tuple(self._states[name] for name in sorted(self._states))
@@ -111,7 +127,7 @@
         states = [state for state in states if state.limit.value >= 1]
         live = [state for state in states if state.host.state is HostState.LIVE]
         self._hosts[key] = hosts
-        candidates = tuple(live or states)
+        candidates = tuple(live)
         if candidates != self._candidates.get(key):
             self._candidates[key] = candidates
 
--- a/src/balsamway/gateway/subset.py
+++ b/src/balsamway/gateway/subset.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-import xxhash
+from balsamway.rendezvous import weight
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -50,7 +50,7 @@
     Returns:
         Whether the gateway may connect.
     """
-    ranked = sorted(gateways, key=lambda name: _rank(server, name))
+    ranked = sorted(gateways, key=lambda name: weight(server, name))
     return gateway in ranked[: available_connections(service)]
 
 
@@ -67,7 +67,3 @@
     if service.exclusive_keys:
         reserved += LEADER_CONNECTIONS * service.shards
     return max(0, service.connections - reserved)
-
-
-def _rank(server: str, gateway: str) -> int:
-    return xxhash.xxh64_intdigest(f"{server}/{gateway}".encode())
--- a/tests/fakes/gateway_fleet.py
+++ b/tests/fakes/gateway_fleet.py
@@ -10,7 +10,6 @@
 from prometheus_client import CollectorRegistry
 
 from balsamway.gateway import CallerRequest, Gateway, GatewayMetrics
-from balsamway.gateway.connection_budget import ConnectionBudget
 from balsamway.gateway.server_pool import ServerPool
 from balsamway.outcome import Completed
 from balsamway.platform import Host, HostRole
@@ -58,8 +57,7 @@
         return self.servers * self.transport.slots / self.transport.run_seconds
 
     def _gateway(self, name):
-        budget = ConnectionBudget(name, self.directory, GatewayConfigurations())
-        pool = ServerPool(self.directory, budget, self.rng)
+        pool = ServerPool(name, self.directory, GatewayConfigurations(), self.rng)
         zone = self.zones[int(name[1:]) % len(self.zones)]
         return Gateway(
             pool,
