--- a/src/balsamway/daemon/daemon.py
+++ b/src/balsamway/daemon/daemon.py
@@ -215,9 +215,10 @@
     def _build_gateway(self) -> None:
         settings = self._settings
         metrics = GatewayMetrics(self._registry)
-        budget = ConnectionBudget(settings.host, self._membership, self._configurations)
-        pool = ServerPool(self._membership, budget, self._rng)
-        self._transport = HttpTransport(budget.limit, metrics.on_open)
+        pool = ServerPool(
+            settings.host, self._membership, self._configurations, self._rng
+        )
+        self._transport = HttpTransport(pool.connection_limit, metrics.on_open)
         recorder = LoadRecorder()
         self._load_reporter = LoadReporter(
             recorder, self._views, self._membership, self._peers
