--- a/tests/matrix/entry_host.py
+++ b/tests/matrix/entry_host.py
@@ -6,6 +6,7 @@
 from prometheus_client import CollectorRegistry
 
 from balsamway.configuration.configuration_service import ConfigurationService
+from balsamway.gateway.connection_budget import ConnectionBudget
 from balsamway.gateway.gateway import Gateway
 from balsamway.gateway.metrics import GatewayMetrics
 from balsamway.gateway.server_pool import ServerPool
@@ -96,7 +97,8 @@
         )
 
     def _new_gateway(self, world: World, rng: random.Random) -> Gateway:
-        pool = ServerPool(self.name, self.membership, self.configuration)
+        budget = ConnectionBudget(self.name, self.membership, self.configuration)
+        pool = ServerPool(self.membership, budget, rng)
         return Gateway(
             pool,
             self.views,
