--- a/src/balsamway/platform/http_store.py
+++ b/src/balsamway/platform/http_store.py
@@ -21,7 +21,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import AsyncIterator, Mapping
 
 CONNECT_TIMEOUT_SECONDS = 1.0
 CALL_TIMEOUT_SECONDS = 3.0
@@ -32,9 +32,11 @@
 class HttpStore(mode.Service):
     """Calls the platform's object store over HTTP.
 
-    Each write has a connection of its own: on a connection used before,
-    `aiohttp` would repeat a PUT by itself, and the answer to the repetition
-    would hide what the first one did.
+    A write is sent once: its body is a stream that cannot be read again, so
+    that `aiohttp` does not repeat it by itself, which would hide a change
+    that took effect behind a conflict. Each write also has a connection of
+    its own, since one that the platform has just closed would leave the end
+    of the write unknown.
     """
 
     def __init__(
@@ -132,7 +134,10 @@
             self._reading = aiohttp.ClientSession(headers=self._headers)
         try:
             async with self._reading.get(
-                self._url(name), params=query, timeout=self._timeout(wait_seconds)
+                self._url(name),
+                params=query,
+                timeout=self._timeout(wait_seconds),
+                allow_redirects=False,
             ) as response:
                 return await _read_result(name, response)
         except (aiohttp.ClientError, OSError, ValueError) as error:
@@ -149,8 +154,9 @@
         try:
             async with self._writing.put(
                 self._url(name),
-                data=body,
-                headers=_condition(expected_version),
+                data=_stream(body),
+                headers=_put_headers(body, expected_version),
+                allow_redirects=False,
                 timeout=self._timeout(0.0),
             ) as response:
                 return await _write_result(name, response)
@@ -169,10 +175,18 @@
         )
 
 
-def _condition(expected_version: int | None) -> dict[str, str]:
+async def _stream(body: bytes) -> AsyncIterator[bytes]:
+    yield body
+
+
+def _put_headers(body: bytes, expected_version: int | None) -> dict[str, str]:
+    headers = {
+        "Content-Length": str(len(body)),
+        "Content-Type": "application/octet-stream",
+    }
     if expected_version is None:
-        return {"If-None-Match": "*"}
-    return {"If-Match": str(expected_version)}
+        return headers | {"If-None-Match": "*"}
+    return headers | {"If-Match": str(expected_version)}
 
 
 async def _read_result(name: str, response: aiohttp.ClientResponse) -> ReadResult:
--- a/tests/fakes/configuration_store.py
+++ b/tests/fakes/configuration_store.py
@@ -12,6 +12,9 @@
 )
 
 
+SHORTEST_WAIT_SECONDS = 0.001
+
+
 class ConfigurationStore:
     """A store in memory with outages and lost answers."""
 
@@ -60,7 +63,7 @@
                 return found
             version = None if isinstance(found, Absent) else found.version
             left = deadline - asyncio.get_running_loop().time()
-            if version != after_version or left <= 0:
+            if version != after_version or left < SHORTEST_WAIT_SECONDS:
                 return found
             try:
                 await asyncio.wait_for(changed.wait(), left)
