--- /dev/null
+++ b/tests/ownership/conftest.py
@@ -0,0 +1,16 @@
+from __future__ import annotations
+
+import pytest
+
+from tests.fakes.world import World
+
+
+@pytest.fixture
+def world():
+    """Not started: the paused clock runs only inside the test."""
+    return World()
+
+
+@pytest.fixture
+def unchecked_world():
+    return World(checks=False)
