--- a/tests/fakes/configuration_store.py
+++ b/tests/fakes/configuration_store.py
@@ -11,7 +11,6 @@
     Written,
 )
 
-
 SHORTEST_WAIT_SECONDS = 0.001
 
 
