--- /dev/null
+++ b/tests/test_commands.py
@@ -0,0 +1,129 @@
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import io
+import json
+import threading
+from pathlib import Path
+
+import pytest
+
+from balsamway.commands.main import main, verbs
+from balsamway.platform import Host, HostRole
+from balsamway.standins.platform import PlatformSettings, PlatformStandin
+
+EXAMPLES = Path(__file__).parent.parent / "examples"
+TAPADERAS = str(EXAMPLES / "tapaderas.json5")
+UNREACHED = "http://127.0.0.1:9"
+
+
+@pytest.fixture
+def platform():
+    """A platform in a thread, since each verb runs a loop of its own."""
+    host = Host(
+        "a", HostRole.ENTRY, "z", "127.0.0.1:9", operators_address="127.0.0.1:9"
+    )
+    standin = PlatformStandin(PlatformSettings(hosts=(host,)))
+    loop = asyncio.new_event_loop()
+    thread = threading.Thread(target=loop.run_forever)
+    thread.start()
+    asyncio.run_coroutine_threadsafe(standin.start(), loop).result(10)
+    yield f"http://{standin.address}"
+    asyncio.run_coroutine_threadsafe(standin.stop(), loop).result(10)
+    loop.call_soon_threadsafe(loop.stop)
+    thread.join()
+    loop.close()
+
+
+def test_each_verb_has_help(capsys):
+    for verb in ("accept", "check", "diff", "dump", "generate", "status"):
+        assert verb in verbs()
+        assert main([verb, "--help"]) == 0
+        assert capsys.readouterr().out.startswith(f"usage: balsamway {verb}")
+
+
+@pytest.mark.parametrize(
+    "arguments",
+    [
+        [],
+        ["none"],
+        ["check"],
+        ["check", "--bogus", TAPADERAS],
+        ["generate"],
+        ["diff", TAPADERAS],
+        ["accept", TAPADERAS, "--platform", UNREACHED],
+        ["accept", TAPADERAS, "--base", "x"],
+        ["accept", TAPADERAS, "--base", "0"],
+        ["status"],
+    ],
+)
+def test_wrong_usage_exits_with_2(arguments):
+    assert main(arguments) == 2
+
+
+@pytest.mark.parametrize(
+    "arguments",
+    [
+        ["diff", TAPADERAS, "--platform", UNREACHED],
+        ["accept", TAPADERAS, "--base", "0", "--platform", UNREACHED],
+        ["status", "--platform", UNREACHED],
+        ["dump", "127.0.0.1:9"],
+    ],
+)
+def test_what_is_not_reached_exits_with_2(arguments):
+    assert main(arguments) == 2
+
+
+def test_problems_exit_with_1(tmp_path, capsys):
+    bad = tmp_path / "bad.json5"
+    bad.write_text("{member: 1}")
+    assert main(["check", TAPADERAS, str(bad)]) == 1
+    assert "bad.json5: member: found 1" in capsys.readouterr().out
+    assert main(["generate", str(bad)]) == 1
+    assert main(["diff", str(bad), TAPADERAS]) == 1
+
+
+def test_a_token_is_hashed_from_standard_input(monkeypatch, capsys):
+    monkeypatch.setattr("sys.stdin", io.StringIO("secret\n"))
+    assert main(["generate", "--hash_token"]) == 0
+    expected = hashlib.sha256(b"secret").hexdigest()
+    assert capsys.readouterr().out == expected + "\n"
+
+
+def test_a_change_is_reviewed_and_accepted(platform, tmp_path, capsys):
+    def call(*arguments):
+        status = main([*arguments, "--platform", platform])
+        return status, capsys.readouterr().out
+
+    assert call("accept", TAPADERAS, "--base", "0") == (
+        0,
+        "accepted: tapaderas version 1\n",
+    )
+    changed = tmp_path / "changed.json5"
+    changed.write_text(Path(TAPADERAS).read_text().replace("slots: 3", "slots: 4"))
+    reviewed = str(tmp_path / "reviewed.json5")
+    assert main(["generate", str(changed), "--output", reviewed]) == 0
+    status, out = call("diff", str(changed))
+    assert status == 0
+    assert "~ services[inventory].slots: 3 -> 4" in out
+    assert "accept with --base 1" in out
+    arguments = ["accept", str(changed), "--base", "1", "--reviewed", reviewed]
+    assert call(*arguments)[0] == 0
+    status, out = call(*arguments)
+    assert status == 1
+    assert "conflict" in out
+    assert call("accept", TAPADERAS, "--base", "2", "--reviewed", reviewed)[0] == 1
+    assert json.loads(call("diff", str(changed), "--json")[1]) == {
+        "base": 2,
+        "changes": [],
+    }
+
+
+def test_status_names_hosts_that_are_not_reached(platform, capsys):
+    assert main(["accept", TAPADERAS, "--base", "0", "--platform", platform]) == 0
+    capsys.readouterr()
+    assert main(["status", "--platform", platform, "--json"]) == 2
+    found = json.loads(capsys.readouterr().out)
+    assert found["accepted"] == {"tapaderas": 1}
+    assert found["hosts"][0]["health"] is None
