Keep a server's queue from making its slices seem heavier

Cause: a gateway measures the time to the answer, which holds the wait in the server. At a server with a queue of seconds every slice seemed hundreds of times as heavy, so placement swung from one server to the next. Change: a request counts for at most 1.2 times the running median of its shard. Keys that cost their server more than the median are now underrated.

--- a/src/balsamway/balance/load_recorder.py
+++ b/src/balsamway/balance/load_recorder.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from balsamway.balance._running_median import RunningMedian
 from balsamway.balance._slice_sums import SliceSums
 from balsamway.balance.heavy_hitters import HeavyHitters
 from balsamway.ownership.messages.load_report import LoadReport
@@ -23,12 +24,23 @@
 """The least share of the gateway's load of a shard that names a key."""
 
 
+COST_AT_MOST = 1.2
+"""What one request counts for at most, over the median of the shard."""
+
+
 class LoadRecorder:
-    """Counts the load of each slice and of the keys with the most load."""
+    """Counts the load of each slice and of the keys with the most load.
+
+    A gateway sees how long a request took, its wait in the server included.
+    At a server with a queue that is a multiple of the work, and a slice would
+    seem heavier the longer the queue, so a request counts for little more
+    than the median.
+    """
 
     def __init__(self) -> None:
         self._sums: dict[ShardId, SliceSums] = {}
         self._keys: dict[ShardId, HeavyHitters] = {}
+        self._medians: dict[ShardId, RunningMedian] = {}
 
     @property
     def shards(self) -> tuple[ShardId, ...]:
@@ -41,13 +53,17 @@
         Args:
             shard: The shard of the key.
             position: The position of the key.
-            busy_seconds: The server's time that the request took.
+            busy_seconds: The time from sending the request to its answer.
         """
         if shard not in self._sums:
             self._sums[shard] = SliceSums()
             self._keys[shard] = HeavyHitters(KEYS_COUNTED)
-        self._sums[shard].record(position, busy_seconds)
-        self._keys[shard].record(position, busy_seconds)
+            self._medians[shard] = RunningMedian()
+        median = self._medians[shard]
+        median.add(busy_seconds)
+        cost = min(busy_seconds, median.value * COST_AT_MOST)
+        self._sums[shard].record(position, cost)
+        self._keys[shard].record(position, cost)
 
     def take(
         self, shard: ShardId, interval_seconds: float, ranges: Sequence[KeyRange]
--- a/tests/balance/test_load_estimate.py
+++ b/tests/balance/test_load_estimate.py
@@ -57,3 +57,17 @@
     assert [item.range for item in first.ranges] == [KeyRange(0, POSITION_END)]
     assert second.ranges == (RangeLoad(ranges[3], 1.0, 0.25),)
     assert recorder.take(SHARD, 1.0, ranges).ranges == ()
+
+
+def test_a_queue_at_a_server_does_not_make_its_slices_seem_much_heavier():
+    recorder = LoadRecorder()
+    ranges = even_ranges(4)
+    for _ in range(200):
+        for item in ranges:
+            recorder.record(SHARD, item.start, 0.01)
+    recorder.take(SHARD, 1.0, ranges)
+    for _ in range(200):
+        for item in ranges:
+            recorder.record(SHARD, item.start, 5.0 if item == ranges[2] else 0.01)
+    loads = [item.busy_seconds for item in recorder.take(SHARD, 1.0, ranges).ranges]
+    assert loads[2] < 1.5 * loads[0]
