--- a/src/balsamway/balance/__init__.py
+++ b/src/balsamway/balance/__init__.py
@@ -3,6 +3,7 @@
 from balsamway.balance.candidate import Candidate, CandidateState
 from balsamway.balance.heavy_hitters import HeavyHitters
 from balsamway.balance.load_estimate import LoadEstimate
+from balsamway.balance.load_receiver import LoadReceiver
 from balsamway.balance.load_recorder import LoadRecorder
 from balsamway.balance.load_reporter import LoadReporter
 from balsamway.balance.move import Move
@@ -19,6 +20,7 @@
     "CandidateState",
     "HeavyHitters",
     "LoadEstimate",
+    "LoadReceiver",
     "LoadRecorder",
     "LoadReporter",
     "Move",
--- a/src/balsamway/observe/experiments/harvest.py
+++ b/src/balsamway/observe/experiments/harvest.py
@@ -11,7 +11,6 @@
 from balsamway.observe.experiments.keyed_workload import KeyedWorkload
 from balsamway.observe.experiments.result import ExperimentResult, Goal, Row, Series
 from balsamway.observe.experiments.static_planner import StaticPlanner
-from balsamway.observe.measures import Churn
 
 SECONDS = 360
 
@@ -77,7 +76,7 @@
     trace = run.trace
     ratios = [each.maximum_over_mean for each in run.windows]
     variations = [each.coefficient_of_variation for each in run.windows]
-    churn = Churn(SECONDS, trace.moves, trace.key_space_moved, trace.traffic_moved)
+    churn = trace.churn(0.0, SECONDS)
     return Row(
         name,
         (
@@ -87,7 +86,7 @@
             trace.whole_run().maximum_over_mean,
             trace.latency_ms(50.0),
             trace.latency_ms(99.0),
-            float(trace.moves),
+            float(churn.moves),
             churn.key_space_an_hour,
             churn.traffic_an_hour,
             float(trace.slices_at_most),
--- a/src/balsamway/observe/experiments/keyed_run.py
+++ b/src/balsamway/observe/experiments/keyed_run.py
@@ -12,7 +12,7 @@
     LoadRecorder,
     PlacementInput,
 )
-from balsamway.observe.experiments.keyed_trace import WINDOW_SECONDS, KeyedTrace
+from balsamway.observe.experiments.keyed_trace import WINDOW_SECONDS, KeyedTrace, Moved
 from balsamway.observe.experiments.server_event import ServerChange, ServerEvent
 from balsamway.observe.experiments.shard_table import ShardTable
 from balsamway.observe.experiments.slot_server import SlotServer
@@ -68,6 +68,8 @@
             for index, name in enumerate(_names(setup.servers))
         }
         self._servers = {name: SlotServer(setup.slots) for name in self._candidates}
+        self.owned_share: dict[str, float] = {}
+        """The share of the key space that a server had when it changed."""
         self._failed: set[str] = set()
         self._held_until: dict[int, float] = {}
 
@@ -131,6 +133,8 @@
     def _apply(self, plan: Plan, now: float) -> None:
         moved = self._table.apply(plan)
         self._held_until = {}
+        count = len(self._table.ranges)
+        self.trace.slices_at_most = max(self.trace.slices_at_most, count)
         if not moved:
             return
         loads = self._estimate.loads(self._table.ranges)
@@ -138,12 +142,9 @@
         by_range = {each.range: each.load for each in loads}
         for entry in moved:
             self._held_until[entry.range.start] = now + HOLD_SECONDS
-            self.trace.moves += 1
-            self.trace.key_space_moved += entry.range.size / POSITION_END
-            self.trace.traffic_moved += by_range[entry.range] / total
-        self.trace.slices_at_most = max(
-            self.trace.slices_at_most, len(self._table.ranges)
-        )
+            key_share = entry.range.size / POSITION_END
+            traffic_share = by_range[entry.range] / total
+            self.trace.on_moved(Moved(now, key_share, traffic_share))
 
     def _change_servers(self, second: int) -> None:
         for event in self._setup.events:
@@ -151,6 +152,12 @@
                 self._change(event)
 
     def _change(self, event: ServerEvent) -> None:
+        owned = sum(
+            entry.range.size
+            for entry in self._table.entries
+            if entry.owner == event.server
+        )
+        self.owned_share.setdefault(event.server, owned / POSITION_END)
         if event.change is ServerChange.FAILS:
             self._failed.add(event.server)
             return
--- a/src/balsamway/observe/experiments/keyed_trace.py
+++ b/src/balsamway/observe/experiments/keyed_trace.py
@@ -3,16 +3,26 @@
 from __future__ import annotations
 
 from collections import defaultdict
+from dataclasses import dataclass
 
 from hdrh.histogram import HdrHistogram
 
-from balsamway.observe.measures import Imbalance
+from balsamway.observe.measures import Churn, Imbalance
 
 WINDOW_SECONDS = 60
 MICROSECONDS = 1_000_000
 LONGEST_LATENCY_SECONDS = 600
 
 
+@dataclass(frozen=True, slots=True)
+class Moved:
+    """A slice that changed owner."""
+
+    at: float
+    key_share: float
+    traffic_share: float
+
+
 class KeyedTrace:
     """Busy times by window, latencies, moves and refusals."""
 
@@ -21,9 +31,7 @@
         self.requests = 0
         self.refused = 0
         self.refused_by_second: dict[int, int] = defaultdict(int)
-        self.moves = 0
-        self.key_space_moved = 0.0
-        self.traffic_moved = 0.0
+        self._moved: list[Moved] = []
         self.slices_at_most = 0
         self._busy: dict[int, dict[str, float]] = defaultdict(dict)
         self._keys: dict[int, dict[int, float]] = defaultdict(dict)
@@ -50,6 +58,38 @@
         self.requests += 1
         self.latencies.record_value(round(latency * MICROSECONDS))
 
+    def on_moved(self, moved: Moved) -> None:
+        """Counts a slice that changed owner."""
+        self._moved.append(moved)
+
+    def churn(
+        self,
+        start: float,
+        end: float,
+        least_key_space: float = 0.0,
+        least_traffic: float = 0.0,
+    ) -> Churn:
+        """Measures what moved in a time.
+
+        Args:
+            start: Its start, in seconds.
+            end: Its end, in seconds.
+            least_key_space: What had to move, as a share of the key space.
+            least_traffic: What had to move, as a share of the traffic.
+
+        Returns:
+            The churn.
+        """
+        moved = [each for each in self._moved if start <= each.at <= end]
+        return Churn(
+            end - start,
+            len(moved),
+            sum(each.key_share for each in moved),
+            sum(each.traffic_share for each in moved),
+            least_key_space,
+            least_traffic,
+        )
+
     def on_refused(self, at: float) -> None:
         """Counts a request that found no living owner."""
         self.requests += 1
--- a/src/balsamway/observe/experiments/registry.py
+++ b/src/balsamway/observe/experiments/registry.py
@@ -5,6 +5,8 @@
 from typing import TYPE_CHECKING
 
 from balsamway.observe.experiments.harvest import run_harvest
+from balsamway.observe.experiments.joins import run_joins
+from balsamway.observe.experiments.leaves import run_leaves
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -13,5 +15,7 @@
 
 EXPERIMENTS: dict[str, Callable[[int], ExperimentResult]] = {
     "harvest": run_harvest,
+    "joins": run_joins,
+    "leaves": run_leaves,
 }
 """Each takes a seed."""
--- /dev/null
+++ b/src/balsamway/observe/experiments/steady.py
@@ -0,0 +1,94 @@
+"""What the experiments with joining and leaving servers have in common."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from balsamway.balance import PlacementPlanner
+from balsamway.configuration import Weights
+from balsamway.observe.experiments.keyed_run import KeyedRun, KeyedSetup
+from balsamway.observe.experiments.keyed_workload import KeyedWorkload
+from balsamway.observe.experiments.result import Row
+from balsamway.observe.experiments.server_event import ServerEvent
+from balsamway.observe.experiments.static_planner import StaticPlanner
+
+STEADY = KeyedWorkload(requests_a_second=1200.0, hot_share=0.0)
+"""Keys of unequal popularity, none of which is hot."""
+
+EVENT_SECOND = 60
+SECONDS = 240
+
+MOVEMENT_GOAL = 1.2
+"""The greatest movement over the least possible."""
+
+
+@dataclass(frozen=True, slots=True)
+class PolicyRun:
+    """A policy and its finished run."""
+
+    policy: str
+    run: KeyedRun
+
+    def row(self, least: float) -> Row:
+        """Measures the run from the event on.
+
+        Args:
+            least: The share of the key space that had to move.
+
+        Returns:
+            The measures, as `MOVEMENT_COLUMNS` names them.
+        """
+        trace = self.run.trace
+        churn = trace.churn(EVENT_SECOND, SECONDS, least)
+        return Row(
+            self.policy,
+            (
+                churn.over_least,
+                churn.key_space,
+                churn.traffic,
+                float(churn.moves),
+                self.run.windows[-1].maximum_over_mean,
+                trace.latency_ms(99.0),
+                float(trace.refused),
+            ),
+        )
+
+
+MOVEMENT_COLUMNS = (
+    "moved over least",
+    "key space moved",
+    "traffic moved",
+    "moves",
+    "max/mean at the end",
+    "p99 ms",
+    "refused",
+)
+
+
+def run_policies(
+    seed: int, events: tuple[ServerEvent, ...], servers: int = 12
+) -> list[PolicyRun]:
+    """Runs static hashing and the planner through the same events.
+
+    Args:
+        seed: The seed of the arrivals.
+        events: What happens to servers.
+        servers: How many servers there are at first.
+
+    Returns:
+        The finished runs; the last two are the planner's.
+    """
+    policies = (
+        ("static hashing", StaticPlanner(), Weights()),
+        ("planner, unavailable time", PlacementPlanner(), Weights(1.0, 3.0)),
+        ("planner, imbalance", PlacementPlanner(), Weights(3.0, 1.0)),
+    )
+    runs = []
+    for name, planner, weights in policies:
+        setup = KeyedSetup(
+            STEADY, SECONDS, seed, weights, servers=servers, events=events
+        )
+        run = KeyedRun(setup, planner)
+        run.run()
+        runs.append(PolicyRun(name, run))
+    return runs
