--- a/src/balsamway/configuration/member_configuration.py
+++ b/src/balsamway/configuration/member_configuration.py
@@ -23,12 +23,19 @@
     token_hashes: tuple[str, ...]
     """SHA-256, in hexadecimal, of each token that callers may present."""
     weights: Weights = field(default_factory=Weights)
+    replaced: tuple[str, ...] = ()
+    """The change ids of the versions before, the latest first."""
 
     @property
     def object_name(self) -> str:
         """The name of the member's configuration in the store."""
         return f"configuration/{self.member}"
 
+    @property
+    def zone_names(self) -> frozenset[str]:
+        """The availability zones where the member's hosts stand."""
+        return frozenset(zone.name for zone in self.zones)
+
     def service(self, name: str) -> Service | None:
         """Finds a service.
 
--- a/src/balsamway/observe/__init__.py
+++ b/src/balsamway/observe/__init__.py
@@ -1,1 +1,1 @@
-"""What the system tells of itself: metrics, logs, state and reports."""
+"""Metrics, logs, the state dump and the reports of members."""
