--- a/src/balsamway/gateway/server_pool.py
+++ b/src/balsamway/gateway/server_pool.py
@@ -4,19 +4,18 @@
 
 import asyncio
 import math
-import random
 from typing import TYPE_CHECKING
 
 from balsamway.gateway.admission import Admission
-from balsamway.gateway.connection_budget import ConnectionBudget
 from balsamway.gateway.owner_group import OwnerGroup
 from balsamway.gateway.server_state import ServerState
 from balsamway.platform import HostState
 
 if TYPE_CHECKING:
+    import random
     from collections.abc import Sequence
 
-    from balsamway.configuration.configurations import Configurations
+    from balsamway.gateway.connection_budget import ConnectionBudget
     from balsamway.membership.directory import Directory
     from balsamway.platform import Host
 
@@ -28,23 +27,18 @@
     """What this gateway has seen of the servers that it may use."""
 
     def __init__(
-        self,
-        gateway: str,
-        directory: Directory,
-        configurations: Configurations,
-        rng: random.Random | None = None,
+        self, directory: Directory, budget: ConnectionBudget, rng: random.Random
     ) -> None:
         """Makes a pool that knows no server yet.
 
         Args:
-            gateway: This gateway's host name.
             directory: Which hosts there are.
-            configurations: The configurations in force.
-            rng: Draws the length of pauses; None seeds by the host name.
+            budget: How many connections there may be to each.
+            rng: Draws the length of pauses.
         """
         self._directory = directory
-        self._budget = ConnectionBudget(gateway, directory, configurations)
-        self._rng = rng or random.Random(gateway)
+        self._budget = budget
+        self._rng = rng
         self._states: dict[str, ServerState] = {}
         self._hosts: dict[tuple[str, str], tuple[Host, ...]] = {}
         self._candidates: dict[tuple[str, str], tuple[ServerState, ...]] = {}
@@ -88,17 +82,6 @@
             self._list(key, hosts)
         return self._candidates[key]
 
-    def connection_limit(self, host: Host) -> int:
-        """Tells how many connections this gateway may have to a server.
-
-        Args:
-            host: The server.
-
-        Returns:
-            The most connections; 0 for a server of no known service.
-        """
-        return self._budget.limit(host)
-
     def states(self) -> tuple[ServerState, ...]:
         """Lists what was seen of every server, in the order of their names."""
         return tuple(self._states[name] for name in sorted(self._states))
--- a/src/balsamway/ownership/shard_state.py
+++ b/src/balsamway/ownership/shard_state.py
@@ -39,6 +39,8 @@
     @property
     def ahead(self) -> bool:
         """Whether the store does not hold the assignment acted by."""
+        if self.record.slices is self.stored.slices:
+            return False
         return self.record.slices != self.stored.slices
 
     def entry(self, searched: KeyRange) -> SliceEntry | None:
@@ -74,13 +76,15 @@
             if one.range not in self._withheld and not self.is_blocked(one.range)
         )
 
-    def is_provisional(self, entry: SliceEntry) -> bool:
-        """Tells whether the store does not hold the owner of a slice yet."""
+    def provisional(self) -> frozenset[KeyRange]:
+        """Lists the slices whose owner the store does not hold yet."""
         if not self.ahead:
-            return False
-        return all(
-            (one.range, one.owner, one.epoch) != (entry.range, entry.owner, entry.epoch)
-            for one in self.stored.slices
+            return frozenset()
+        stored = {(one.range, one.owner, one.epoch) for one in self.stored.slices}
+        return frozenset(
+            one.range
+            for one in self.record.slices
+            if (one.range, one.owner, one.epoch) not in stored
         )
 
     def next_epoch(self) -> int:
--- a/tests/fakes/gateway_path.py
+++ b/tests/fakes/gateway_path.py
@@ -10,6 +10,7 @@
 from prometheus_client import CollectorRegistry
 
 from balsamway.gateway import CallerListener, Gateway, GatewayLimits, GatewayMetrics
+from balsamway.gateway.connection_budget import ConnectionBudget
 from balsamway.gateway.server_pool import ServerPool
 from balsamway.servers.http_transport import HttpTransport
 from tests.fakes.gateway_configurations import TOKEN, GatewayConfigurations
@@ -48,8 +49,9 @@
 
     async def start(self) -> GatewayPath:
         metrics = GatewayMetrics(self.registry)
-        self.pool = ServerPool("g1", self.directory, self.configurations)
-        self.transport = HttpTransport(self.pool.connection_limit, metrics.on_open)
+        budget = ConnectionBudget("g1", self.directory, self.configurations)
+        self.pool = ServerPool(self.directory, budget, random.Random(2))
+        self.transport = HttpTransport(budget.limit, metrics.on_open)
         self.gateway = Gateway(
             self.pool,
             self.routes,
