--- a/src/balsamway/daemon/daemon.py
+++ b/src/balsamway/daemon/daemon.py
@@ -55,7 +55,7 @@
         """
         super().__init__()
         self._settings = settings
-        self._rng = random.Random(settings.seed)
+        self._rng = _random_source(settings)
         self._incarnation = random.SystemRandom().getrandbits(INCARNATION_BITS)
         self._registry = CollectorRegistry()
         self._stopping = False
@@ -269,6 +269,14 @@
         )
 
 
+def _random_source(settings: Settings) -> random.Random:
+    # Hosts with one seed must not draw the same numbers: change ids of
+    # different writers would be equal, and claims would race in step.
+    if settings.seed is None:
+        return random.Random()
+    return random.Random(f"{settings.seed}|{settings.host}")
+
+
 def _planner(shard: ShardId) -> PlacementPlanner:
     return PlacementPlanner(seed=shard.index)
 
--- a/src/balsamway/ownership/cluster.py
+++ b/src/balsamway/ownership/cluster.py
@@ -42,6 +42,6 @@
         """Draws the name of a write, to tell it after a lost answer.
 
         Returns:
-            16 hexadecimal digits.
+            The run of this daemon and a number, in hexadecimal digits.
         """
-        return f"{self.rng.getrandbits(64):016x}"
+        return f"{self.me.incarnation:x}-{self.rng.getrandbits(64):016x}"
