Trust a cancellation only for the attempt that it names

A server tells of a request id. When a first attempt was refused and the second is still on its way, a server that has met only the first could answer not-run to the cancellation of the second, and then read and run it. Each attempt now has an id, which the cancellation sends and the answer repeats; any other answer leaves the request as one that may have run. The stand-in server answers unknown for an attempt that it has not received.

--- a/src/balsamway/servers/_attempt_progress.py
+++ b/src/balsamway/servers/_attempt_progress.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+import uuid
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 import aiohttp
@@ -16,6 +17,8 @@
 class AttemptProgress:
     """How far an attempt has come; its own task alone changes it."""
 
+    attempt_id: str = field(default_factory=lambda: uuid.uuid4().hex)
+    """Tells the attempt from others of the same request."""
     has_connection: bool = False
     """Whether a byte of the request may have been written."""
 
--- a/src/balsamway/servers/header_names.py
+++ b/src/balsamway/servers/header_names.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+ATTEMPT = "Balsamway-Attempt"
 AUTHORIZATION = "Authorization"
 EPOCH = "Balsamway-Epoch"
 KEY = "Balsamway-Key"
--- a/src/balsamway/servers/http_transport.py
+++ b/src/balsamway/servers/http_transport.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import logging
 from typing import TYPE_CHECKING
 
 import aiohttp
 import msgspec
+from yarl import URL
 
 from balsamway.membership.server_health import ServerHealth
 from balsamway.outcome import MayHaveRun, NotRun, Reason
@@ -31,6 +33,8 @@
 CANCEL_TIMEOUT_SHARE = 0.1
 """The part of an attempt's time that is kept for its cancellation."""
 
+URLS_AT_MOST = 4096
+
 _SKIPPED_HEADERS = ("Accept", "Accept-Encoding", "User-Agent")
 
 
@@ -76,12 +80,12 @@
         except TimeoutError:
             if not progress.has_connection:
                 return NotRun(Reason.DEADLINE_EXCEEDED, "no connection in time")
-            if await self._cancel(server, request, cancel_seconds):
+            if await self._cancel(server, request, progress, cancel_seconds):
                 return NotRun(Reason.DEADLINE_EXCEEDED)
             return MayHaveRun(Reason.DEADLINE_EXCEEDED)
         except asyncio.CancelledError:
             if progress.has_connection:
-                self._cancel_later(server, request)
+                self._cancel_later(server, request, progress)
             raise
 
     async def health(self, server: Host, timeout_seconds: float) -> ServerHealth | None:
@@ -117,12 +121,11 @@
     async def _exchange(
         self, server: Host, request: ServerRequest, progress: AttemptProgress
     ) -> Verdict:
-        url = f"http://{server.address}/requests/{request.service}/{request.kind}"
         try:
             async with self._session(server).post(
-                url,
+                _request_url(server.address, request.service, request.kind),
                 data=request.body,
-                headers=_headers(request),
+                headers=_headers(request, progress.attempt_id),
                 skip_auto_headers=_SKIPPED_HEADERS,
                 allow_redirects=False,
                 trace_request_ctx=progress,
@@ -138,22 +141,37 @@
             return NotRun(Reason.CONNECT_FAILED, detail)
 
     async def _cancel(
-        self, server: Host, request: ServerRequest, timeout_seconds: float
+        self,
+        server: Host,
+        request: ServerRequest,
+        progress: AttemptProgress,
+        timeout_seconds: float,
     ) -> bool:
+        """Cancels an attempt at its server.
+
+        Returns:
+            Whether the server says that this attempt, which it had received,
+            did not run and will not. What it says of the request's earlier
+            attempts tells nothing of one that is still on its way.
+        """
+        headers = {header_names.ATTEMPT: progress.attempt_id}
         url = f"http://{server.address}/requests/{request.request_id}"
         try:
             async with (
                 asyncio.timeout(timeout_seconds),
-                self._session(server).delete(url) as response,
+                self._session(server).delete(url, headers=headers) as response,
             ):
                 found = msgspec.json.decode(await response.read())
-                return response.status == 200 and found == {"outcome": "not-run"}
+                not_run = {"outcome": "not-run", "attempt": progress.attempt_id}
+                return response.status == 200 and found == not_run
         except (aiohttp.ClientError, OSError, TimeoutError, msgspec.MsgspecError):
             return False
 
-    def _cancel_later(self, server: Host, request: ServerRequest) -> None:
+    def _cancel_later(
+        self, server: Host, request: ServerRequest, progress: AttemptProgress
+    ) -> None:
         task = asyncio.create_task(
-            self._cancel(server, request, CANCEL_TIMEOUT_SECONDS)
+            self._cancel(server, request, progress, CANCEL_TIMEOUT_SECONDS)
         )
         self._cancellations.add(task)
         task.add_done_callback(self._cancellations.discard)
@@ -182,8 +200,15 @@
         )
 
 
-def _headers(request: ServerRequest) -> dict[str, str]:
+@functools.lru_cache(maxsize=URLS_AT_MOST)
+def _request_url(address: str, service: str, kind: str) -> URL:
+    """Makes the URL of a kind at a server, parsed once."""
+    return URL(f"http://{address}/requests/{service}/{kind}", encoded=True)
+
+
+def _headers(request: ServerRequest, attempt_id: str) -> dict[str, str]:
     headers = {
+        header_names.ATTEMPT: attempt_id,
         header_names.MEMBER: request.member,
         header_names.REQUEST_ID: request.request_id,
         header_names.TIMEOUT_MS: str(int(request.timeout_seconds * 1000)),
--- a/src/balsamway/standins/server/attempt.py
+++ b/src/balsamway/standins/server/attempt.py
@@ -31,6 +31,8 @@
     deadline: float
     """By the runtime's clock, in seconds."""
     body_size: int
+    attempt_id: str = ""
+    """Tells the attempt from others of the same request."""
 
     @property
     def position(self) -> int:
@@ -68,6 +70,7 @@
             admitted=now,
             deadline=now + float(headers["Balsamway-Timeout-Ms"]) / 1000.0,
             body_size=len(body),
+            attempt_id=headers.get("Balsamway-Attempt", ""),
         )
     except (KeyError, ValueError) as error:
         raise web.HTTPBadRequest(text=f"bad header: {error}") from error
--- a/src/balsamway/standins/server/known_request.py
+++ b/src/balsamway/standins/server/known_request.py
@@ -15,5 +15,7 @@
     """What became of the attempts of one request id."""
 
     ran: bool = False
+    received: set[str] = field(default_factory=set)
+    """The ids of the attempts that reached the server."""
     tasks: set[asyncio.Task[AttemptResult]] = field(default_factory=set)
     """The attempts in progress."""
--- a/src/balsamway/standins/server/request_runner.py
+++ b/src/balsamway/standins/server/request_runner.py
@@ -79,6 +79,7 @@
             Whether its effect was applied.
         """
         known = self._known.setdefault(attempt.request_id, KnownRequest())
+        known.received.add(attempt.attempt_id)
         task = asyncio.ensure_future(self._carry_out(attempt, known))
         known.tasks.add(task)
         self._in_progress.add(attempt)
@@ -94,17 +95,18 @@
             return AttemptRefused("cancelled")
         return task.result()
 
-    def cancel(self, request_id: str) -> str:
+    def cancel(self, request_id: str, attempt_id: str = "") -> str:
         """Cancels the attempts of a request.
 
         Args:
             request_id: The request's id.
+            attempt_id: The id of the attempt that is asked about.
 
         Returns:
             `not-run`, `ran` or `unknown`.
         """
         known = self._known.get(request_id)
-        if known is None:
+        if known is None or attempt_id not in known.received:
             return "unknown"
         if known.ran:
             return "ran"
--- a/src/balsamway/standins/server/server_standin.py
+++ b/src/balsamway/standins/server/server_standin.py
@@ -232,8 +232,9 @@
 
     async def _delete_request(self, request: web.Request) -> web.Response:
         await self._pause.wait()
-        outcome = self._requests.cancel(request.match_info["request_id"])
-        return json_answer({"outcome": outcome})
+        attempt_id = request.headers.get("Balsamway-Attempt", "")
+        outcome = self._requests.cancel(request.match_info["request_id"], attempt_id)
+        return json_answer({"outcome": outcome, "attempt": attempt_id})
 
     async def _post_grant(self, request: web.Request) -> web.Response:
         await self._before_order()
--- a/tests/fakes/gateway_server.py
+++ b/tests/fakes/gateway_server.py
@@ -28,6 +28,8 @@
     ran: list[str] = field(default_factory=list)
     cancelled: list[str] = field(default_factory=list)
     cancel_outcome: str = "unknown"
+    cancelled_attempt: str = ""
+    """The attempt that a cancellation tells of; empty for the right one."""
     seen: list[dict[str, str]] = field(default_factory=list)
     connections: set[asyncio.Transport] = field(default_factory=set)
     address: str = ""
@@ -65,7 +67,8 @@
 
     async def on_cancel(self, request: web.Request) -> web.Response:
         self.cancelled.append(request.match_info["request_id"])
-        return web.json_response({"outcome": self.cancel_outcome})
+        attempt = self.cancelled_attempt or request.headers[header_names.ATTEMPT]
+        return web.json_response({"outcome": self.cancel_outcome, "attempt": attempt})
 
     async def on_health(self, request: web.Request) -> web.Response:
         self.connections.add(request.transport)
--- a/tests/gateway/test_verdicts.py
+++ b/tests/gateway/test_verdicts.py
@@ -97,6 +97,18 @@
     assert server.ran == []
 
 
+async def test_a_cancellation_of_an_earlier_attempt_tells_nothing(path):
+    server = await path.add_server(
+        cancel_outcome="not-run", cancelled_attempt="an-earlier-one"
+    )
+    server.behaviours.append(fake.refuse("server-shed"))
+    server.behaviours.append(fake.run_for(5.0))
+    answer = await path.post(ORDER, Balsamway_Timeout_Ms="200")
+    assert (answer.status, answer.verdict) == (504, "may-have-run")
+    first, second = (seen["Balsamway-Attempt"] for seen in server.seen)
+    assert first != second
+
+
 async def test_the_server_is_told_the_time_left(path):
     server = await path.add_server()
     await path.post(ORDER, Balsamway_Timeout_Ms="200")
