Take a body that is there without a timer, and show gauges on demand

Cause: a profile gave 136 us a request to a body that had already arrived, 131 us to the head and 620 us to the HTTP client, which parsed the URL anew.

--- a/src/balsamway/gateway/body.py
+++ b/src/balsamway/gateway/body.py
@@ -33,6 +33,9 @@
     parts: list[bytes] = []
     size = 0
     try:
+        if request.content.is_eof():
+            body = request.content.read_nowait()
+            return body if len(body) <= limit else too_large
         async with asyncio.timeout_at(head.deadline):
             while chunk := await request.content.readany():
                 size += len(chunk)
--- a/src/balsamway/gateway/dispatcher.py
+++ b/src/balsamway/gateway/dispatcher.py
@@ -48,11 +48,7 @@
             if deadline <= begin:
                 return NotRun(Reason.DEADLINE_EXCEEDED)
             message = _message(request, deadline - begin, route)
-            self._metrics.in_flight.inc()
-            try:
-                verdict = await self._transport.send(state.host, message)
-            finally:
-                self._metrics.in_flight.dec()
+            verdict = await self._transport.send(state.host, message)
             self._observe(state, verdict, loop.time() - begin)
             return verdict
         finally:
--- a/src/balsamway/gateway/gateway.py
+++ b/src/balsamway/gateway/gateway.py
@@ -63,6 +63,7 @@
         self._shared = SharedPath(
             pool, chooser or ZoneFirst(zone, TwoChoices(rng)), dispatcher
         )
+        metrics.watch(self._count_in_flight, self._count_waiting)
         self._budgets: dict[tuple[str, str], RetryBudget] = {}
         self._latencies: dict[tuple[str, str, str], LatencyHistory] = {}
 
@@ -104,6 +105,14 @@
         run = RequestRun(request, path, budget, self._metrics, self._rng)
         return await run.run(self._latency(request).hedge_delay())
 
+    def _count_in_flight(self) -> int:
+        return sum(state.in_flight for state in self._pool.states())
+
+    def _count_waiting(self) -> int:
+        states = self._pool.states()
+        queues = {id(state.admission): state.admission for state in states}
+        return sum(queue.waiting for queue in queues.values() if queue is not None)
+
     def _budget(self, request: CallerRequest) -> RetryBudget:
         name = (request.member.member, request.service.name)
         budget = self._budgets.get(name)
--- a/src/balsamway/gateway/metrics.py
+++ b/src/balsamway/gateway/metrics.py
@@ -9,6 +9,8 @@
 from balsamway.outcome import Completed, MayHaveRun, NotRun
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from prometheus_client import CollectorRegistry
 
     from balsamway.gateway.caller_request import CallerRequest
@@ -84,10 +86,10 @@
             "Connections opened to servers",
             registry=registry,
         )
-        self.in_flight = Gauge(
+        self._in_flight = Gauge(
             "balsamway_in_flight", "Attempts in flight to servers", registry=registry
         )
-        self.waiting = Gauge(
+        self._waiting = Gauge(
             "balsamway_waiting", "Requests that wait for a server", registry=registry
         )
         self._refusals = Counter(
@@ -99,6 +101,18 @@
         self._children: dict[tuple[Counter, tuple[str, ...]], Counter] = {}
         self._histograms: dict[tuple[str, ...], Histogram] = {}
 
+    def watch(
+        self, in_flight: Callable[[], float], waiting: Callable[[], float]
+    ) -> None:
+        """Sets where the gauges are read from when they are shown.
+
+        Args:
+            in_flight: Counts the attempts in flight.
+            waiting: Counts the requests that wait for a server.
+        """
+        self._in_flight.set_function(in_flight)
+        self._waiting.set_function(waiting)
+
     def on_request(
         self, request: CallerRequest, verdict: Verdict, seconds: float
     ) -> None:
--- a/src/balsamway/gateway/request_head.py
+++ b/src/balsamway/gateway/request_head.py
@@ -58,7 +58,7 @@
         return _refuse(Reason.BAD_REQUEST, "the request id is malformed", _new_id())
     if request.method != "POST":
         return _refuse(Reason.BAD_REQUEST, "the method must be POST", request_id)
-    path = _PATH.fullmatch(request.path)
+    path = _PATH.fullmatch(request.raw_path)
     if path is None:
         detail = "the path must be /v1/SERVICE/KIND"
         return _refuse(Reason.UNKNOWN_SERVICE, detail, request_id)
--- a/tests/gateway/test_whole_path.py
+++ b/tests/gateway/test_whole_path.py
@@ -1,5 +1,13 @@
 from __future__ import annotations
 
+import asyncio
+
+import pytest
+
+from tests.fakes import gateway_server as fake
+
+pytestmark = pytest.mark.looptime
+
 
 async def test_a_request_without_an_owner_is_answered(path):
     server = await path.add_server()
@@ -23,3 +31,15 @@
     assert seen["Balsamway-Shard"].startswith("lids/stock/")
     assert path.routes.in_flight == 0
     assert len(path.recorder.records) == 1
+
+
+async def test_the_gauges_show_what_is_in_flight_and_what_waits(path):
+    await path.add_server(otherwise=fake.run_for(0.3))
+    requests = [asyncio.create_task(path.post("/v1/prices/order")) for _ in range(9)]
+    await asyncio.sleep(0.1)
+    in_flight = path.registry.get_sample_value("balsamway_in_flight")
+    waiting = path.registry.get_sample_value("balsamway_waiting")
+    assert in_flight >= 1
+    assert in_flight + waiting == 9
+    await asyncio.gather(*requests)
+    assert path.registry.get_sample_value("balsamway_in_flight") == 0
