Let a new witness promise before it counts in the roster

Cause: entry hosts that start together do not know of each other yet, so the first claim wrote a roster of one; growing it to five at once required a majority that had adopted the epoch but not promised, and authority ended. The shard changed its leader every second and granted nothing. The first claim now waits up to 3 s for a full roster, and a newcomer's promise is asked for before the record is written.

--- a/src/balsamway/ownership/leadership_service.py
+++ b/src/balsamway/ownership/leadership_service.py
@@ -12,9 +12,11 @@
 
 from balsamway.membership.member_directory import MemberDirectory
 from balsamway.membership.member_zones import MemberZones
+from balsamway.ownership._clock import now
 from balsamway.ownership.claim import Claim, Claimed
 from balsamway.ownership.follower import Follower
 from balsamway.ownership.messages import ViewAnswer, ViewRequest
+from balsamway.ownership.roster_choice import ROSTER_SIZE
 from balsamway.ownership.shard_leader import ShardLeader
 from balsamway.slices import ShardId
 
@@ -28,6 +30,9 @@
 logger = logging.getLogger(__name__)
 
 CONFIGURATION_CHECK_SECONDS = 0.5
+FIRST_ROSTER_SECONDS = 3.0
+"""How long the first claim of a shard waits for a full roster."""
+FIRST_ROSTER_PAUSE_SECONDS = 0.1
 
 PlannerFactory: TypeAlias = Callable[[ShardId], "Planner"]
 
@@ -135,6 +140,8 @@
         claim = Claim(cluster, shard, service.slices)
         while not self.should_stop:
             found = await follower.wait_until_claimable()
+            if found.record is None:
+                await self._wait_for_witnesses(cluster, shard.member)
             result = await claim.attempt(found)
             match result:
                 case Claimed():
@@ -146,6 +153,19 @@
                     )
                     await self.sleep(self._cluster.rng.random() * 0.1)
 
+    async def _wait_for_witnesses(self, cluster: Cluster, member: str) -> None:
+        # Entry hosts that start together know of each other a moment later;
+        # a first roster of one host would tie the shard to it.
+        configuration = self._configurations.member(member)
+        zones = configuration.zones if configuration is not None else ()
+        planned = sum(zone.entry_hosts for zone in zones)
+        wanted = min(planned, ROSTER_SIZE)
+        give_up_at = now() + FIRST_ROSTER_SECONDS
+        while now() < give_up_at and not self.should_stop:
+            if len(cluster.directory.live_witnesses()) >= wanted:
+                return
+            await self.sleep(FIRST_ROSTER_PAUSE_SECONDS)
+
     async def _lead(self, shard: ShardId, claimed: Claimed) -> None:
         member = self._configurations.member(shard.member)
         if member is None:
--- a/src/balsamway/ownership/promise_keeper.py
+++ b/src/balsamway/ownership/promise_keeper.py
@@ -51,6 +51,18 @@
             await asyncio.sleep(self._cluster.timing.promise / 500)
         return self._authority.holds
 
+    async def has_promise(self, witness: Witness) -> bool:
+        """Asks one witness for its promise.
+
+        Args:
+            witness: A witness that has adopted the leader's epoch.
+
+        Returns:
+            Whether its promise runs now.
+        """
+        await self._ask(witness)
+        return self._authority.promise_end(witness) > now()
+
     async def keep(self) -> None:
         """Renews the promises until authority has lapsed."""
         while not self._authority.ended:
--- a/src/balsamway/ownership/roster.py
+++ b/src/balsamway/ownership/roster.py
@@ -27,7 +27,8 @@
     """Keeps the roster of a shard full of witnesses that promise.
 
     Only the leader changes the roster, one witness at a time, through the
-    store. The next witness has adopted the leader's epoch before it counts.
+    store. The next witness has adopted the leader's epoch and promises before
+    it counts, so that no change of the roster ends authority.
 
     Args:
         context: The leader's parts.
@@ -117,4 +118,6 @@
             return False
         request = AdoptRequest(record.shard, record.leader_epoch, cluster.me, witness)
         answer = await cluster.peers.call(witness.host, request, cluster.timing.renewal)
-        return isinstance(answer, AdoptAnswer) and answer.adopted
+        if not isinstance(answer, AdoptAnswer) or not answer.adopted:
+            return False
+        return await self._promises.has_promise(witness)
--- a/tests/ownership/test_roster.py
+++ b/tests/ownership/test_roster.py
@@ -119,3 +119,18 @@
             await world.lose_host(name)
         assert await world.unavailable(6) == 0
         assert world.leader.epoch == epoch
+
+
+async def test_a_roster_of_one_grows_under_one_leader():
+    world = World(hosts=1)
+    await world.start()
+    await world.until_served()
+    assert len(world.record.roster) == 1
+    epoch = world.record.leader_epoch
+    for name in ("h1", "h2", "h3", "h4"):
+        await world.start_host(name)
+    await world.until(lambda: len(world.record.roster) == ROSTER_SIZE)
+    await asyncio.sleep(5)
+    assert world.record.leader_epoch == epoch
+    assert world.leader is not None
+    await world.stop()
