--- a/src/balsamway/daemon/daemon.py
+++ b/src/balsamway/daemon/daemon.py
@@ -181,7 +181,7 @@
             self._rng,
         )
         self._membership.connect(self._peers)
-        self._prober = ServerProber(self._membership)
+        self._prober = ServerProber(self._membership, self._probers_of)
         self._configurations = ConfigurationService(
             settings.host,
             settings.zone,
@@ -241,6 +241,16 @@
             LeadershipClaim(led.shard, led.epoch) for led in self._leadership.led
         )
 
+    def _probers_of(self, server: Host) -> list[str]:
+        # Leaders see by themselves which owners of keys are leaving.
+        member = self._configurations.member(server.member)
+        service = member.service(server.service) if member else None
+        if member is None or service is None or service.exclusive_keys:
+            return []
+        zones = member.zone_names
+        hosts = self._membership.entry_hosts()
+        return [host.name for host in hosts if host.zone in zones]
+
     def _zones_worked_with(self) -> frozenset[str]:
         zone = self._settings.zone
         members = self._configurations.members()
--- a/src/balsamway/membership/server_prober.py
+++ b/src/balsamway/membership/server_prober.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import logging
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeAlias
 
 import aiohttp
 import mode
@@ -14,30 +14,39 @@
 from balsamway.rendezvous import weight
 
 if TYPE_CHECKING:
+    from collections.abc import Callable, Collection
+
     from balsamway.membership.membership_service import MembershipService
     from balsamway.platform import Host
 
+PROBERS_OF_A_SERVER = 2
 PROBE_SECONDS = 1.0
 PROBE_TIMEOUT_SECONDS = 0.8
 
 logger = logging.getLogger(__name__)
 
+ProbersOf: TypeAlias = "Callable[[Host], Collection[str]]"
+
 
 class ServerProber(mode.Service):
-    """Probes the servers that fall to this host among the live ones.
+    """Probes the servers that fall to this host among the entry hosts.
 
-    One entry host probes each server, whatever the number of entry hosts.
-    What a server says of its load is not used.
+    Two entry hosts probe each server, whatever their number. The choice goes
+    by the list and not by who was heard from lately, so that hosts that are
+    too busy to hear each other do not probe more. What a server says of its
+    load is not used.
     """
 
-    def __init__(self, membership: MembershipService) -> None:
+    def __init__(self, membership: MembershipService, probers_of: ProbersOf) -> None:
         """Prepares the prober.
 
         Args:
             membership: Told of each server that says it is leaving.
+            probers_of: Lists the entry hosts that may probe a server.
         """
         super().__init__()
         self._membership = membership
+        self._probers_of = probers_of
         self._session: aiohttp.ClientSession | None = None
 
     async def on_start(self) -> None:
@@ -55,18 +64,18 @@
     @mode.Service.task
     async def _probe_all(self) -> None:
         while not self.should_stop:
-            live = [one.host for one in self._membership.live_witnesses()]
             mine = [
                 server
                 for server in self._membership.all_servers()
-                if self._falls_to_this_host(server, live)
+                if self._falls_to_this_host(server)
             ]
             await asyncio.gather(*(self._probe(server) for server in mine))
             await self.sleep(PROBE_SECONDS)
 
-    def _falls_to_this_host(self, server: Host, live: list[str]) -> bool:
-        chosen = min(live, key=lambda host: weight(server.name, host))
-        return chosen == self._membership.host.name
+    def _falls_to_this_host(self, server: Host) -> bool:
+        hosts = self._probers_of(server)
+        ranked = sorted(hosts, key=lambda host: weight(server.name, host))
+        return self._membership.host.name in ranked[:PROBERS_OF_A_SERVER]
 
     async def _probe(self, server: Host) -> None:
         if self._session is None:
--- a/tests/test_server_prober.py
+++ b/tests/test_server_prober.py
@@ -29,7 +29,7 @@
     service = MembershipService(me, 1, listed, (), random.Random(1))
     service.connect(FakeNetwork(Faults()).peers("a"))
     await service.start()
-    prober = ServerProber(service)
+    prober = ServerProber(service, lambda server: ["a"])
     await asyncio.sleep(0.1)
     await prober.start()
     yield service
