Empty leaving servers in an outage of the store; drop stale moves

A leaving server's slices now go to the recorded standbys, provisionally, and a new leader drops moves that it did not begin. A gateway's wait for the store no longer spins while the service stops: tests that stopped a host cut off did not end before this.

--- a/src/balsamway/ownership/handover.py
+++ b/src/balsamway/ownership/handover.py
@@ -7,22 +7,22 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
+from balsamway.balance import Move
 from balsamway.ownership._clock import now
 from balsamway.ownership.record_writer import WriteOutcome
 from balsamway.ownership.shard_state import with_entries
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Iterable, Sequence
 
-    from balsamway.balance import Move
     from balsamway.ownership.grant_keeper import GrantKeeper
     from balsamway.ownership.shard_context import ShardContext
     from balsamway.slices import KeyRange, ShardRecord, SliceEntry
 
 logger = logging.getLogger(__name__)
 
-INTENT_TIMEOUT_SECONDS = 1.0
-COMMIT_TIMEOUT_SECONDS = 1.0
+INTENT_TIMEOUT_SECONDS = 0.6
+COMMIT_TIMEOUT_SECONDS = 0.6
 HOLD_NOTICE_SECONDS = 0.5
 """How long gateways have to finish what they sent to a checking server."""
 RELEASE_PAUSE_SECONDS = 0.05
@@ -59,6 +59,35 @@
         finally:
             self._state.free(ranges)
 
+    async def move_to_standbys(self, wanted: Iterable[KeyRange]) -> None:
+        """Moves slices while the store cannot be written.
+
+        The next owners are the standbys that the record names. They get
+        epochs of the block that this leader's epoch reserves, and the moves
+        are provisional until the store holds them.
+
+        Args:
+            wanted: The slices.
+        """
+        standbys = {one.range: one.standby for one in self._state.stored.slices}
+        targets = {
+            one: standbys[one]
+            for one in wanted
+            if self._is_possible(Move(one, standbys.get(one, "")))
+        }
+        ranges = self._state.reserve(targets)
+        self._state.hold(ranges)
+        try:
+            await self._take(self._entries(ranges))
+            if self._context.authority.holds:
+                self._state.replace_entries(
+                    moved(one, targets[one.range], self._state.next_epoch())
+                    for one in self._entries(ranges)
+                )
+        finally:
+            self._state.free(ranges)
+            self._resume(ranges)
+
     def _is_possible(self, move: Move) -> bool:
         entry = self._state.entry(move.range)
         if entry is None or entry.owner == move.to:
@@ -74,12 +103,15 @@
             await self._take(owned)
             return await self._commit(batch)
         finally:
-            self._state.resume(batch)
-            self._context.views.refresh()
-            for keeper in self._context.keepers.values():
-                keeper.kick()
+            self._resume(batch)
+
+    def _resume(self, ranges: Iterable[KeyRange]) -> None:
+        self._state.resume(ranges)
+        self._context.views.refresh()
+        for keeper in self._context.keepers.values():
+            keeper.kick()
 
-    def _entries(self, batch: dict[KeyRange, str]) -> list[SliceEntry]:
+    def _entries(self, batch: Iterable[KeyRange]) -> list[SliceEntry]:
         found = [self._state.entry(one) for one in batch]
         return [one for one in found if one is not None]
 
@@ -157,7 +189,6 @@
         self._state.replace_entries(
             replace(one, epoch=self._state.next_epoch(), moving_to="")
             for one in self._entries(batch)
-            if one.owner
         )
 
 
--- a/src/balsamway/ownership/leaving.py
+++ b/src/balsamway/ownership/leaving.py
@@ -35,14 +35,19 @@
                 keeper.leaving = True
 
     async def empty(self) -> None:
-        """Moves the slices of all leaving servers in one batch."""
+        """Moves the slices of all leaving servers in one batch.
+
+        A server leaves whether or not the store can be written.
+        """
         moves = [
             Move(entry.range, target)
             for entry in self._context.state.record.slices
             if self._is_leaving(entry.owner) and (target := self._target(entry))
         ]
-        if moves:
-            await self._handover.move(moves)
+        if not moves or await self._handover.move(moves):
+            return
+        if self._context.writer.failing:
+            await self._handover.move_to_standbys(one.range for one in moves)
 
     def _is_leaving(self, server: str) -> bool:
         keeper = self._context.keepers.get(server)
--- a/src/balsamway/ownership/record_writer.py
+++ b/src/balsamway/ownership/record_writer.py
@@ -80,6 +80,11 @@
         """Whether no write of unknown fate may still change the roster."""
         return not self._unsettled
 
+    @property
+    def failing(self) -> bool:
+        """Whether the last write did not take effect for certain."""
+        return self._next_try > 0
+
     async def update(self, change: RecordChange, give_up_at: float) -> WriteOutcome:
         """Applies a change to the record in memory and in the store.
 
--- a/src/balsamway/ownership/recovery.py
+++ b/src/balsamway/ownership/recovery.py
@@ -38,7 +38,15 @@
         self._lapse = lapse
 
     def block_all(self) -> None:
-        """Leaves every slice out of grants until earlier ones lapsed."""
+        """Leaves every slice out of grants until earlier ones lapsed.
+
+        Moves that an earlier leader began are dropped.
+        """
+        self._state.replace_entries(
+            replace(one, moving_to="")
+            for one in self._state.record.slices
+            if one.moving_to
+        )
         for entry in self._state.record.slices:
             self._state.block(entry.range, self._lapse)
 
--- a/src/balsamway/ownership/view_cache.py
+++ b/src/balsamway/ownership/view_cache.py
@@ -14,6 +14,9 @@
 if TYPE_CHECKING:
     from balsamway.slices import KeyRange, ShardId, ShardView, ViewSlice
 
+SHORTEST_WAIT_SECONDS = 0.001
+"""Longer than what a clock's reading may be short of the time waited for."""
+
 
 class ViewCache:
     """The view of one shard, its end, and what is in flight by it.
@@ -140,7 +143,8 @@
         """
         changed = self._changed
         try:
-            await asyncio.wait_for(changed.wait(), max(0.0, until - now()))
+            timeout = max(SHORTEST_WAIT_SECONDS, until - now())
+            await asyncio.wait_for(changed.wait(), timeout)
         except TimeoutError:
             return
 
--- a/src/balsamway/ownership/view_keeper.py
+++ b/src/balsamway/ownership/view_keeper.py
@@ -203,7 +203,9 @@
     async def _pause_for_store(self, shard: ShardId) -> None:
         rest = STORE_READ_SECONDS * (0.5 + self._cluster.rng.random())
         until = now() + rest
-        while now() < until and shard not in self._leaders:
+        while not self.should_stop and now() < until:
+            if shard in self._leaders:
+                return
             if self._cluster.directory.leader_of(shard) is not None:
                 return
             await self.sleep(RETRY_PAUSE_SECONDS)
--- a/tests/ownership/test_losses.py
+++ b/tests/ownership/test_losses.py
@@ -4,6 +4,8 @@
 
 import pytest
 
+from tests.fakes.fate import Fate
+from tests.fakes.faults import Injection
 from tests.fakes.world import World
 
 pytestmark = pytest.mark.looptime
@@ -110,6 +112,34 @@
         assert world.overlaps() == []
 
 
+@pytest.mark.parametrize("checks", [True, False])
+async def test_a_leaving_server_is_emptied_while_the_store_is_down(checks):
+    async with World(checks=checks) as world:
+        await asyncio.sleep(4)
+        world.store.outage = True
+        world.servers.servers["s0"].leaving = True
+        state = world.leader.context.state
+        took = await world.until(lambda: state.owned_by("s0") == [])
+        assert took < LEAVING_SECONDS
+        await world.until_served(1)
+        world.store.outage = False
+        await world.until(lambda: starts_of(world, "s0") == [], 10)
+        assert world.overlaps() == []
+
+
+async def test_a_first_assignment_that_was_cut_short_is_made_by_the_next_leader():
+    world = World()
+    commit = Injection(
+        lambda step: step.operation == "write" and b'"owner":"s' in step.detail,
+        Fate.DROP,
+        act=lambda step: world.isolate(step.source),
+    )
+    world.faults.inject(commit)
+    async with world:
+        assert commit.reached == 1
+        assert all(not one.moving_to for one in world.record.slices)
+
+
 async def test_a_leader_superseded_while_cut_off_does_nothing_more(world):
     async with world:
         await asyncio.sleep(3)
--- /dev/null
+++ b/tests/ownership/test_orders.py
@@ -0,0 +1,270 @@
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from balsamway.balance import Move
+from balsamway.outcome import Reason
+from balsamway.ownership.route import NoRoute, Route
+from balsamway.servers.orders import (
+    GrantedRange,
+    GrantOrder,
+    OrderRefused,
+    ReleaseOrder,
+    ServerState,
+    SurveyOrder,
+)
+from balsamway.slices import KeyRange
+from tests.fakes.fate import Fate
+from tests.fakes.faults import Injection
+from tests.fakes.server import FakeServer
+from tests.fakes.world import SHARD, World
+
+pytestmark = pytest.mark.looptime
+
+HALF = KeyRange(0, 1 << 62)
+
+
+def order_to(server, *operations):
+    def matches(step):
+        if step.interface != "servers" or step.target != server:
+            return False
+        return step.operation in operations
+
+    return matches
+
+
+def message(name, target=None):
+    def matches(step):
+        return step.operation == name and target in (None, step.target)
+
+    return matches
+
+
+async def test_a_server_that_checks_refuses_older_epochs_and_generations():
+    server = FakeServer("a")
+    ranges = (GrantedRange(HALF, 5),)
+    assert isinstance(server.survey(SurveyOrder(SHARD, 2)), ServerState)
+    old = GrantOrder(SHARD, 1, ranges, 9.0, 7)
+    assert server.grant(old) == OrderRefused(2, 0.0)
+    assert isinstance(server.grant(GrantOrder(SHARD, 2, ranges, 9.0, 3)), ServerState)
+    release = await server.release(ReleaseOrder(SHARD, 2, (HALF,), 4))
+    assert isinstance(release, ServerState)
+    late = server.grant(GrantOrder(SHARD, 2, ranges, 9.0, 3))
+    assert isinstance(late, OrderRefused)
+    assert not server.owns(SHARD, 0)
+
+
+@pytest.mark.parametrize("checks", [True, False])
+@pytest.mark.parametrize("delay", [0.5, 2.0, 4.0])
+async def test_a_delayed_grant_does_not_lengthen_ownership(checks, delay):
+    async with World(checks=checks) as world:
+        await asyncio.sleep(3)
+        world.faults.late_seconds = delay
+        world.faults.inject(
+            Injection(order_to("s1", "grant", "survey"), Fate.APPLY_LATE, times=10**6)
+        )
+        await asyncio.sleep(15)
+        assert world.overlaps() == []
+        assert world.unowned() == []
+        assert "s1" not in {one.owner for one in world.record.slices}
+
+
+@pytest.mark.parametrize("checks", [True, False])
+async def test_a_leader_paused_before_an_order_changes_nothing_after_it(checks):
+    """It is superseded while paused, and its order leaves on its return."""
+    async with World(checks=checks) as world:
+        await asyncio.sleep(3)
+        host = world.leader_host
+
+        def pauses(step):
+            return step.source == host and step.interface == "servers"
+
+        def isolate(step):
+            world.network.down.add(host)
+
+        paused = Injection(pauses, delay_seconds=6.0, times=4, act=isolate)
+        world.faults.inject(paused)
+        await asyncio.sleep(5)
+        assert world.leader_host != host
+        moved = world.record.slices[0]
+        to = "s3" if moved.owner != "s3" else "s2"
+        assert await world.leader.handover.move([Move(moved.range, to)]) == 1
+        world.rejoin(host)
+        await asyncio.sleep(8)
+        assert paused.reached == 4
+        assert world.overlaps() == []
+        assert world.owners(moved.range.start) == [to]
+
+
+async def test_a_new_leader_waits_for_a_standby_that_it_cannot_reach():
+    """The old leader activated it while the store was down."""
+    async with World() as world:
+        await asyncio.sleep(3)
+        lost = [one for one in world.record.slices if one.owner == "s1"]
+        standbys = {one.standby for one in lost}
+        world.store.outage = True
+        world.servers.servers["s1"].lose()
+        await world.until_served()
+        world.servers.servers["s1"].restart()
+        old = world.leader_host
+        for host in set(world.entry) - {old}:
+            world.servers.cut |= {(host, standby) for standby in standbys}
+        await world.lose_host(old)
+        world.store.outage = False
+        await world.until(lambda: world.leader is not None)
+        await asyncio.sleep(10)
+        assert world.overlaps() == []
+        assert world.unowned() == []
+
+
+@pytest.mark.parametrize("checks", [True, False])
+@pytest.mark.parametrize("fate", [Fate.LOSE_ANSWER, Fate.APPLY_LATE, Fate.DROP])
+@pytest.mark.parametrize("operation", ["release", "grant", "survey"])
+async def test_a_move_survives_any_fate_of_its_orders(checks, fate, operation):
+    async with World(checks=checks) as world:
+        await asyncio.sleep(3)
+        entry = world.record.slices[0]
+        to = "s3" if entry.owner != "s3" else "s2"
+        target = to if operation == "grant" else entry.owner
+        world.faults.inject(Injection(order_to(target, operation), fate, times=2))
+        await world.leader.handover.move([Move(entry.range, to)])
+        await asyncio.sleep(6)
+        assert world.overlaps() == []
+        assert world.unowned() == []
+        assert world.owners(entry.range.start) == [to]
+
+
+async def test_a_move_away_from_a_server_that_cannot_be_reached_waits_for_its_lapse():
+    async with World() as world:
+        await asyncio.sleep(3)
+        entry = world.record.slices[0]
+        to = "s3" if entry.owner != "s3" else "s2"
+        world.servers.servers[entry.owner].freeze()
+        await world.leader.handover.move([Move(entry.range, to)])
+        world.servers.servers[entry.owner].thaw()
+        await asyncio.sleep(5)
+        assert world.overlaps() == []
+        assert world.owners(entry.range.start) == [to]
+
+
+async def test_requests_wait_while_their_slice_moves():
+    async with World() as world:
+        await asyncio.sleep(3)
+        now = asyncio.get_running_loop().time
+        entry = world.record.slices[0]
+        to = "s3" if entry.owner != "s3" else "s2"
+        gateway = next(iter(world.entry.values())).views
+        position = entry.range.start
+        assert isinstance(await gateway.find(SHARD, position, now() + 1), Route)
+        move = asyncio.create_task(world.leader.handover.move([Move(entry.range, to)]))
+        waits = []
+        for _ in range(50):
+            started = now()
+            route = await gateway.find(SHARD, position, now() + 2)
+            waits.append(now() - started)
+            assert isinstance(route, Route)
+            with gateway.attempt(route) as valid:
+                assert valid
+                assert world.owners(position) == [route.owner]
+            await asyncio.sleep(0.002)
+        assert await move == 1
+        assert route.owner == to
+        assert 0 < max(waits) < 0.1
+
+
+async def test_a_move_from_an_unchecked_server_waits_for_requests_in_flight():
+    async with World(checks=False) as world:
+        await asyncio.sleep(8)
+        now = asyncio.get_running_loop().time
+        entry = world.record.slices[0]
+        to = "s3" if entry.owner != "s3" else "s2"
+        gateway = next(iter(world.entry.values())).views
+        route = await gateway.find(SHARD, entry.range.start, now() + 1)
+        with gateway.attempt(route) as valid:
+            assert valid
+            move = asyncio.create_task(
+                world.leader.handover.move([Move(entry.range, to)])
+            )
+            await asyncio.sleep(1.5)
+            assert world.owners(entry.range.start) == [entry.owner]
+        assert await move == 1
+        await asyncio.sleep(0.5)
+        assert world.owners(entry.range.start) == [to]
+
+
+async def test_an_unchecked_server_is_not_replaced_under_a_gateways_view():
+    """A gateway that the leader cannot reach may go on until its view ends."""
+    async with World(checks=False) as world:
+        await asyncio.sleep(8)
+        now = asyncio.get_running_loop().time
+        host = next(one for one in world.entry if one != world.leader_host)
+        gateway = world.entry[host].views
+        entry = world.record.slices[0]
+        to = "s3" if entry.owner != "s3" else "s2"
+        await gateway.find(SHARD, entry.range.start, now() + 1)
+        await asyncio.sleep(0.5)
+        world.network.partition({host}, set(world.entry) - {host})
+        move = asyncio.create_task(world.leader.handover.move([Move(entry.range, to)]))
+        while True:
+            route = await gateway.find(SHARD, entry.range.start, now())
+            if isinstance(route, NoRoute):
+                break
+            with gateway.attempt(route) as valid:
+                assert valid
+                assert world.owners(entry.range.start) == [entry.owner]
+            await asyncio.sleep(0.01)
+        assert route.reason is Reason.VIEW_LAPSED
+        assert await move == 1
+        assert world.overlaps() == []
+
+
+async def test_a_gateway_adopts_no_older_view():
+    async with World() as world:
+        await asyncio.sleep(3)
+        now = asyncio.get_running_loop().time
+        entry = world.record.slices[0]
+        to = "s3" if entry.owner != "s3" else "s2"
+        host = next(one for one in world.entry if one != world.leader_host)
+        gateway = world.entry[host].views
+        await gateway.find(SHARD, entry.range.start, now() + 1)
+        world.faults.late_seconds = 1.0
+        world.faults.inject(
+            Injection(message("ViewNotice", host), Fate.DOUBLE, times=50)
+        )
+        await world.leader.handover.move([Move(entry.range, to)])
+        await asyncio.sleep(0.1)
+        for _ in range(300):
+            route = await gateway.find(SHARD, entry.range.start, now() + 1)
+            assert isinstance(route, Route)
+            assert route.owner == to
+            await asyncio.sleep(0.01)
+
+
+async def test_a_lapsed_view_may_be_tried_where_the_owner_checks():
+    async with World() as world:
+        await asyncio.sleep(3)
+        now = asyncio.get_running_loop().time
+        host = next(one for one in world.entry if one != world.leader_host)
+        gateway = world.entry[host].views
+        await gateway.find(SHARD, 0, now() + 1)
+        world.isolate(host)
+        await asyncio.sleep(10)
+        started = now()
+        assert isinstance(await gateway.find(SHARD, 0, now() + 5), Route)
+        assert now() == started
+
+
+async def test_without_a_leader_requests_are_refused_at_once_after_a_while():
+    async with World(checks=False) as world:
+        await asyncio.sleep(3)
+        now = asyncio.get_running_loop().time
+        host = next(one for one in world.entry if one != world.leader_host)
+        gateway = world.entry[host].views
+        await gateway.find(SHARD, 0, now() + 1)
+        world.isolate(host)
+        await asyncio.sleep(10)
+        started = now()
+        assert await gateway.find(SHARD, 0, now() + 5) == NoRoute(Reason.VIEW_LAPSED)
+        assert now() == started
