Leave a shard to another host where its leader reaches no server

Found by the matrix (leave/hold:host-cut-from-servers): the keys of all servers stayed unowned for as long as the cut lasted. A leader that no server answers any more, two or more having answered it before, gives up and stays out of claims for 5 s.

--- a/src/balsamway/ownership/leadership_service.py
+++ b/src/balsamway/ownership/leadership_service.py
@@ -28,6 +28,8 @@
 logger = logging.getLogger(__name__)
 
 CONFIGURATION_CHECK_SECONDS = 0.5
+STAND_DOWN_SECONDS = 5.0
+"""How long a host that reached no server leaves a shard to others."""
 
 PlannerFactory: TypeAlias = Callable[[ShardId], "Planner"]
 
@@ -158,6 +160,8 @@
         finally:
             self._leaders.pop(shard, None)
             await leader.stop()
+        if leader.stood_down:
+            await self.sleep(STAND_DOWN_SECONDS)
 
     def _new_leader(
         self, shard: ShardId, claimed: Claimed, member: MemberConfiguration
--- a/src/balsamway/ownership/shard_leader.py
+++ b/src/balsamway/ownership/shard_leader.py
@@ -39,6 +39,8 @@
 SERVER_LIST_SECONDS = 0.2
 LOSS_CHECK_SECONDS = 0.05
 LEAVING_CHECK_SECONDS = 0.1
+SILENCE_SECONDS = 0.4
+"""How long no server answers before another host had better lead."""
 PLAN_SECONDS = 1.0
 ROSTER_CHECK_SECONDS = 0.5
 FLUSH_CHECK_SECONDS = 0.2
@@ -95,6 +97,8 @@
         self._recovered = asyncio.Event()
         self.lapsed = asyncio.Event()
         """Set once authority has lapsed; nothing is done after that."""
+        self.stood_down = False
+        """Whether the leader gave up, as it reaches no server."""
 
     @property
     def context(self) -> ShardContext:
@@ -237,6 +241,24 @@
             await roster.mend()
             await self.sleep(ROSTER_CHECK_SECONDS)
 
+    @mode.Service.task
+    async def _watch_silence(self) -> None:
+        """Stands down where no server answers that answered before."""
+        await self._recovered.wait()
+        heard_at = now()
+        while not self.should_stop and not self._authority.ended:
+            met = [one for one in self._keepers.values() if one.met]
+            if len(met) < 2 or any(one.answers for one in met):
+                heard_at = now()
+            if now() - heard_at >= SILENCE_SECONDS:
+                logger.info(
+                    "leadership given up, no server answers",
+                    extra={"shard": str(self._state.record.shard)},
+                )
+                self.stood_down = True
+                self._authority.end()
+            await self.sleep(LOSS_CHECK_SECONDS)
+
     @mode.Service.task
     async def _flush(self) -> None:
         await self._recovered.wait()
--- a/tests/ownership/test_losses.py
+++ b/tests/ownership/test_losses.py
@@ -140,6 +140,28 @@
         assert all(not one.moving_to for one in world.record.slices)
 
 
+@pytest.mark.parametrize("moment", [0.0, 0.17, 0.31])
+async def test_a_leader_that_reaches_no_server_leaves_the_shard_to_another(moment):
+    async with World() as world:
+        await asyncio.sleep(4 + moment)
+        host = world.leader_host
+        world.servers.cut |= {(host, server) for server in world.servers.servers}
+        assert await world.unavailable(12) < LEADER_AND_SERVER_LOSS_SECONDS
+        assert world.leader_host != host
+        assert world.unowned() == []
+        assert world.overlaps() == []
+
+
+async def test_the_loss_of_all_servers_passes_a_shard_on_once_at_most():
+    async with World() as world:
+        await asyncio.sleep(4)
+        epoch = world.leader.epoch
+        for server in world.servers.servers.values():
+            server.lose()
+        await asyncio.sleep(30)
+        assert world.leader.epoch <= epoch + 1
+
+
 async def test_a_leader_superseded_while_cut_off_does_nothing_more(world):
     async with world:
         await asyncio.sleep(3)
