--- a/src/balsamway/ownership/leadership_service.py
+++ b/src/balsamway/ownership/leadership_service.py
@@ -30,6 +30,8 @@
 logger = logging.getLogger(__name__)
 
 CONFIGURATION_CHECK_SECONDS = 0.5
+STAND_DOWN_SECONDS = 5.0
+"""How long a host that reached no server leaves a shard to others."""
 FIRST_ROSTER_SECONDS = 3.0
 """How long the first claim of a shard waits for a full roster."""
 FIRST_ROSTER_PAUSE_SECONDS = 0.1
@@ -178,6 +180,8 @@
         finally:
             self._leaders.pop(shard, None)
             await leader.stop()
+        if leader.stood_down:
+            await self.sleep(STAND_DOWN_SECONDS)
 
     def _new_leader(
         self, shard: ShardId, claimed: Claimed, member: MemberConfiguration
