--- a/src/balsamway/configuration/object_watch.py
+++ b/src/balsamway/configuration/object_watch.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 from typing import TYPE_CHECKING
 
 import mode
@@ -19,6 +20,8 @@
 PAUSE_SECONDS = 0.05
 LONGEST_BACKOFF_SECONDS = 1.0
 
+logger = logging.getLogger(__name__)
+
 
 class ObjectWatch(mode.Service):
     """Hands over an object's body at the start and at each change."""
@@ -38,6 +41,7 @@
         self._store = store
         self._name = name
         self._on_body = on_body
+        self._is_reached = True
         self._backoff = Backoff(rng, longest_seconds=LONGEST_BACKOFF_SECONDS)
 
     @mode.Service.task
@@ -46,7 +50,8 @@
         while not self.should_stop:
             found = await self._store.watch(self._name, version, WATCH_SECONDS)
             match found:
-                case Unavailable():
+                case Unavailable(reason=reason):
+                    self._note_unreached(reason)
                     await self.sleep(self._backoff.next())
                     continue
                 case StoredObject(version=changed, body=body) if changed != version:
@@ -54,5 +59,18 @@
                     self._on_body(body)
                 case Absent():
                     version = None
-            self._backoff.reset()
+            self._note_reached()
             await self.sleep(PAUSE_SECONDS)
+
+    def _note_unreached(self, reason: str) -> None:
+        if self._is_reached:
+            extra = {"object": self._name, "reason": reason}
+            logger.warning("configuration watch lost", extra=extra)
+        self._is_reached = False
+
+    def _note_reached(self) -> None:
+        if not self._is_reached:
+            extra = {"object": self._name}
+            logger.info("configuration watch restored", extra=extra)
+        self._is_reached = True
+        self._backoff.reset()
--- a/src/balsamway/observe/json_logs.py
+++ b/src/balsamway/observe/json_logs.py
@@ -6,6 +6,7 @@
 import sys
 from typing import TYPE_CHECKING, TextIO
 
+import mode
 from pythonjsonlogger.json import JsonFormatter
 
 if TYPE_CHECKING:
@@ -40,6 +41,8 @@
     )
     handler = logging.StreamHandler(stream or sys.stderr)
     handler.setFormatter(formatter)
+    # Each service logs its own start and stop, which says little here.
+    mode.Service.mundane_level = "debug"
     root = logging.getLogger()
     root.handlers = [handler]
     root.setLevel(LIBRARY_LEVEL)
