Tell a change of load from the noise of few requests

Cause: an average over 5 s of a server's 100 requests a second varies by 3 to 5 percent by chance, and placement moved slices after it without end. Change: the leader averages over 30 s, and starts anew from the short average of a slice or key whose load is 4.5 standard deviations away, as far as the Poisson noise of its requests is known.

--- a/src/balsamway/balance/__init__.py
+++ b/src/balsamway/balance/__init__.py
@@ -3,9 +3,9 @@
 from balsamway.balance.candidate import Candidate, CandidateState
 from balsamway.balance.heavy_hitters import HeavyHitters
 from balsamway.balance.load_estimate import LoadEstimate
-from balsamway.balance.load_receiver import LoadReceiver
 from balsamway.balance.load_recorder import LoadRecorder
 from balsamway.balance.load_reporter import LoadReporter
+from balsamway.balance.load_table import LoadTable
 from balsamway.balance.move import Move
 from balsamway.balance.placement_input import PlacementInput, SliceLoad
 from balsamway.balance.placement_limits import PlacementLimits
@@ -20,9 +20,9 @@
     "CandidateState",
     "HeavyHitters",
     "LoadEstimate",
-    "LoadReceiver",
     "LoadRecorder",
     "LoadReporter",
+    "LoadTable",
     "Move",
     "PlacementInput",
     "PlacementLimits",
--- a/src/balsamway/balance/_gateway_load.py
+++ b/src/balsamway/balance/_gateway_load.py
@@ -30,6 +30,8 @@
         """Busy seconds a second of each slice."""
         self.keys: dict[int, tuple[float, float]] = {}
         """Requests and busy seconds a second of each key."""
+        self.requests = 0.0
+        """Requests a second of all slices."""
 
     def update(self, report: LoadReport, now: float) -> None:
         """Takes in a report.
@@ -46,6 +48,7 @@
         for item in report.ranges:
             found = self.ranges.get(item.range, 0.0)
             self.ranges[item.range] = found + item.busy_seconds * gain
+            self.requests += item.requests * gain
         for key in report.hot_keys:
             requests, busy_seconds = self.keys.get(key.position, (0.0, 0.0))
             self.keys[key.position] = (
@@ -54,6 +57,7 @@
             )
 
     def _fade(self, fading: float) -> None:
+        self.requests *= fading
         self.ranges = {
             item: load * fading
             for item, load in self.ranges.items()
--- a/src/balsamway/balance/load_estimate.py
+++ b/src/balsamway/balance/load_estimate.py
@@ -5,7 +5,8 @@
 from bisect import bisect_right
 from typing import TYPE_CHECKING
 
-from balsamway.balance._gateway_load import GatewayLoad
+from balsamway.balance._gateway_load import SMOOTHING_SECONDS, GatewayLoad
+from balsamway.balance._steady_loads import SteadyLoads
 from balsamway.balance.placement_input import SliceLoad
 from balsamway.ownership.messages.key_load import KeyLoad
 
@@ -32,8 +33,9 @@
 
     def __init__(self) -> None:
         self._gateways: dict[str, GatewayLoad] = {}
-        self._hot_keys: tuple[KeyLoad, ...] | None = None
-        """Merged on demand, once after each change."""
+        self._steady_keys = SteadyLoads[int]()
+        self._steady_slices = SteadyLoads["KeyRange"]()
+        self._hot_keys: tuple[KeyLoad, ...] = ()
 
     def update(self, gateway: str, report: LoadReport, now: float) -> None:
         """Takes in a report.
@@ -45,7 +47,6 @@
         """
         found = self._gateways.setdefault(gateway, GatewayLoad(now))
         found.update(report, now)
-        self._hot_keys = None
 
     def forget_silent(self, now: float) -> None:
         """Drops the gateways that have gone silent.
@@ -58,15 +59,12 @@
             for name, load in self._gateways.items()
             if now - load.heard_at <= SILENCE_SECONDS
         }
-        self._hot_keys = None
 
     def hot_keys(self) -> tuple[KeyLoad, ...]:
-        """Lists the keys with the most load, the greatest first."""
-        if self._hot_keys is None:
-            self._hot_keys = self._merge_keys()
+        """Lists the keys that the last estimate knew, the greatest first."""
         return self._hot_keys
 
-    def loads(self, ranges: Sequence[KeyRange]) -> tuple[SliceLoad, ...]:
+    def loads(self, ranges: Sequence[KeyRange], now: float) -> tuple[SliceLoad, ...]:
         """Estimates the load of each slice.
 
         Reports may be of slices as they were before a split or a merge. The
@@ -75,11 +73,13 @@
 
         Args:
             ranges: The slices as they are now, in order.
+            now: The runtime's clock, in seconds.
 
         Returns:
             One estimate for each slice.
         """
-        keys = self.hot_keys()
+        cost = self._cost()
+        keys = self._merge_keys()
         reported = self._reported()
         loads = [0.0] * len(ranges)
         starts = [item.start for item in ranges]
@@ -88,9 +88,10 @@
             _spread(item, load, ranges, starts, loads)
         for key in keys:
             loads[bisect_right(starts, key.position) - 1] += key.busy_seconds
-        return tuple(
-            SliceLoad(item, load) for item, load in zip(ranges, loads, strict=True)
-        )
+        recent = dict(zip(ranges, loads, strict=True))
+        steady = self._steady_slices.update(recent, cost, SMOOTHING_SECONDS, now)
+        self._hot_keys = self._steady(keys, cost, now)
+        return tuple(SliceLoad(item, load) for item, load in steady.items())
 
     def dump(self) -> dict[str, object]:
         """Describes the estimate for the state dump."""
@@ -121,6 +122,22 @@
         )
         return tuple(order[:HOT_KEYS_MERGED])
 
+    def _steady(
+        self, keys: tuple[KeyLoad, ...], cost: float, now: float
+    ) -> tuple[KeyLoad, ...]:
+        recent = {key.position: key.busy_seconds for key in keys}
+        steady = self._steady_keys.update(recent, cost, SMOOTHING_SECONDS, now)
+        found = [
+            KeyLoad(key.position, key.requests, steady[key.position]) for key in keys
+        ]
+        return tuple(sorted(found, key=lambda key: (-key.busy_seconds, key.position)))
+
+    def _cost(self) -> float:
+        """Gives the busy seconds of one request, on average."""
+        requests = sum(each.requests for each in self._gateways.values())
+        load = sum(sum(each.ranges.values()) for each in self._gateways.values())
+        return load / requests if requests > 0.0 else 0.0
+
     def _reported(self) -> dict[KeyRange, float]:
         merged: dict[KeyRange, float] = {}
         for gateway in self._gateways.values():
--- a/src/balsamway/balance/load_table.py
+++ b/src/balsamway/balance/load_table.py
@@ -42,7 +42,9 @@
             One estimate for each slice; empty where nothing was reported.
         """
         estimate = self._current(shard)
-        return estimate.loads(ranges) if estimate is not None else ()
+        if estimate is None:
+            return ()
+        return estimate.loads(ranges, asyncio.get_running_loop().time())
 
     def hot_keys(self, shard: ShardId) -> tuple[KeyLoad, ...]:
         """Lists the keys of a shard with the most load, the greatest first.
--- a/src/balsamway/observe/experiments/keyed_run.py
+++ b/src/balsamway/observe/experiments/keyed_run.py
@@ -122,7 +122,7 @@
         state = PlacementInput(
             self._table.entries,
             tuple(self._candidates.values()),
-            self._estimate.loads(self._table.ranges),
+            self._estimate.loads(self._table.ranges, now),
             self._estimate.hot_keys(),
             self._setup.weights,
             now,
@@ -137,7 +137,7 @@
         self.trace.slices_at_most = max(self.trace.slices_at_most, count)
         if not moved:
             return
-        loads = self._estimate.loads(self._table.ranges)
+        loads = self._estimate.loads(self._table.ranges, now)
         total = sum(each.load for each in loads) or 1.0
         by_range = {each.range: each.load for each in loads}
         for entry in moved:
--- a/tests/balance/test_load_estimate.py
+++ b/tests/balance/test_load_estimate.py
@@ -22,7 +22,7 @@
     for gateway, load in (("a", 2.0), ("b", 3.0)):
         loads = [RangeLoad(item, 1.0, load / 4) for item in even_ranges(4)]
         feed(estimate, gateway, report(loads))
-    loads = estimate.loads(even_ranges(4))
+    loads = estimate.loads(even_ranges(4), 60.0)
     assert all(abs(each.load - 1.25) < 0.01 for each in loads)
 
 
@@ -32,7 +32,7 @@
     feed(estimate, "lost", report(whole))
     feed(estimate, "live", report(whole), seconds=70)
     estimate.forget_silent(now=69.0)
-    assert abs(estimate.loads([KeyRange(0, POSITION_END)])[0].load - 4.0) < 0.01
+    assert abs(estimate.loads([KeyRange(0, POSITION_END)], 69.0)[0].load - 4.0) < 0.01
 
 
 def test_a_hot_key_s_load_is_counted_where_the_key_is():
@@ -41,7 +41,7 @@
     loads = [RangeLoad(halves[0], 9.0, 9.0), RangeLoad(halves[1], 1.0, 1.0)]
     feed(estimate, "a", report(loads, [KeyLoad(10, 8.0, 8.0)]))
     now = [KeyRange(0, 10), KeyRange(10, 11), KeyRange(11, POSITION_END)]
-    found = [each.load for each in estimate.loads(now)]
+    found = [each.load for each in estimate.loads(now, 60.0)]
     assert abs(found[1] - 8.0) < 0.01
     assert abs(sum(found) - 10.0) < 0.01
     assert found[0] < 0.01
@@ -71,3 +71,23 @@
             recorder.record(SHARD, item.start, 5.0 if item == ranges[2] else 0.01)
     loads = [item.busy_seconds for item in recorder.take(SHARD, 1.0, ranges).ranges]
     assert loads[2] < 1.5 * loads[0]
+
+
+def test_chance_does_not_move_the_estimate_and_a_change_does(rng):
+    estimate = LoadEstimate()
+    halves = even_ranges(2)
+    found = []
+    for second in range(240):
+        rate = 100 if second < 180 else 300
+        counts = (
+            sum(rng.random() < 0.1 for _ in range(10 * each)) for each in (rate, 100)
+        )
+        loads = [
+            RangeLoad(item, float(count), count * 0.01)
+            for item, count in zip(halves, counts, strict=True)
+        ]
+        estimate.update("a", report(loads), float(second))
+        found.append(estimate.loads(halves, float(second))[0].load)
+    steady = found[120:180]
+    assert max(steady) - min(steady) < 0.05
+    assert found[190] > 2.4
--- a/tests/balance/test_load_reports.py
+++ b/tests/balance/test_load_reports.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from balsamway.balance import LoadReceiver, LoadRecorder, LoadReporter
+from balsamway.balance import LoadRecorder, LoadReporter, LoadTable
 from balsamway.slices import ShardId
 from tests.balance.conftest import even_ranges
 
@@ -75,8 +75,8 @@
 
 
 @pytest.mark.looptime
-async def test_the_receiver_merges_what_the_gateways_sent(peers):
-    receiver = LoadReceiver(peers)
+async def test_the_table_merges_what_the_gateways_sent(peers):
+    table = LoadTable(peers)
     ranges = even_ranges(4)
     recorder = LoadRecorder()
     for _ in range(40):
@@ -84,7 +84,7 @@
             recorder.record(SHARD, ranges[2].start, 0.25)
             await peers.handler(gateway, recorder.take(SHARD, 1.0, ranges))
         await asyncio.sleep(1.0)
-    loads = receiver.slice_loads(SHARD, ranges)
+    loads = table.slice_loads(SHARD, ranges)
     assert loads[2].load == pytest.approx(0.5, rel=0.05)
-    assert receiver.hot_keys(SHARD)[0].position == ranges[2].start
-    assert receiver.slice_loads(ShardId("m", "other"), ranges) == ()
+    assert table.hot_keys(SHARD)[0].position == ranges[2].start
+    assert table.slice_loads(ShardId("m", "other"), ranges) == ()
