End rebalancing at a part of the excess that began it

Cause: rebalancing began at 1.115 for imbalance weights and went on to 1.04, which is within the noise that remains. Change: it ends at 0.6 of the excess at which it begins (1.069 there).

--- a/src/balsamway/balance/_rebalance.py
+++ b/src/balsamway/balance/_rebalance.py
@@ -4,8 +4,6 @@
 
 from typing import TYPE_CHECKING
 
-from balsamway.balance.placement_trade import EVEN_RATIO
-
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -13,6 +11,7 @@
     from balsamway.balance._board_slice import BoardSlice
     from balsamway.balance._fair_share import FairShare
     from balsamway.balance._move_budget import MoveBudget
+    from balsamway.balance.placement_trade import PlacementTrade
 
 OVERSHOOT = 1.1
 """How much more than what is wanted a moved slice may weigh."""
@@ -22,7 +21,7 @@
     board: Board,
     share: FairShare,
     budget: MoveBudget,
-    moves_at_once: int,
+    trade: PlacementTrade,
     is_settled: Callable[[BoardSlice], bool],
 ) -> None:
     """Evens out the load within a budget.
@@ -34,19 +33,22 @@
         board: The shard; the moves are added to it.
         share: What a server should carry.
         budget: What may be moved.
-        moves_at_once: How many moves may be made.
+        trade: When the load is even enough, and how many moves may be made.
         is_settled: Tells whether a slice may be moved again.
     """
     total = board.total
-    for _ in range(moves_at_once):
-        found = _next_move(board, share, is_settled)
+    for _ in range(trade.moves_at_once):
+        found = _next_move(board, share, trade.end_ratio, is_settled)
         if found is None or not budget.take(found[0].weight / total):
             return
         board.move(*found)
 
 
 def _next_move(
-    board: Board, share: FairShare, is_settled: Callable[[BoardSlice], bool]
+    board: Board,
+    share: FairShare,
+    end_ratio: float,
+    is_settled: Callable[[BoardSlice], bool],
 ) -> tuple[BoardSlice, str] | None:
     names = [each.name for each in board.usable]
     names.sort(key=lambda name: (-share.excess(board, name), board.rank[name]))
@@ -54,7 +56,7 @@
     if not takers:
         return None
     taker = takers[-1]
-    if _is_even(board, share, names[0], taker):
+    if _is_even(board, share, end_ratio, names[0], taker):
         return None
     for giver in names:
         if giver == taker or share.excess(board, giver) <= 1.0:
@@ -65,10 +67,12 @@
     return None
 
 
-def _is_even(board: Board, share: FairShare, giver: str, taker: str) -> bool:
+def _is_even(
+    board: Board, share: FairShare, end_ratio: float, giver: str, taker: str
+) -> bool:
     most = share.excess(board, giver)
     least = share.excess(board, taker)
-    return most <= EVEN_RATIO and least >= 1.0 / EVEN_RATIO
+    return most <= end_ratio and least >= 1.0 / end_ratio
 
 
 def _choose(
--- a/src/balsamway/balance/placement_planner.py
+++ b/src/balsamway/balance/placement_planner.py
@@ -14,7 +14,7 @@
 from balsamway.balance._splitting import split_heavy
 from balsamway.balance._standbys import choose_standbys
 from balsamway.balance.placement_limits import PlacementLimits
-from balsamway.balance.placement_trade import EVEN_RATIO, PlacementTrade
+from balsamway.balance.placement_trade import PlacementTrade
 from balsamway.balance.plan import Plan
 
 if TYPE_CHECKING:
@@ -108,7 +108,7 @@
             board,
             FairShare.of(board),
             self._budget,
-            trade.moves_at_once,
+            trade,
             lambda item: self._is_settled(item, now),
         )
         for move in board.moves[evacuated:]:
@@ -122,7 +122,7 @@
         most = max(excesses)
         least = min(excesses)
         if self._is_rebalancing:
-            return most > EVEN_RATIO or least < 1.0 / EVEN_RATIO
+            return most > trade.end_ratio or least < 1.0 / trade.end_ratio
         return most > trade.start_ratio or least < 1.0 / trade.start_ratio
 
     def _is_settled(self, item: BoardSlice, now: float) -> bool:
--- a/src/balsamway/balance/placement_trade.py
+++ b/src/balsamway/balance/placement_trade.py
@@ -8,8 +8,8 @@
 if TYPE_CHECKING:
     from balsamway.configuration import Weights
 
-EVEN_RATIO = 1.04
-"""Rebalancing goes on until no server is further than this from its share."""
+END_FRACTION = 0.6
+"""Rebalancing ends at this part of the excess at which it begins."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -23,6 +23,11 @@
     moves_at_once: int
     """How many slices one plan may move for balance."""
 
+    @property
+    def end_ratio(self) -> float:
+        """Rebalancing ends when no server is this far from its share."""
+        return 1.0 + (self.start_ratio - 1.0) * END_FRACTION
+
     @property
     def burst_share(self) -> float:
         """The share of the load that may be moved after a quiet time."""
