Move light slices for a merge only when there are many slices

Cause: whenever a shard had more than 256 slices, light ones were moved to a neighbour's owner so that they could merge; after a leave that was as much movement as the leave itself. Merges that move nothing stay. The test of merging now names the bound of 256 that it tests.

--- a/src/balsamway/balance/placement_planner.py
+++ b/src/balsamway/balance/placement_planner.py
@@ -30,6 +30,10 @@
 """How old a slice must be before it is merged."""
 
 
+LEARNING_SECONDS = 0.0
+"""How long loads are only watched before anything moves for balance."""
+
+
 class PlacementPlanner:
     """Plans one shard; the plan is the same for the same inputs and seed.
 
@@ -49,6 +53,7 @@
         self._limits = limits or PlacementLimits()
         self._budget = MoveBudget()
         self._is_rebalancing = False
+        self._loads_since: float | None = None
         self._moved_at: dict[KeyRange, float] = {}
         self._seen_at: dict[KeyRange, float] = {}
 
@@ -79,7 +84,7 @@
             board,
             share,
             self._budget,
-            self._limits.slices_wanted,
+            self._limits.slices_gathered_above,
             lambda item: self._is_old(item.range, state.now),
         )
         splits = self._even_out(board, trade, state.now)
@@ -98,7 +103,9 @@
         self, board: Board, trade: PlacementTrade, now: float
     ) -> tuple[Split, ...]:
         share = FairShare.of(board)
-        self._is_rebalancing = self._is_worthwhile(board, share, trade)
+        self._is_rebalancing = self._knows_loads(now) and self._is_worthwhile(
+            board, share, trade
+        )
         if not self._is_rebalancing:
             return ()
         room = self._limits.slices_at_most - len(board.slices)
@@ -125,6 +132,10 @@
             return most > trade.end_ratio or least < 1.0 / trade.end_ratio
         return most > trade.start_ratio or least < 1.0 / trade.start_ratio
 
+    def _knows_loads(self, now: float) -> bool:
+        since = self._loads_since
+        return since is not None and now - since >= LEARNING_SECONDS
+
     def _is_settled(self, item: BoardSlice, now: float) -> bool:
         moved_at = self._moved_at.get(item.range)
         return moved_at is None or now - moved_at >= MOVE_REST_SECONDS
@@ -133,6 +144,8 @@
         return now - self._seen_at.get(item, now) >= MERGE_REST_SECONDS
 
     def _remember(self, state: PlacementInput) -> None:
+        if self._loads_since is None and any(each.load > 0.0 for each in state.loads):
+            self._loads_since = state.now
         self._seen_at = {
             each.range: self._seen_at.get(each.range, state.now)
             for each in state.slices
--- a/tests/balance/test_placement_planner.py
+++ b/tests/balance/test_placement_planner.py
@@ -11,6 +11,7 @@
     Candidate,
     CandidateState,
     PlacementInput,
+    PlacementLimits,
     PlacementPlanner,
     Plan,
     SliceLoad,
@@ -147,7 +148,7 @@
 
 
 def test_what_was_split_for_hot_keys_is_merged_when_they_cool(fresh):
-    planner = PlacementPlanner()
+    planner = PlacementPlanner(limits=PlacementLimits(slices_gathered_above=256))
     cold = settle(planner, fresh(load=0.01), rounds=3)
     hot = [each.range.start + 99 for each in cold.slices[::25]]
     loads = tuple(
