--- a/src/balsamway/balance/placement_planner.py
+++ b/src/balsamway/balance/placement_planner.py
@@ -30,7 +30,7 @@
 """How old a slice must be before it is merged."""
 
 
-LEARNING_SECONDS = 0.0
+LEARNING_SECONDS = 15.0
 """How long loads are only watched before anything moves for balance."""
 
 
