--- a/src/balsamway/daemon/daemon.py
+++ b/src/balsamway/daemon/daemon.py
@@ -15,6 +15,7 @@
 from balsamway.daemon.health import Health
 from balsamway.daemon.operator_listener import OperatorListener
 from balsamway.gateway import CallerListener, Gateway, GatewayMetrics
+from balsamway.gateway.connection_budget import ConnectionBudget
 from balsamway.gateway.server_pool import ServerPool
 from balsamway.membership.leadership_claim import LeadershipClaim
 from balsamway.membership.membership_service import MembershipService
@@ -215,8 +216,9 @@
     def _build_gateway(self) -> None:
         settings = self._settings
         metrics = GatewayMetrics(self._registry)
-        pool = ServerPool(settings.host, self._membership, self._configurations)
-        self._transport = HttpTransport(pool.connection_limit, metrics.on_open)
+        budget = ConnectionBudget(settings.host, self._membership, self._configurations)
+        pool = ServerPool(self._membership, budget, self._rng)
+        self._transport = HttpTransport(budget.limit, metrics.on_open)
         recorder = LoadRecorder()
         self._load_reporter = LoadReporter(
             recorder, self._views, self._membership, self._peers
