--- a/src/balsamway/commands/_operators.py
+++ b/src/balsamway/commands/_operators.py
@@ -77,6 +77,32 @@
         return await _get(session, f"http://{address}/state", frozenset({200}))
 
 
+async def read_metrics(hosts: tuple[Host, ...]) -> dict[str, str | Unavailable]:
+    """Reads the metrics of each host.
+
+    Args:
+        hosts: The entry hosts.
+
+    Returns:
+        The Prometheus text of each host, or why it could not be read.
+    """
+    turns = asyncio.Semaphore(ASKED_AT_ONCE)
+    async with aiohttp.ClientSession() as session:
+        pages = await asyncio.gather(
+            *(_read_page(session, turns, host) for host in hosts)
+        )
+    return {host.name: page for host, page in zip(hosts, pages, strict=True)}
+
+
+async def _read_page(
+    session: aiohttp.ClientSession, turns: asyncio.Semaphore, host: Host
+) -> str | Unavailable:
+    url = f"http://{host.operators_address}/metrics"
+    async with turns:
+        body = await _get(session, url, frozenset({200}))
+    return body if isinstance(body, Unavailable) else body.decode("utf-8", "replace")
+
+
 async def _ask(
     session: aiohttp.ClientSession, turns: asyncio.Semaphore, host: Host
 ) -> HostReport:
--- /dev/null
+++ b/src/balsamway/commands/report.py
@@ -0,0 +1,80 @@
+"""Reports balance, refusals and cost of a member from the daemons' metrics."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+from pathlib import Path
+
+import msgspec
+from absl import flags
+from rich.console import Console
+
+from balsamway.commands._operators import read_entry_hosts, read_metrics
+from balsamway.commands._platform import define_platform, platform_of
+from balsamway.commands.verb import FINE, NOT_DONE, NOT_MET, UsageError, Verb
+from balsamway.observe.report import MemberReport, build_report
+from balsamway.observe.report.presentation import report_page, report_table
+from balsamway.platform import Unavailable
+
+
+def run(arguments: list[str]) -> int:
+    """Prints the report of a member.
+
+    Args:
+        arguments: What follows the verb.
+
+    Returns:
+        The exit status.
+    """
+    parsed = VERB.parse(arguments)
+    if not parsed.flags.member:
+        raise UsageError("--member NAME is needed")
+    report = asyncio.run(_report(platform_of(parsed), parsed.flags.member))
+    if isinstance(report, Unavailable):
+        print(f"balsamway report: the host list: {report.reason}", file=sys.stderr)
+        return NOT_DONE
+    if parsed.flags.html:
+        _write_page(Path(parsed.flags.html), report)
+    if parsed.flags.json:
+        print(msgspec.json.encode(report).decode())
+    else:
+        Console().print(report_table(report))
+    if report.hosts_unreached or not report.hosts_asked:
+        return NOT_DONE
+    return FINE if report.services else NOT_MET
+
+
+def _define(values: flags.FlagValues) -> None:
+    define_platform(values)
+    flags.DEFINE_string("member", None, "The member's name.", flag_values=values)
+    flags.DEFINE_string("html", None, "A file for the page.", flag_values=values)
+    flags.DEFINE_boolean("json", False, "Prints JSON.", flag_values=values)
+
+
+async def _report(platform: str, member: str) -> MemberReport | Unavailable:
+    hosts = await read_entry_hosts(platform)
+    if isinstance(hosts, Unavailable):
+        return hosts
+    pages = await read_metrics(hosts)
+    reached = {name: page for name, page in pages.items() if isinstance(page, str)}
+    unreached = tuple(name for name in sorted(pages) if name not in reached)
+    return build_report(member, reached, unreached)
+
+
+def _write_page(path: Path, report: MemberReport) -> None:
+    try:
+        path.write_text(report_page(report), encoding="utf-8")
+    except OSError as error:
+        raise UsageError(f"{path}: {error.strerror}") from error
+
+
+VERB = Verb(
+    "report",
+    "--platform URL --member NAME [--json] [--html FILE]",
+    "Reports how evenly a member's servers were busy, which requests were not\n"
+    "completed, and what the system cost, from the metrics of all entry hosts.\n"
+    "Exits with 0, 1 if no host knows a request of the member, 2 if the\n"
+    "platform or a host was not reached.",
+    _define,
+)
--- a/src/balsamway/observe/measures/cost.py
+++ b/src/balsamway/observe/measures/cost.py
@@ -7,11 +7,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Cost:
-    """Hosts, connections and store calls."""
+    """Hosts, connections and store calls since the daemons started."""
 
     entry_hosts: int
-    server_connections: float
-    """Connections open to servers."""
+    in_flight: float
+    """Attempts in flight to servers at the moment."""
     connections_opened: float
-    store_calls_a_second: float
-    """Reads and writes, and each open watch counted as one call."""
+    platform_calls: float
+    """Calls to the platform, each watch that was waited for included."""
