Keep a connection open to each server

The first request to a server paid for a new connection. A warmer now asks each server for its health at once and every 20 s; a test finds one connection opened, before the first request. It stops before the connections are closed.

--- a/src/balsamway/daemon/daemon.py
+++ b/src/balsamway/daemon/daemon.py
@@ -14,7 +14,12 @@
 from balsamway.configuration.configuration_service import ConfigurationService
 from balsamway.daemon.health import Health
 from balsamway.daemon.operator_listener import OperatorListener
-from balsamway.gateway import CallerListener, Gateway, GatewayMetrics
+from balsamway.gateway import (
+    CallerListener,
+    ConnectionWarmer,
+    Gateway,
+    GatewayMetrics,
+)
 from balsamway.gateway.connection_budget import ConnectionBudget
 from balsamway.gateway.server_pool import ServerPool
 from balsamway.membership.leadership_claim import LeadershipClaim
@@ -116,6 +121,7 @@
             self._leadership,
             self._views,
             self._load_reporter,
+            self._warmer,
             self._callers,
         ):
             await self.add_runtime_dependency(part)
@@ -126,6 +132,7 @@
         self._stopping = True
         self._membership.announce_stopping()
         await self._callers.stop()
+        await self._warmer.stop()
         await self._leadership.stop()
         await self._transport.close()
         await self._control.close()
@@ -219,6 +226,9 @@
         budget = ConnectionBudget(settings.host, self._membership, self._configurations)
         pool = ServerPool(self._membership, budget, self._rng)
         self._transport = HttpTransport(budget.limit, metrics.on_open)
+        self._warmer = ConnectionWarmer(
+            self._membership, self._configurations, self._transport
+        )
         recorder = LoadRecorder()
         self._load_reporter = LoadReporter(
             recorder, self._views, self._membership, self._peers
--- a/tests/gateway/test_connections.py
+++ b/tests/gateway/test_connections.py
@@ -8,6 +8,7 @@
 from hypothesis import strategies as st
 
 from balsamway.gateway.connection_budget import SETTLE_SECONDS, ConnectionBudget
+from balsamway.gateway.connection_warmer import ConnectionWarmer
 from balsamway.gateway.retry_budget import TOKENS_AT_MOST, RetryBudget
 from balsamway.gateway.subset import equal_share, is_in_subset
 from tests.fakes import gateway_server as fake
@@ -71,6 +72,20 @@
     await path.stop()
 
 
+@pytest.mark.looptime
+async def test_the_first_request_finds_a_warm_connection(path):
+    server = await path.add_server()
+    warmer = ConnectionWarmer(path.directory, path.configurations, path.transport)
+    async with warmer:
+        await asyncio.sleep(0.5)
+        assert len(server.connections) == 1
+        answer = await path.post("/v1/prices/order")
+        await asyncio.sleep(50.0)
+    assert answer.verdict == "completed"
+    opened = path.registry.get_sample_value("balsamway_connections_opened_total")
+    assert opened == len(server.connections) == 1
+
+
 @pytest.mark.looptime
 async def test_retries_are_a_tenth_of_the_requests_and_a_little_more():
     budget = RetryBudget()
