Pause and kill a leader once its roster is whole

A leader killed within half a second of a service's first start is alone in its roster, and no other host may claim then: that is outside what a majority of witnesses tolerates, and the test hit it by chance.

--- a/tests/process_deployment.py
+++ b/tests/process_deployment.py
@@ -103,6 +103,11 @@
     async def wait_exit(self, name):
         return await asyncio.to_thread(self.processes[name].wait, 20)
 
+    async def leader_with_witnesses(self):
+        """Waits until the shard's roster is whole, and names its leader."""
+        await self.until(self._has_whole_roster)
+        return await self.leader()
+
     async def leader(self):
         for name in self._settings:
             state = await self._operator(name, "state")
@@ -154,6 +159,14 @@
         told = await self.call_for(0.3, list(self._settings), random.getrandbits(32))
         return bool(told) and all(one.verdict == "completed" for one in told)
 
+    async def _has_whole_roster(self):
+        rosters = [
+            led["roster"]
+            for name in self._settings
+            for led in (await self._operator(name, "state"))["leadership"].values()
+        ]
+        return any(len(roster) == DAEMONS for roster in rosters)
+
     async def _start_server(self, number):
         server = ServerStandin(
             ServerSettings(
