--- /dev/null
+++ b/benchmarks/hop/__init__.py
@@ -0,0 +1,1 @@
+"""What one gateway hop adds to a direct call."""
