--- a/src/balsamway/ownership/store_relay.py
+++ b/src/balsamway/ownership/store_relay.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING, TypeVar
 
 from balsamway.ownership._clock import now
@@ -15,6 +16,7 @@
 
 if TYPE_CHECKING:
     import random
+    from collections.abc import Awaitable
 
     from balsamway.membership.directory import Directory
     from balsamway.peers.peers import Peers
@@ -23,8 +25,9 @@
 
 RELAYS_AT_MOST = 2
 RELAY_TIMEOUT_SECONDS = 0.6
-DOWN_SECONDS = 1.0
-"""How long calls of peers are refused after an own call was not possible."""
+DOWN_SECONDS = 2.0
+"""How long peers are asked first, and their own calls refused, after an own
+call was not possible or took too long."""
 
 R = TypeVar("R")
 
@@ -61,37 +64,35 @@
         peers.handle(StoreRead, self._on_store_read)
         peers.handle(StoreWrite, self._on_store_write)
 
+    @property
+    def _is_down(self) -> bool:
+        return now() < self._down_until
+
     async def read(self, name: str) -> ReadResult:
         """Reads one object; see `Store`."""
-        result = self._note(await self._store.read(name))
-        if not isinstance(result, Unavailable):
-            return result
-        for host in self._relays():
-            answer = await self._peers.call(
-                host, StoreRead(name), RELAY_TIMEOUT_SECONDS
-            )
-            if isinstance(answer, StoreAnswer):
-                passed_on = read_result_of(answer)
-                if not isinstance(passed_on, Unavailable):
-                    return passed_on
+        if self._is_down:
+            passed_on = await self._read_by_peers(name)
+            if not isinstance(passed_on, Unavailable):
+                return passed_on
+            return await self._own(self._store.read(name))
+        result = await self._own(self._store.read(name))
+        if isinstance(result, Unavailable):
+            return await self._read_by_peers(name)
         return result
 
     async def write(
         self, name: str, body: bytes, expected_version: int | None
     ) -> WriteResult:
         """Updates one object if its version is as expected; see `Store`."""
-        result = self._note(await self._store.write(name, body, expected_version))
-        if not isinstance(result, Unavailable):
-            return result
-        for host in self._relays():
-            answer = await self._peers.call(
-                host, StoreWrite(name, body, expected_version), RELAY_TIMEOUT_SECONDS
-            )
-            if not isinstance(answer, StoreAnswer):
-                return WriteUnknown("no answer from the peer that was asked")
-            passed_on = write_result_of(answer)
+        call = StoreWrite(name, body, expected_version)
+        if self._is_down:
+            passed_on = await self._write_by_peers(call)
             if not isinstance(passed_on, Unavailable):
                 return passed_on
+            return await self._own(self._store.write(name, body, expected_version))
+        result = await self._own(self._store.write(name, body, expected_version))
+        if isinstance(result, Unavailable):
+            return await self._write_by_peers(call)
         return result
 
     async def watch(
@@ -107,6 +108,39 @@
             return await self.read(name)
         return result
 
+    async def _read_by_peers(self, name: str) -> ReadResult:
+        for host in self._relays():
+            answer = await self._peers.call(
+                host, StoreRead(name), RELAY_TIMEOUT_SECONDS
+            )
+            if isinstance(answer, StoreAnswer):
+                passed_on = read_result_of(answer)
+                if not isinstance(passed_on, Unavailable):
+                    return passed_on
+        return Unavailable("no peer reaches the store")
+
+    async def _write_by_peers(self, call: StoreWrite) -> WriteResult:
+        for host in self._relays():
+            answer = await self._peers.call(host, call, RELAY_TIMEOUT_SECONDS)
+            if not isinstance(answer, StoreAnswer):
+                return WriteUnknown("no answer from the peer that was asked")
+            passed_on = write_result_of(answer)
+            if not isinstance(passed_on, Unavailable):
+                return passed_on
+        return Unavailable("no peer reaches the store")
+
+    async def _own(self, call: Awaitable[R]) -> R:
+        """Makes an own call, and notes whether the store was reached."""
+        try:
+            result = await call
+        except asyncio.CancelledError:
+            # The caller's time is over; the next call had better go elsewhere.
+            self._down_until = now() + DOWN_SECONDS
+            raise
+        if isinstance(result, Unavailable):
+            self._down_until = now() + DOWN_SECONDS
+        return result
+
     def _relays(self) -> list[str]:
         zones = {host.name: host.zone for host in self._directory.entry_hosts()}
         own = zones.get(self._host, "")
@@ -119,18 +153,13 @@
         live.sort(key=lambda name: zones.get(name, "") == own)
         return live[:RELAYS_AT_MOST]
 
-    def _note(self, result: R) -> R:
-        if isinstance(result, Unavailable):
-            self._down_until = now() + DOWN_SECONDS
-        return result
-
     async def _on_store_read(self, sender: str, call: StoreRead) -> StoreAnswer:
-        if now() < self._down_until:
+        if self._is_down:
             return answer_of(call.name, Unavailable("the store cannot be reached"))
-        return answer_of(call.name, self._note(await self._store.read(call.name)))
+        return answer_of(call.name, await self._own(self._store.read(call.name)))
 
     async def _on_store_write(self, sender: str, call: StoreWrite) -> StoreAnswer:
-        if now() < self._down_until:
+        if self._is_down:
             return answer_of(call.name, Unavailable("the store cannot be reached"))
-        result = await self._store.write(call.name, call.body, call.expected_version)
-        return answer_of(call.name, self._note(result))
+        work = self._store.write(call.name, call.body, call.expected_version)
+        return answer_of(call.name, await self._own(work))
--- a/tests/ownership/test_store_relay.py
+++ b/tests/ownership/test_store_relay.py
@@ -84,6 +84,21 @@
     assert len(relays.store.history) == 1
 
 
+async def test_after_a_call_without_an_answer_peers_are_asked_first():
+    relays = Relays()
+    relays.faults.inject(
+        Injection(
+            lambda step: step.interface == "store" and step.source == "a",
+            delay_seconds=3600,
+            times=100,
+        )
+    )
+    with pytest.raises(asyncio.TimeoutError):
+        await asyncio.wait_for(relays.stores["a"].write("x", b"1", None), 0.6)
+    assert await relays.stores["a"].write("x", b"2", None) == Written(1)
+    assert await relays.stores["a"].read("x") == StoredObject("x", 1, b"2")
+
+
 async def test_a_peer_that_lost_the_store_lately_says_so_at_once():
     relays = Relays()
     relays.store.outage = True
