--- a/src/balsamway/daemon/daemon.py
+++ b/src/balsamway/daemon/daemon.py
@@ -22,6 +22,7 @@
 from balsamway.membership.server_prober import ServerProber
 from balsamway.ownership.cluster import Cluster
 from balsamway.ownership.leadership_service import LeadershipService
+from balsamway.ownership.store_relay import RelayedStore
 from balsamway.ownership.view_keeper import ViewKeeper
 from balsamway.ownership.witness_service import WitnessService
 from balsamway.peers.stream_peers import StreamPeers
@@ -195,9 +196,12 @@
     def _build_ownership(self) -> None:
         me = Witness(self._settings.host, self._incarnation)
         self._control = HttpControl()
+        store = RelayedStore(
+            self._settings.host, self._store, self._peers, self._membership, self._rng
+        )
         cluster = Cluster(
             me,
-            self._store,
+            store,
             self._peers,
             self._control,
             self._membership,
