Do not let one write of the record keep others waiting for its lock

While the store was down, the first provisional assignment was written again and again for up to 30 s under the writer's lock, and the next lost server waited for that.

--- a/src/balsamway/ownership/claim.py
+++ b/src/balsamway/ownership/claim.py
@@ -21,7 +21,7 @@
     SliceEntry,
     Witness,
 )
-from balsamway.slices.record_codec import decode_record, encode_record
+from balsamway.slices.record_codec import RecordError, decode_record, encode_record
 
 if TYPE_CHECKING:
     from balsamway.ownership.cluster import Cluster
@@ -154,7 +154,10 @@
     def _version_if_ours(
         self, current: StoredObject, record: ShardRecord
     ) -> int | None:
-        ours = decode_record(current.body).change_id == record.change_id
+        try:
+            ours = decode_record(current.body).change_id == record.change_id
+        except RecordError:
+            return None
         return current.version if ours else None
 
     async def _adopt(
--- a/src/balsamway/ownership/record_writer.py
+++ b/src/balsamway/ownership/record_writer.py
@@ -17,7 +17,7 @@
     WriteUnknown,
     Written,
 )
-from balsamway.slices.record_codec import decode_record, encode_record
+from balsamway.slices.record_codec import RecordError, decode_record, encode_record
 from balsamway.slices.shard_record import ShardRecord
 
 if TYPE_CHECKING:
@@ -98,8 +98,14 @@
         Returns:
             Whether the store holds the change.
         """
-        async with self._lock:
+        try:
+            await asyncio.wait_for(self._lock.acquire(), _bounded(give_up_at))
+        except TimeoutError:
+            return WriteOutcome.NOT_WRITTEN
+        try:
             return await self._update(change, give_up_at)
+        finally:
+            self._lock.release()
 
     async def _update(self, change: RecordChange, give_up_at: float) -> WriteOutcome:
         maybe = False
@@ -170,7 +176,12 @@
 
     def _take_over(self, current: StoredObject) -> bool:
         """Goes on from what the store holds, if this leader wrote it."""
-        found = decode_record(current.body)
+        try:
+            found = decode_record(current.body)
+        except RecordError as error:
+            logger.error("shard record malformed", extra={"reason": str(error)})
+            self._authority.end()
+            return False
         if found.leader_epoch != self._state.record.leader_epoch:
             logger.info(
                 "leader superseded",
--- a/tests/ownership/test_store_faults.py
+++ b/tests/ownership/test_store_faults.py
@@ -63,6 +63,24 @@
         assert world.overlaps() == []
 
 
+async def test_servers_lost_one_after_another_in_an_outage_are_replaced_in_time():
+    async with World(servers=6) as world:
+        await asyncio.sleep(3)
+        world.store.outage = True
+        await asyncio.sleep(1)
+        first = world.record.slices[0].owner
+        world.servers.servers[first].lose()
+        assert await world.until_served() < 3.5
+        await asyncio.sleep(10)
+        held = {one.owner: one.standby for one in world.record.slices}
+        second = next(owner for owner in held if first not in (owner, held[owner]))
+        at = [one.range.start for one in world.record.slices if one.owner == second]
+        world.servers.servers[second].lose()
+        took = await world.until(lambda: all(world.owners(start) for start in at))
+        assert took < 3.5
+        assert world.overlaps() == []
+
+
 async def test_a_server_lost_while_the_store_is_slow_is_replaced_in_time():
     async with World() as world:
         await asyncio.sleep(3)
