Replace a server that is lost with its standby in an outage

A provisional owner need not be the recorded standby: a new leader grants only to a server that says it holds the slice, or after all has lapsed.

--- a/src/balsamway/ownership/handover.py
+++ b/src/balsamway/ownership/handover.py
@@ -7,7 +7,6 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
-from balsamway.balance import Move
 from balsamway.ownership._clock import now
 from balsamway.ownership.record_writer import WriteOutcome
 from balsamway.ownership.shard_state import with_entries
@@ -15,6 +14,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
 
+    from balsamway.balance import Move
     from balsamway.ownership.grant_keeper import GrantKeeper
     from balsamway.ownership.shard_context import ShardContext
     from balsamway.slices import KeyRange, ShardRecord, SliceEntry
@@ -59,22 +59,16 @@
         finally:
             self._state.free(ranges)
 
-    async def move_to_standbys(self, wanted: Iterable[KeyRange]) -> None:
+    async def move_provisionally(self, moves: Sequence[Move]) -> None:
         """Moves slices while the store cannot be written.
 
-        The next owners are the standbys that the record names. They get
-        epochs of the block that this leader's epoch reserves, and the moves
-        are provisional until the store holds them.
+        The next owners get epochs of the block that this leader's epoch
+        reserves, and the moves are provisional until the store holds them.
 
         Args:
-            wanted: The slices.
+            moves: Each a slice, by its exact range, and its next owner.
         """
-        standbys = {one.range: one.standby for one in self._state.stored.slices}
-        targets = {
-            one: standbys[one]
-            for one in wanted
-            if self._is_possible(Move(one, standbys.get(one, "")))
-        }
+        targets = {one.range: one.to for one in moves if self._is_possible(one)}
         ranges = self._state.reserve(targets)
         self._state.hold(ranges)
         try:
--- a/src/balsamway/ownership/leaving.py
+++ b/src/balsamway/ownership/leaving.py
@@ -47,7 +47,7 @@
         if not moves or await self._handover.move(moves):
             return
         if self._context.writer.failing:
-            await self._handover.move_to_standbys(one.range for one in moves)
+            await self._handover.move_provisionally(moves)
 
     def _is_leaving(self, server: str) -> bool:
         keeper = self._context.keepers.get(server)
--- a/src/balsamway/ownership/loss.py
+++ b/src/balsamway/ownership/loss.py
@@ -23,9 +23,10 @@
 class Loss:
     """Activates standbys once the grants of a lost server have lapsed.
 
-    Where the store cannot be written, the standby that the record names is
-    activated by an epoch of the block that this leader's epoch reserves; the
-    assignment is provisional until the store holds it.
+    Where the store cannot be written, the standby is activated by an epoch
+    of the block that this leader's epoch reserves; the assignment is
+    provisional until the store holds it. A server that is lost together with
+    its standby is replaced by the one with the least of the key space.
 
     Args:
         context: The leader's parts.
@@ -113,10 +114,9 @@
     ) -> None:
         if not self._context.authority.holds:
             return
-        recorded = {one.range: one.standby for one in self._state.stored.slices}
         entries = [
             moved(one, targets[one.range], epochs[one.range])
             for one in self._state.record.slices
-            if one.range in targets and recorded.get(one.range) == targets[one.range]
+            if one.range in targets
         ]
         self._state.replace_entries(entries)
--- a/tests/ownership/test_store_faults.py
+++ b/tests/ownership/test_store_faults.py
@@ -81,6 +81,23 @@
         assert world.overlaps() == []
 
 
+async def test_a_server_lost_with_its_standby_in_an_outage_is_replaced():
+    async with World(servers=4) as world:
+        await asyncio.sleep(3)
+        world.store.outage = True
+        entry = world.record.slices[0]
+        world.servers.servers[entry.owner].lose()
+        world.servers.servers[entry.standby].lose()
+        assert await world.until_served() < 5
+        # The next leader finds out who holds what, though the record is old.
+        host = world.leader_host
+        world.store.outage = False
+        world.store.cut_hosts.add(host)
+        await world.lose_host(host)
+        assert await world.unavailable(8) == 0
+        assert world.overlaps() == []
+
+
 async def test_a_server_lost_while_the_store_is_slow_is_replaced_in_time():
     async with World() as world:
         await asyncio.sleep(3)
