Check told assignments against the store's history, and planned stops

A leaving server of the matrix stops once it has drained, or in the middle of a run after 15 s; two changes of configuration follow each other, so that an old version can arrive last; the server stand-in no longer tells a request as not run that it may still receive.

--- a/src/balsamway/standins/checker/assignment_kept.py
+++ b/src/balsamway/standins/checker/assignment_kept.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import defaultdict
 from typing import TYPE_CHECKING
 
 from balsamway.standins.checker.violation import Invariant, Violation
@@ -11,23 +12,47 @@
 
 
 def assignment_kept(journal: Journal) -> list[Violation]:
-    """Compares what was told with what the store holds at the end.
+    """Compares what was told with what the store held and holds at the end.
 
     A told assignment is lost if the store holds an older one of any of its
-    positions, or another owner under the same epoch.
+    positions, or another owner under the same epoch. Where all that the store
+    ever held is journalled, it must have held what was told by then.
 
     Args:
         journal: The journal to check.
 
     Returns:
-        One violation for each told and kept assignment that disagree.
+        One violation for each told and kept assignment that disagree, and one
+        for each told assignment that was never recorded.
     """
-    return [
+    lost = [
         _violation(told, kept)
         for told in journal.assignments_told
         for kept in journal.assignments_kept
         if _lost(told, kept)
     ]
+    if not journal.assignments_recorded:
+        return lost
+    return lost + _never_recorded(journal)
+
+
+def _never_recorded(journal: Journal) -> list[Violation]:
+    recorded: dict[tuple[str, str, int], list[AssignmentTold]] = defaultdict(list)
+    for one in journal.assignments_recorded:
+        recorded[(one.shard, one.owner, one.epoch)].append(one)
+    return [
+        _unrecorded(told)
+        for told in journal.assignments_told
+        if not any(
+            one.time <= told.time and one.range.overlaps(told.range)
+            for one in recorded[(told.shard, told.owner, told.epoch)]
+        )
+    ]
+
+
+def _unrecorded(told: AssignmentTold) -> Violation:
+    detail = f"{told.owner} told for {told.shard} at epoch {told.epoch}, not recorded"
+    return Violation(Invariant.ASSIGNMENT_KEPT, detail, told.time)
 
 
 def _lost(told: AssignmentTold, kept: AssignmentTold) -> bool:
--- a/src/balsamway/standins/journal/journal.py
+++ b/src/balsamway/standins/journal/journal.py
@@ -22,6 +22,8 @@
     assignments_told: tuple[AssignmentTold, ...] = ()
     assignments_kept: tuple[AssignmentTold, ...] = ()
     """What the store's records say at the end."""
+    assignments_recorded: tuple[AssignmentTold, ...] = ()
+    """All that the store's records ever said, with the time of each."""
     versions: tuple[VersionSeen, ...] = ()
     stops: tuple[StopAsked, ...] = ()
 
--- a/src/balsamway/standins/server/request_runner.py
+++ b/src/balsamway/standins/server/request_runner.py
@@ -104,10 +104,11 @@
             `not-run`, `ran` or `unknown`.
         """
         known = self._known.get(request_id)
-        if known is None:
-            return "unknown"
-        if known.ran:
+        if known is not None and known.ran:
             return "ran"
+        if known is None or not known.tasks:
+            # An attempt may still be on its way.
+            return "unknown"
         for task in known.tasks:
             task.cancel()
         return "not-run"
--- a/tests/matrix/callers.py
+++ b/tests/matrix/callers.py
@@ -78,15 +78,18 @@
             return
         self._count += 1
         entry = hosts[self._count % len(hosts)]
-        request_id = f"r{self._count}"
-        self._keep(asyncio.create_task(self._request(entry, key, request_id)))
+        idempotent = (self._count // KEYS + self._count) % 2 == 0
+        request = self._request(entry, key, f"r{self._count}", idempotent)
+        self._keep(asyncio.create_task(request))
 
-    async def _request(self, entry: EntryHost, key: str, request_id: str) -> None:
+    async def _request(
+        self, entry: EntryHost, key: str, request_id: str, idempotent: bool
+    ) -> None:
         member = entry.configuration.member("m")
         if member is None:
             return
         service = member.services[0]
-        kind = service.kinds[self._count % len(service.kinds)]
+        kind = next(one for one in service.kinds if one.idempotent == idempotent)
         start = self._world.now
         owner = self._world.owner_of(position_of(key))
         request = CallerRequest(
--- a/tests/matrix/matrix_server.py
+++ b/tests/matrix/matrix_server.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -15,6 +16,7 @@
 
 RUN_SECONDS = 0.005
 QUIET_POLL_SECONDS = 0.002
+STOP_IN_RUN_SECONDS = 1.0
 
 
 @dataclass(eq=False, slots=True)
@@ -40,8 +42,25 @@
         self._in_progress: list[RunInProgress] = []
         self._releasing: list[tuple[ShardId, KeyRange]] = []
 
+    @property
+    def has_drained(self) -> bool:
+        """Whether a planned stop would cut nothing off."""
+        now = self.clock
+        held = any(one.ranges and one.valid_until > now for one in self._held.values())
+        return not held and not self._in_progress and not self._releasing
+
+    async def stop_in_a_run(self) -> None:
+        """Stops at the next run that is admitted, if one is in time."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(STOP_IN_RUN_SECONDS):
+                while not self._in_progress:
+                    await asyncio.sleep(QUIET_POLL_SECONDS)
+        for run in self._in_progress:
+            self._record(run, RunOutcome.CUT_OFF)
+        self.lose()
+
     async def run(self, request: ServerRequest) -> str:
-        """Runs a request; gives the reason where it was not run, or nothing."""
+        """Runs a request; gives the reason where it did not run."""
         now = self.now
         run = RunInProgress(request, now, now + request.timeout_seconds)
         refusal = self._refusal(run)
--- a/tests/matrix/observer.py
+++ b/tests/matrix/observer.py
@@ -3,7 +3,6 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from balsamway.platform import StoredObject
 from balsamway.slices.record_codec import decode_record
 from balsamway.standins.journal import (
     AssignmentTold,
@@ -15,6 +14,7 @@
 )
 
 if TYPE_CHECKING:
+    from balsamway.platform import StoredObject
     from balsamway.slices import ShardView
     from tests.matrix.entry_host import EntryHost
     from tests.matrix.world import World
@@ -27,7 +27,9 @@
 
     def __init__(self, world: World) -> None:
         self._world = world
-        self._assignments: set[AssignmentTold] = set()
+        self._assignments: dict[tuple[object, ...], AssignmentTold] = {}
+        self._recorded: list[AssignmentTold] = []
+        self._records_seen = 0
         self._versions: list[VersionSeen] = []
         self._stops: list[StopAsked] = []
         self._task: asyncio.Task[None] | None = None
@@ -43,7 +45,8 @@
             grants=tuple(self._grants()),
             runs=tuple(self._runs()),
             told=tuple(self._world.callers.told),
-            assignments_told=tuple(self._assignments),
+            assignments_told=tuple(self._assignments.values()),
+            assignments_recorded=tuple(self._recorded),
             assignments_kept=tuple(self._kept()),
             versions=tuple(self._versions),
             stops=tuple(self._stops),
@@ -51,6 +54,7 @@
 
     async def _look(self) -> None:
         while True:
+            self._note_records()
             for entry in self._world.entry.values():
                 if not entry.process.paused:
                     self._look_at(entry)
@@ -68,12 +72,19 @@
                 self._note_view(leader.context.views.view)
 
     def _note_view(self, view: ShardView) -> None:
-        # The time is left out, so that each assignment is kept once.
-        self._assignments |= {
-            AssignmentTold(str(view.shard), one.range, one.owner, one.epoch, 0.0)
-            for one in view.slices
-            if one.owner and not one.provisional
-        }
+        for one in view.slices:
+            key = (view.shard, one.range, one.owner, one.epoch)
+            if one.owner and not one.provisional and key not in self._assignments:
+                self._assignments[key] = AssignmentTold(
+                    str(view.shard), one.range, one.owner, one.epoch, self._world.now
+                )
+
+    def _note_records(self) -> None:
+        history = self._world.store.history
+        for stored in history[self._records_seen :]:
+            if stored.name.startswith("shards/"):
+                self._recorded += _assignments(stored, self._world.now)
+        self._records_seen = len(history)
 
     def _grants(self) -> list[GrantHeld]:
         return [
@@ -88,14 +99,17 @@
         return [run for server in servers for run in server.runs]
 
     def _kept(self) -> list[AssignmentTold]:
-        found = []
-        for stored in self._world.store.objects.values():
-            if isinstance(stored, StoredObject) and stored.name.startswith("shards/"):
-                record = decode_record(stored.body)
-                found += [
-                    AssignmentTold(
-                        str(record.shard), one.range, one.owner, one.epoch, 0
-                    )
-                    for one in record.slices
-                ]
-        return found
+        return [
+            one
+            for stored in self._world.store.objects.values()
+            if stored.name.startswith("shards/")
+            for one in _assignments(stored, self._world.now)
+        ]
+
+
+def _assignments(stored: StoredObject, time: float) -> list[AssignmentTold]:
+    record = decode_record(stored.body)
+    return [
+        AssignmentTold(str(record.shard), one.range, one.owner, one.epoch, time)
+        for one in record.slices
+    ]
--- a/tests/matrix/procedures.py
+++ b/tests/matrix/procedures.py
@@ -19,6 +19,8 @@
     from tests.fakes.step import Step
 
 OPERATOR = "operator"
+BETWEEN_CHANGES_SECONDS = 0.4
+"""Less than a late message is late, so that an old version arrives last."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,11 +66,16 @@
 
 
 async def _accept(world: World) -> None:
+    world.operator = Process(OPERATOR)
+    world.operator.start(_accept_twice(world))
+
+
+async def _accept_twice(world: World) -> None:
     store = world.store.client(OPERATOR)
     acceptance = Acceptance(store, random.Random(world.seed))
-    operator = Process(OPERATOR)
-    operator.start(acceptance.accept(configuration(1), 1))
-    world.operator = operator
+    await acceptance.accept(configuration(1), 1)
+    await asyncio.sleep(BETWEEN_CHANGES_SECONDS)
+    await acceptance.accept(configuration(1), 2)
 
 
 def _store(operation: str, prefix: str) -> Callable[[object, Step], bool]:
@@ -107,8 +114,11 @@
     return matches
 
 
-def _request(world: object, step: Step) -> bool:
-    return step.interface == "requests"
+def _request(kind: str) -> Callable[[object, Step], bool]:
+    def matches(world: object, step: Step) -> bool:
+        return step.interface == "requests" and step.detail.kind == kind
+
+    return matches
 
 
 READ, WATCH, WRITE = StepKind.STORE_READ, StepKind.STORE_WATCH, StepKind.STORE_WRITE
@@ -174,11 +184,7 @@
     ProcedureStep("adopt", "watch", WATCH, _store("watch", "configuration/")),
     ProcedureStep("adopt", "notice", MESSAGE, _message("ConfigurationNotice")),
     ProcedureStep("adopt", "digest", MESSAGE, _message("ConfigurationDigest")),
-    ProcedureStep("request", "send", REQUEST, _request),
+    ProcedureStep("request", "send-read", REQUEST, _request("read")),
+    ProcedureStep("request", "send-order", REQUEST, _request("order")),
     ProcedureStep("request", "view", MESSAGE, _message("ViewRequest")),
 )
-
-
-async def settle(seconds: float) -> None:
-    """Lets the deployment run on."""
-    await asyncio.sleep(seconds)
--- a/tests/matrix/process_loop.py
+++ b/tests/matrix/process_loop.py
@@ -23,7 +23,8 @@
         if self.is_closed():
             # Coroutines of lost processes are cleared away after the end.
             return asyncio.Handle(callback, args, self, context)
-        context = context or contextvars.copy_context()
+        if context is None:
+            context = contextvars.copy_context()
         process = context.get(PROCESS)
         if process is None:
             return super().call_soon(callback, *args, context=context)
@@ -32,7 +33,8 @@
         return call.handle
 
     def call_at(self, when, callback, *args, context=None):
-        context = context or contextvars.copy_context()
+        if context is None:
+            context = contextvars.copy_context()
         process = context.get(PROCESS)
         if process is None:
             return super().call_at(when, callback, *args, context=context)
--- a/tests/matrix/run_cell.py
+++ b/tests/matrix/run_cell.py
@@ -27,7 +27,7 @@
 
 def run_cell(cell: Cell, seed: int) -> CellResult:
     """Runs one cell on a clock of its own."""
-    loop = ProcessLoop(start=0.0)
+    loop = ProcessLoop(start=0.0, noop_cycles=0)
     asyncio.set_event_loop(loop)
     logging.disable(logging.CRITICAL)
     hook = sys.unraisablehook
@@ -74,6 +74,7 @@
             await asyncio.gather(*self._heals)
             self._healed_at = world.now
             await self._wait_served()
+            await asyncio.gather(*world.stops)
             self._judge()
         return self._result(reached)
 
--- a/tests/matrix/world.py
+++ b/tests/matrix/world.py
@@ -23,6 +23,7 @@
 from tests.matrix.matrix_hosts import MatrixHosts
 from tests.matrix.matrix_server import MatrixServer
 from tests.matrix.observer import Observer
+from tests.matrix.process import start_outside
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -39,6 +40,7 @@
 SLICES = 8
 READY_TIMEOUT_SECONDS = 20.0
 POLL_SECONDS = 0.05
+STOP_TIMEOUT_SECONDS = 15.0
 
 
 def configuration(version: int) -> MemberConfiguration:
@@ -73,6 +75,7 @@
         )
         self.incarnations = 0
         self.lapses: list[Injection] = []
+        self.stops: list[asyncio.Task[None]] = []
         self.lost_leader = ""
         self.paused_leader = ""
         self.operator: Process | None = None
@@ -123,6 +126,14 @@
             )
         )
         self.observer.stop_asked(name)
+        self.stops.append(start_outside(self._stop_when_empty(server)))
+
+    async def _stop_when_empty(self, server: MatrixServer) -> None:
+        if await self.wait(lambda: server.has_drained, STOP_TIMEOUT_SECONDS):
+            server.lose()
+        else:
+            await server.stop_in_a_run()
+        self.hosts.remove(server.name)
 
     async def start_entry_host(self, name: str) -> None:
         self.incarnations += 1
--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -119,6 +119,16 @@
     assert bool(check(journal)) is lost
 
 
+@pytest.mark.parametrize(("recorded_at", "lost"), [(0.4, False), (0.6, True)])
+def test_what_is_told_was_recorded_before(recorded_at, lost):
+    told = CLEAN.assignments_told[0]
+    journal = Journal(
+        assignments_told=(told,),
+        assignments_recorded=(replace(told, time=recorded_at),),
+    )
+    assert bool(check(journal)) is lost
+
+
 def test_an_idempotent_request_can_run_again():
     journal = Journal(runs=(RUN, SECOND_RUN), told=(replace(TOLD, idempotent=True),))
     assert check(journal) == ()
