--- a/tests/fakes/world.py
+++ b/tests/fakes/world.py
@@ -2,8 +2,9 @@
 
 import asyncio
 from collections.abc import Callable
+from typing import Self
 
-from balsamway.configuration import MemberConfiguration, Service
+from balsamway.configuration import MemberConfiguration, Service, Zone
 from balsamway.ownership.shard_leader import ShardLeader
 from balsamway.platform import Store
 from balsamway.settings import Timing
@@ -49,7 +50,8 @@
         self.servers = FakeServers(self.faults)
         self.hosts = FakeHosts(self.network, self.servers)
         service = Service("s", True, (), 3, 50, servers, slices=slices)
-        member = MemberConfiguration("m", 1, "", (), (service,), ())
+        zones = tuple(Zone(f"z{number}", "r", 3) for number in range(3))
+        member = MemberConfiguration("m", 1, "", zones, (service,), ())
         self.configurations = FakeConfigurations(member)
         self.entry: dict[str, EntryHost] = {}
         self._incarnation = 100
@@ -69,6 +71,15 @@
     def store_of(self, host: str) -> Store:
         return self.store.client(host)
 
+    async def __aenter__(self) -> Self:
+        """Starts everything and waits until every slice has its owner."""
+        await self.start()
+        await self.until_served()
+        return self
+
+    async def __aexit__(self, *error: object) -> None:
+        await self.stop()
+
     async def start(self) -> None:
         for name in self._names:
             await self.start_host(name)
