Catch protections left out, bound unavailable time, and measure it

For each invariant a protection of the real modules is switched off and the checker finds it; the same cells pass with the protection. At rest no survey is sent, so that step is replaced by the return of a frozen server, whose survey and grant are faulted instead.

--- a/tests/matrix/fault.py
+++ b/tests/matrix/fault.py
@@ -30,6 +30,10 @@
     """How long after it struck the fault is healed."""
     needs_entry_source: bool = False
     """Whether the fault strikes the entry host that makes the call."""
+    takes_store: bool = False
+    """Whether no entry host can use the store until the fault is healed."""
+    takes_source: bool = False
+    """Whether the entry host that makes the call, or leads, is taken out."""
     at_any_time: bool = False
     """Whether the fault can come second in a pair, at no step of its own."""
 
--- a/tests/matrix/fault_list.py
+++ b/tests/matrix/fault_list.py
@@ -212,6 +212,7 @@
         heal=_return_source,
         heal_seconds=4.0,
         needs_entry_source=True,
+        takes_source=True,
     ),
     Fault(
         "source-lost-once-sent",
@@ -219,6 +220,7 @@
         heal=_return_source,
         heal_seconds=4.0,
         needs_entry_source=True,
+        takes_source=True,
     ),
     Fault(
         "source-paused",
@@ -226,6 +228,7 @@
         heal=_resume_source,
         heal_seconds=4.5,
         needs_entry_source=True,
+        takes_source=True,
     ),
     Fault(
         "source-paused-briefly",
@@ -233,6 +236,7 @@
         heal=_resume_source,
         heal_seconds=1.4,
         needs_entry_source=True,
+        takes_source=True,
     ),
     Fault(
         "source-paused-once-sent",
@@ -240,6 +244,7 @@
         heal=_resume_source,
         heal_seconds=4.5,
         needs_entry_source=True,
+        takes_source=True,
     ),
     Fault("target-lost", CALLS, strike=_lose_target, heal=_return_target),
     Fault(
@@ -274,6 +279,7 @@
         heal=_store_up,
         heal_seconds=8.0,
         at_any_time=True,
+        takes_store=True,
     ),
     Fault(
         "store-slow",
@@ -281,6 +287,7 @@
         heal=_store_fast,
         heal_seconds=8.0,
         at_any_time=True,
+        takes_store=True,
     ),
     Fault("read-refused", READS, Fate.DROP),
     Fault("write-refused", WRITES, Fate.DROP),
@@ -303,6 +310,7 @@
         heal_seconds=6.0,
         needs_entry_source=True,
         at_any_time=True,
+        takes_source=True,
     ),
     Fault(
         "zone-cut-off",
@@ -311,6 +319,7 @@
         heal_seconds=6.0,
         needs_entry_source=True,
         at_any_time=True,
+        takes_source=True,
     ),
     Fault(
         "host-cut-from-servers",
@@ -325,6 +334,7 @@
         heal=_end_lapse,
         heal_seconds=2.5,
         at_any_time=True,
+        takes_source=True,
     ),
     Fault(
         "grant-lapse",
@@ -353,6 +363,7 @@
         heal=_return_leader,
         heal_seconds=8.0,
         at_any_time=True,
+        takes_source=True,
     ),
     Fault(
         "leader-paused",
@@ -360,5 +371,6 @@
         heal=_resume_leader,
         heal_seconds=4.5,
         at_any_time=True,
+        takes_source=True,
     ),
 )
--- /dev/null
+++ b/tests/matrix/mutations.py
@@ -0,0 +1,120 @@
+"""Protections of the real modules that tests switch off, one at a time."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from balsamway.configuration.configuration_table import ConfigurationTable
+from balsamway.gateway.attempt_log import AttemptLog
+from balsamway.gateway.request_run import RequestRun
+from balsamway.outcome import MayHaveRun
+from balsamway.ownership.grant_keeper import GrantKeeper
+from balsamway.ownership.leaving import Leaving
+from balsamway.ownership.shard_state import ShardState
+from balsamway.ownership.view_server import ViewServer
+from balsamway.standins.checker import Invariant
+
+
+@dataclass(frozen=True, slots=True)
+class Mutation:
+    """A protection, what replaces it, and the cell that must show it."""
+
+    name: str
+    invariant: Invariant
+    owner: type
+    attribute: str
+    replacement: Any
+    cell: str
+
+
+async def _fence_nobody(self: ViewServer, give_up_at: float | None = None) -> bool:
+    return True
+
+
+async def _empty_nothing(self: Leaving) -> None:
+    return
+
+
+def _retry_all(original: Callable[..., bool]) -> Callable[..., bool]:
+    def may_retry(self: RequestRun, verdict: Any) -> bool:
+        return isinstance(verdict, MayHaveRun) or original(self, verdict)
+
+    return may_retry
+
+
+def _forget_uncertain(original: Callable[..., None]) -> Callable[..., None]:
+    def add(self: AttemptLog, verdict: Any) -> None:
+        if not isinstance(verdict, MayHaveRun):
+            original(self, verdict)
+
+    return add
+
+
+MUTATIONS = (
+    Mutation(
+        "a silent server counts as lost before its grant has lapsed",
+        Invariant.SOLE_OWNER,
+        GrantKeeper,
+        "lost",
+        property(lambda self: not self.answers),
+        "renewal/grant:server-frozen",
+    ),
+    Mutation(
+        "no gateway is fenced before a slice leaves a server that does not check",
+        Invariant.RUN_UNDER_OWNERSHIP,
+        ViewServer,
+        "fence",
+        _fence_nobody,
+        "move/intent:zone-cut-from-peers",
+    ),
+    Mutation(
+        "an assignment that the store does not hold is told as in effect",
+        Invariant.ASSIGNMENT_KEPT,
+        ShardState,
+        "is_provisional",
+        lambda self, entry: False,
+        "loss/activate:store-down",
+    ),
+    Mutation(
+        "a request that may have run is sent again",
+        Invariant.RUN_AT_MOST_ONCE,
+        RequestRun,
+        "_may_retry",
+        _retry_all(RequestRun._may_retry),
+        "request/send-order:answer-lost",
+    ),
+    Mutation(
+        "an attempt that may have run is left out of the verdict",
+        Invariant.NOT_RUN_IS_TRUE,
+        AttemptLog,
+        "add",
+        _forget_uncertain(AttemptLog.add),
+        "request/send-order:answer-lost",
+    ),
+    Mutation(
+        "an older configuration is adopted",
+        Invariant.VERSION_GROWS,
+        ConfigurationTable,
+        "version",
+        lambda self, member: 0,
+        "adopt/notice:message-late",
+    ),
+    Mutation(
+        "a leaving server is not emptied",
+        Invariant.LEAVING_IDLE,
+        Leaving,
+        "empty",
+        _empty_nothing,
+        "leave/grant:message-doubled",
+    ),
+    Mutation(
+        "a leaving server is not emptied before it stops",
+        Invariant.STOP_GRACEFUL,
+        Leaving,
+        "empty",
+        _empty_nothing,
+        "leave/grant:message-doubled",
+    ),
+)
--- a/tests/matrix/procedures.py
+++ b/tests/matrix/procedures.py
@@ -10,7 +10,7 @@
 from balsamway.configuration.acceptance import Acceptance
 from balsamway.slices import position_of
 from tests.matrix.procedure_step import ProcedureStep
-from tests.matrix.process import Process
+from tests.matrix.process import Process, start_outside
 from tests.matrix.record_change import record_change
 from tests.matrix.step_kind import StepKind
 from tests.matrix.world import SHARD, World, configuration
@@ -19,6 +19,8 @@
     from tests.fakes.step import Step
 
 OPERATOR = "operator"
+FROZEN_SECONDS = 2.6
+"""Longer than a grant, so that the server returns without one."""
 BETWEEN_CHANGES_SECONDS = 0.4
 """Less than a late message is late, so that an old version arrives last."""
 
@@ -43,14 +45,26 @@
     world.lose_entry_host(world.leader())
 
 
+async def _return_server(world: World) -> None:
+    server = world.server("s1")
+    server.freeze()
+
+    async def thaw() -> None:
+        await asyncio.sleep(FROZEN_SECONDS)
+        server.thaw()
+
+    start_outside(thaw())
+
+
 async def _move(world: World) -> None:
     entry = world.entry[world.leader()]
     leader = entry.leadership.leader(SHARD)
     assert leader is not None
-    first = leader.context.state.record.slices[0]
-    names = sorted(world.servers.servers)
-    to = names[(names.index(first.owner) + 1) % len(names)]
-    entry.process.start(leader.handover.move([Move(first.range, to)]))
+    slices = leader.context.state.record.slices
+    checked = next(one for one in slices if one.owner == "s1")
+    unchecked = next(one for one in slices if one.owner == "s3")
+    moves = [Move(checked.range, "s2"), Move(unchecked.range, "s4")]
+    entry.process.start(leader.handover.move(moves))
 
 
 async def _join(world: World) -> None:
@@ -128,6 +142,7 @@
     Procedure("first-claim", _nothing, from_nothing=True),
     Procedure("claim", _lose_leader),
     Procedure("renewal", _nothing),
+    Procedure("return", _return_server),
     Procedure("move", _move),
     Procedure("join", _join),
     Procedure("leave", _leave),
@@ -156,10 +171,11 @@
     ProcedureStep("claim", "grant", ORDER, _order("grant")),
     ProcedureStep("claim", "view", MESSAGE, _message("ViewRequest")),
     ProcedureStep("renewal", "promise", MESSAGE, _message("PromiseRequest")),
-    ProcedureStep("renewal", "survey", ORDER, _order("survey")),
     ProcedureStep("renewal", "grant", ORDER, _order("grant")),
     ProcedureStep("renewal", "view", MESSAGE, _message("ViewRequest")),
     ProcedureStep("renewal", "heartbeat", MESSAGE, _message("Heartbeat")),
+    ProcedureStep("return", "survey", ORDER, _order("survey", "s1")),
+    ProcedureStep("return", "grant", ORDER, _order("grant", "s1")),
     ProcedureStep("move", "intent", WRITE, _record("intent")),
     ProcedureStep("move", "hold", MESSAGE, _message("ViewNotice", held=True)),
     ProcedureStep("move", "release", ORDER, _order("release")),
--- /dev/null
+++ b/tests/matrix/recovery.py
@@ -0,0 +1,113 @@
+"""Measures how long keys are not served under each class of faults."""
+
+from __future__ import annotations
+
+import sys
+from statistics import median
+
+from absl import app, flags
+
+from tests.matrix.cell import Cell
+from tests.matrix.fault_list import FAULTS
+from tests.matrix.procedures import STEPS
+from tests.matrix.run_cell import run_cell
+
+_SEEDS = flags.DEFINE_integer("seeds", 10, "How many seeds, counted from 1.")
+
+CLASSES = (
+    ("a server is lost", "renewal/heartbeat", "server-lost", "", "3.5"),
+    ("a server freezes and returns", "renewal/heartbeat", "server-frozen", "", "5"),
+    ("the leader is lost", "renewal/grant", "leader-lost", "", "5"),
+    ("the leader is paused and returns", "renewal/grant", "leader-paused", "", "5"),
+    (
+        "the leader and a server are lost",
+        "renewal/grant",
+        "leader-lost",
+        "server-lost",
+        "5",
+    ),
+    ("another entry host is lost", "renewal/promise", "target-lost", "", "5"),
+    ("another entry host is paused", "renewal/promise", "target-paused", "", "5"),
+    ("a server leaves", "leave/intent", "write-doubled", "", "0"),
+    ("a server joins", "join/intent", "write-doubled", "", "0"),
+    ("slices move as planned", "move/intent", "write-doubled", "", "0"),
+    (
+        "a move's answer from the store is lost",
+        "move/commit",
+        "write-answer-lost",
+        "",
+        "5",
+    ),
+    ("the store is down for 8 s", "renewal/heartbeat", "store-down", "", "0"),
+    ("the store is slow for 8 s", "renewal/heartbeat", "store-slow", "", "0"),
+    (
+        "the store is down, a server is lost",
+        "renewal/heartbeat",
+        "store-down",
+        "server-lost",
+        "5",
+    ),
+    (
+        "the store is down, the leader is lost",
+        "renewal/heartbeat",
+        "store-down",
+        "leader-lost",
+        "not tolerated",
+    ),
+    (
+        "a zone is cut from the platform",
+        "renewal/grant",
+        "zone-cut-from-store",
+        "",
+        "0",
+    ),
+    ("a zone is cut from the others", "renewal/grant", "zone-cut-from-peers", "", "5"),
+    ("a zone is cut off from all", "renewal/grant", "zone-cut-off", "", "5"),
+    (
+        "the leader is cut from the servers",
+        "renewal/grant",
+        "host-cut-from-servers",
+        "",
+        "5",
+    ),
+    ("the leader's promises lapse", "renewal/promise", "lease-lapse", "", "5"),
+    ("a server's grant lapses", "renewal/grant", "grant-lapse", "", "5"),
+)
+
+
+def main(arguments: list[str]) -> int:
+    """Runs each class with each seed and prints the table.
+
+    Args:
+        arguments: The program's name.
+
+    Returns:
+        1 if a run broke an invariant or a bound, else 0.
+    """
+    failed = False
+    print("| fault | bound | median | worst | failed |")
+    print("| --- | ---: | ---: | ---: | ---: |")
+    for name, step, fault, second, bound in CLASSES:
+        cell = _cell(step, fault, second)
+        results = [run_cell(cell, seed) for seed in range(1, _SEEDS.value + 1)]
+        times = [one.unavailable_seconds for one in results]
+        failures = [one.failures for one in results if not one.passed]
+        failed = failed or bool(failures)
+        print(
+            f"| {name} | {bound} | {median(times):.2f} | {max(times):.2f} |"
+            f" {len(failures)} |",
+            flush=True,
+        )
+        for found in failures[:1]:
+            print(f"{name}: {'; '.join(found)[:300]}", file=sys.stderr, flush=True)
+    return 1 if failed else 0
+
+
+def _cell(step: str, fault: str, second: str) -> Cell:
+    faults = {one.name: one for one in FAULTS}
+    found = next(one for one in STEPS if str(one) == step)
+    return Cell(found, faults[fault], faults.get(second))
+
+
+if __name__ == "__main__":
+    app.run(main)
--- a/tests/matrix/run_cell.py
+++ b/tests/matrix/run_cell.py
@@ -4,12 +4,14 @@
 import gc
 import logging
 import sys
+import warnings
 from typing import TYPE_CHECKING
 
 from balsamway.standins.checker import check
 from tests.fakes.faults import Injection
 from tests.fakes.step import Step
 from tests.matrix.availability import longest_unavailable
+from tests.matrix.bounds import SERVED_AGAIN_SECONDS, unavailable_bound
 from tests.matrix.cell import Cell, CellResult
 from tests.matrix.procedures import PROCEDURES
 from tests.matrix.process import start_outside
@@ -21,7 +23,6 @@
 
 REACH_TIMEOUT_SECONDS = 12.0
 SECOND_AFTER_SECONDS = 0.2
-SERVED_AGAIN_SECONDS = 5.0
 QUIET_SECONDS = 4.0
 
 
@@ -39,7 +40,9 @@
         asyncio.set_event_loop(None)
         loop.close()
         del loop
-        gc.collect()
+        with warnings.catch_warnings():
+            warnings.simplefilter("ignore", RuntimeWarning)
+            gc.collect()
         sys.unraisablehook = hook
         logging.disable(logging.NOTSET)
 
@@ -67,6 +70,7 @@
             if not await world.wait_ready():
                 self._failures.append("never ready")
                 return self._result(False)
+            await asyncio.sleep(world.rng.random())
             self._arm()
             await self._procedure.drive(world)
         reached = await self._wait_struck()
@@ -133,6 +137,13 @@
         journal = self._world.observer.journal()
         self._failures += [f"{one.invariant}: {one.detail}" for one in check(journal)]
         self._failures += self._world.crashes()
+        self._judge_availability()
+
+    def _judge_availability(self) -> None:
+        worst = longest_unavailable(self._world.callers.probes, self._struck_at)
+        bound = unavailable_bound(self._cell)
+        if worst > bound:
+            self._failures.append(f"not served for {worst:.3f} s, bound {bound:.1f} s")
 
     def _result(self, reached: bool) -> CellResult:
         probes = self._world.callers.probes
--- /dev/null
+++ b/tests/test_answer_protections.py
@@ -0,0 +1,113 @@
+"""The real transport against a server stand-in that answers wrongly."""
+
+from __future__ import annotations
+
+import asyncio
+
+import msgspec
+import pytest
+
+from balsamway.outcome import Completed, MayHaveRun, NotRun
+from balsamway.servers import http_transport
+from balsamway.servers.http_transport import HttpTransport
+from balsamway.servers.request import ServerRequest
+from balsamway.standins.checker import Invariant, check
+from balsamway.standins.journal import AnswerCheck, Journal, Told, ToldVerdict
+from balsamway.standins.server import (
+    RunTimes,
+    ServerFaults,
+    ServerSettings,
+    ServerStandin,
+)
+
+
+@pytest.fixture
+async def server():
+    settings = ServerSettings("s1", "a", "m", "s", run_times=RunTimes(0.001))
+    async with ServerStandin(settings) as standin:
+        yield standin
+
+
+@pytest.fixture
+async def transport():
+    found = HttpTransport(lambda host: 4)
+    yield found
+    await found.close()
+
+
+async def send(transport, server):
+    request = ServerRequest("m", "s", "order", "r1", "", 2.0, b"body")
+    start = asyncio.get_running_loop().time()
+    verdict = await transport.send(server.host, request)
+    end = asyncio.get_running_loop().time()
+    told, answer = _judge(verdict)
+    return Journal(
+        told=(
+            Told("m", "s", "order", "r1", "", False, told, "", 0, answer, start, end),
+        )
+    )
+
+
+def _judge(verdict):
+    match verdict:
+        case Completed(body=body):
+            return ToldVerdict.COMPLETED, _check(body)
+        case NotRun():
+            return ToldVerdict.NOT_RUN, AnswerCheck.NONE
+        case MayHaveRun():
+            return ToldVerdict.MAY_HAVE_RUN, AnswerCheck.NONE
+
+
+def _check(body):
+    try:
+        fields = msgspec.json.decode(body)
+    except msgspec.DecodeError:
+        return AnswerCheck.TRUNCATED
+    whole = fields.get("request_id") == "r1"
+    return AnswerCheck.WHOLE if whole else AnswerCheck.SWAPPED
+
+
+async def _trust_any_answer(response, request):
+    try:
+        body = await response.read()
+    except http_transport.aiohttp.ClientPayloadError:
+        body = b"{"
+    return Completed(response.status, {}, body)
+
+
+FAULTY = {
+    Invariant.ANSWER_FROM_RUN: ServerFaults(shedding=True),
+    Invariant.ANSWER_WHOLE: ServerFaults(swap_answers=True),
+}
+
+
+@pytest.mark.parametrize(
+    "faults",
+    [
+        ServerFaults(),
+        ServerFaults(shedding=True),
+        ServerFaults(swap_answers=True),
+        ServerFaults(truncate_answers=True),
+        ServerFaults(lose_answers=True),
+    ],
+    ids=str,
+)
+async def test_a_wrong_answer_is_not_passed_on(transport, server, faults):
+    server.faults = faults
+    journal = await send(transport, server) + server.journal
+    assert check(journal) == ()
+
+
+@pytest.mark.parametrize("invariant", FAULTY)
+async def test_trusting_any_answer_is_caught(transport, server, monkeypatch, invariant):
+    monkeypatch.setattr(http_transport, "judge_answer", _trust_any_answer)
+    server.faults = FAULTY[invariant]
+    journal = await send(transport, server) + server.journal
+    assert invariant in {one.invariant for one in check(journal)}
+
+
+async def test_trusting_a_truncated_answer_is_caught(transport, server, monkeypatch):
+    monkeypatch.setattr(http_transport, "judge_answer", _trust_any_answer)
+    server.faults = ServerFaults(truncate_answers=True)
+    journal = await send(transport, server) + server.journal
+    assert Invariant.ANSWER_WHOLE in {one.invariant for one in check(journal)}
