--- a/src/balsamway/ownership/view_server.py
+++ b/src/balsamway/ownership/view_server.py
@@ -83,7 +83,11 @@
         """Makes the view anew, and has it pushed if it changed."""
         if not self._open:
             return
-        slices = tuple(map(self._view_slice, self._state.record.slices))
+        provisional = self._state.provisional()
+        slices = tuple(
+            self._view_slice(entry, entry.range in provisional)
+            for entry in self._state.record.slices
+        )
         if slices == self._slices:
             return
         self._slices = slices
@@ -168,7 +172,7 @@
         for gateway in [one for one, end in self._ends.items() if end <= now()]:
             del self._ends[gateway]
 
-    def _view_slice(self, entry: SliceEntry) -> ViewSlice:
+    def _view_slice(self, entry: SliceEntry, provisional: bool) -> ViewSlice:
         keeper = self._keepers.get(entry.owner)
         served = keeper is not None and keeper.holds(entry)
         return ViewSlice(
@@ -176,6 +180,6 @@
             entry.owner if served else "",
             entry.epoch,
             self._state.is_held(entry.range),
-            self._state.is_provisional(entry),
+            provisional,
             keeper is not None and keeper.checks is True,
         )
