--- a/tests/matrix/mutations.py
+++ b/tests/matrix/mutations.py
@@ -73,8 +73,8 @@
         "an assignment that the store does not hold is told as in effect",
         Invariant.ASSIGNMENT_KEPT,
         ShardState,
-        "is_provisional",
-        lambda self, entry: False,
+        "provisional",
+        lambda self: frozenset(),
         "loss/activate:store-down",
     ),
     Mutation(
