--- a/tests/matrix/run_cell.py
+++ b/tests/matrix/run_cell.py
@@ -3,6 +3,7 @@
 import asyncio
 import gc
 import logging
+import signal
 import sys
 import warnings
 from typing import TYPE_CHECKING
@@ -23,18 +24,30 @@
 
 REACH_TIMEOUT_SECONDS = 12.0
 SECOND_AFTER_SECONDS = 0.2
+HANGING_SECONDS = 45.0
+"""Of real time; a cell takes about one."""
 QUIET_SECONDS = 4.0
 
 
+class CellHangsError(BaseException):
+    """The cell makes no end, for example because its clock stands still."""
+
+
 def run_cell(cell: Cell, seed: int) -> CellResult:
     """Runs one cell on a clock of its own."""
     loop = ProcessLoop(start=0.0, noop_cycles=0)
     asyncio.set_event_loop(loop)
     logging.disable(logging.CRITICAL)
     hook = sys.unraisablehook
+    alarm = signal.signal(signal.SIGALRM, _stop_hanging)
+    signal.setitimer(signal.ITIMER_REAL, HANGING_SECONDS)
     try:
         return loop.run_until_complete(_CellRun(cell, seed).run())
+    except CellHangsError:
+        return CellResult(cell, True, ("the cell hangs",), 0.0)
     finally:
+        signal.setitimer(signal.ITIMER_REAL, 0.0)
+        signal.signal(signal.SIGALRM, alarm)
         # What lost processes have left is cleared away without a word.
         sys.unraisablehook = lambda unraisable: None
         asyncio.set_event_loop(None)
@@ -47,6 +60,10 @@
         logging.disable(logging.NOTSET)
 
 
+def _stop_hanging(number: int, frame: object) -> None:
+    raise CellHangsError
+
+
 class _CellRun:
     def __init__(self, cell: Cell, seed: int) -> None:
         self._cell = cell
