--- a/src/balsamway/standins/main.py
+++ b/src/balsamway/standins/main.py
@@ -2,25 +2,28 @@
 
 from __future__ import annotations
 
-import logging
+import asyncio
+import signal
 import sys
 from pathlib import Path
+from typing import TYPE_CHECKING
 
-import mode
 from absl import app, flags
 
 from balsamway.settings import SettingsError
 from balsamway.standins.caller import CallerSettings, CallerStandin
+from balsamway.standins.http_standin import HttpStandin
 from balsamway.standins.platform import PlatformSettings, PlatformStandin
 from balsamway.standins.read_standin_settings import read_standin_settings
 from balsamway.standins.server import ServerSettings, ServerStandin
 
+if TYPE_CHECKING:
+    import mode
+
 EXIT_USAGE = 2
 
 _SETTINGS = flags.DEFINE_string("settings", None, "The settings file.")
 
-logger = logging.getLogger(__name__)
-
 
 def create_standin(role: str, settings: Path) -> mode.Service:
     """Creates the stand-in that a command line asks for.
@@ -65,11 +68,39 @@
     except SettingsError as error:
         print(error, file=sys.stderr)
         return EXIT_USAGE
-    worker = mode.Worker(standin, loglevel="WARNING", daemon=True)
-    worker.execute_from_commandline()
+    asyncio.run(_serve(standin))
     return 0
 
 
+async def _serve(standin: mode.Service) -> None:
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, stop.set)
+    loop.add_signal_handler(signal.SIGINT, stop.set)
+    await standin.start()
+    if isinstance(standin, HttpStandin):
+        print(standin.address, flush=True)
+    if isinstance(standin, CallerStandin):
+        await _wait_for_end(standin, stop)
+    else:
+        await stop.wait()
+    await standin.stop()
+
+
+async def _wait_for_end(caller: CallerStandin, stop: asyncio.Event) -> None:
+    waits = [
+        asyncio.ensure_future(caller.wait_done()),
+        asyncio.ensure_future(stop.wait()),
+    ]
+    await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+    for wait in waits:
+        wait.cancel()
+
+
 def run() -> None:
     """Runs the command."""
     app.run(main)
+
+
+if __name__ == "__main__":
+    run()
--- a/tests/matrix/fault.py
+++ b/tests/matrix/fault.py
@@ -34,6 +34,8 @@
     """Whether no entry host can use the store until the fault is healed."""
     takes_source: bool = False
     """Whether the entry host that makes the call, or leads, is taken out."""
+    takes_zone: bool = False
+    """Whether the entry hosts of one zone are cut from the others."""
     at_any_time: bool = False
     """Whether the fault can come second in a pair, at no step of its own."""
 
--- a/tests/matrix/fault_list.py
+++ b/tests/matrix/fault_list.py
@@ -311,6 +311,7 @@
         needs_entry_source=True,
         at_any_time=True,
         takes_source=True,
+        takes_zone=True,
     ),
     Fault(
         "zone-cut-off",
@@ -320,6 +321,7 @@
         needs_entry_source=True,
         at_any_time=True,
         takes_source=True,
+        takes_zone=True,
     ),
     Fault(
         "host-cut-from-servers",
