--- a/tests/matrix/recovery.py
+++ b/tests/matrix/recovery.py
@@ -7,13 +7,15 @@
 
 from absl import app, flags
 
-from tests.matrix.cell import Cell
+from tests.matrix.cell import Cell, CellResult
 from tests.matrix.fault_list import FAULTS
 from tests.matrix.procedures import STEPS
 from tests.matrix.run_cell import run_cell
 
 _SEEDS = flags.DEFINE_integer("seeds", 10, "How many seeds, counted from 1.")
 
+NOT_TOLERATED = "not tolerated"
+
 CLASSES = (
     ("a server is lost", "renewal/heartbeat", "server-lost", "", "3.5"),
     ("a server freezes and returns", "renewal/heartbeat", "server-frozen", "", "5"),
@@ -52,7 +54,7 @@
         "renewal/heartbeat",
         "store-down",
         "leader-lost",
-        "not tolerated",
+        NOT_TOLERATED,
     ),
     (
         "a zone is cut from the platform",
@@ -91,7 +93,8 @@
         cell = _cell(step, fault, second)
         results = [run_cell(cell, seed) for seed in range(1, _SEEDS.value + 1)]
         times = [one.unavailable_seconds for one in results]
-        failures = [one.failures for one in results if not one.passed]
+        failures = [_failures(one, bound) for one in results]
+        failures = [one for one in failures if one]
         failed = failed or bool(failures)
         print(
             f"| {name} | {bound} | {median(times):.2f} | {max(times):.2f} |"
@@ -103,6 +106,15 @@
     return 1 if failed else 0
 
 
+def _failures(result: CellResult, bound: str) -> list[str]:
+    found = list(result.failures)
+    if not result.reached:
+        found.append("never reached")
+    if bound != NOT_TOLERATED and result.unavailable_seconds > float(bound):
+        found.append(f"not served for {result.unavailable_seconds:.3f} s")
+    return found
+
+
 def _cell(step: str, fault: str, second: str) -> Cell:
     faults = {one.name: one for one in FAULTS}
     found = next(one for one in STEPS if str(one) == step)
