--- a/src/balsamway/standins/server/request_runner.py
+++ b/src/balsamway/standins/server/request_runner.py
@@ -106,10 +106,11 @@
             `not-run`, `ran` or `unknown`.
         """
         known = self._known.get(request_id)
+        if known is not None and known.ran:
+            return "ran"
         if known is None or attempt_id not in known.received:
+            # The attempt may still be on its way.
             return "unknown"
-        if known.ran:
-            return "ran"
         for task in known.tasks:
             task.cancel()
         return "not-run"
--- a/tests/matrix/procedures.py
+++ b/tests/matrix/procedures.py
@@ -10,7 +10,7 @@
 from balsamway.configuration.acceptance import Acceptance
 from balsamway.slices import position_of
 from tests.matrix.procedure_step import ProcedureStep
-from tests.matrix.process import Process
+from tests.matrix.process import Process, start_outside
 from tests.matrix.record_change import record_change
 from tests.matrix.step_kind import StepKind
 from tests.matrix.world import SHARD, World, configuration
@@ -19,6 +19,10 @@
     from tests.fakes.step import Step
 
 OPERATOR = "operator"
+FROZEN_SECONDS = 2.6
+"""Longer than a grant, so that the server returns without one."""
+BETWEEN_CHANGES_SECONDS = 0.4
+"""Less than a late message is late, so that an old version arrives last."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,14 +45,26 @@
     world.lose_entry_host(world.leader())
 
 
+async def _return_server(world: World) -> None:
+    server = world.server("s1")
+    server.freeze()
+
+    async def thaw() -> None:
+        await asyncio.sleep(FROZEN_SECONDS)
+        server.thaw()
+
+    start_outside(thaw())
+
+
 async def _move(world: World) -> None:
     entry = world.entry[world.leader()]
     leader = entry.leadership.leader(SHARD)
     assert leader is not None
-    first = leader.context.state.record.slices[0]
-    names = sorted(world.servers.servers)
-    to = names[(names.index(first.owner) + 1) % len(names)]
-    entry.process.start(leader.handover.move([Move(first.range, to)]))
+    slices = leader.context.state.record.slices
+    checked = next(one for one in slices if one.owner == "s1")
+    unchecked = next(one for one in slices if one.owner == "s3")
+    moves = [Move(checked.range, "s2"), Move(unchecked.range, "s4")]
+    entry.process.start(leader.handover.move(moves))
 
 
 async def _join(world: World) -> None:
@@ -64,11 +80,16 @@
 
 
 async def _accept(world: World) -> None:
+    world.operator = Process(OPERATOR)
+    world.operator.start(_accept_twice(world))
+
+
+async def _accept_twice(world: World) -> None:
     store = world.store.client(OPERATOR)
     acceptance = Acceptance(store, random.Random(world.seed))
-    operator = Process(OPERATOR)
-    operator.start(acceptance.accept(configuration(1), 1))
-    world.operator = operator
+    await acceptance.accept(configuration(1), 1)
+    await asyncio.sleep(BETWEEN_CHANGES_SECONDS)
+    await acceptance.accept(configuration(1), 2)
 
 
 def _store(operation: str, prefix: str) -> Callable[[object, Step], bool]:
@@ -107,8 +128,11 @@
     return matches
 
 
-def _request(world: object, step: Step) -> bool:
-    return step.interface == "requests"
+def _request(kind: str) -> Callable[[object, Step], bool]:
+    def matches(world: object, step: Step) -> bool:
+        return step.interface == "requests" and step.detail.kind == kind
+
+    return matches
 
 
 READ, WATCH, WRITE = StepKind.STORE_READ, StepKind.STORE_WATCH, StepKind.STORE_WRITE
@@ -118,6 +142,7 @@
     Procedure("first-claim", _nothing, from_nothing=True),
     Procedure("claim", _lose_leader),
     Procedure("renewal", _nothing),
+    Procedure("return", _return_server),
     Procedure("move", _move),
     Procedure("join", _join),
     Procedure("leave", _leave),
@@ -146,10 +171,11 @@
     ProcedureStep("claim", "grant", ORDER, _order("grant")),
     ProcedureStep("claim", "view", MESSAGE, _message("ViewRequest")),
     ProcedureStep("renewal", "promise", MESSAGE, _message("PromiseRequest")),
-    ProcedureStep("renewal", "survey", ORDER, _order("survey")),
     ProcedureStep("renewal", "grant", ORDER, _order("grant")),
     ProcedureStep("renewal", "view", MESSAGE, _message("ViewRequest")),
     ProcedureStep("renewal", "heartbeat", MESSAGE, _message("Heartbeat")),
+    ProcedureStep("return", "survey", ORDER, _order("survey", "s1")),
+    ProcedureStep("return", "grant", ORDER, _order("grant", "s1")),
     ProcedureStep("move", "intent", WRITE, _record("intent")),
     ProcedureStep("move", "hold", MESSAGE, _message("ViewNotice", held=True)),
     ProcedureStep("move", "release", ORDER, _order("release")),
@@ -174,11 +200,7 @@
     ProcedureStep("adopt", "watch", WATCH, _store("watch", "configuration/")),
     ProcedureStep("adopt", "notice", MESSAGE, _message("ConfigurationNotice")),
     ProcedureStep("adopt", "digest", MESSAGE, _message("ConfigurationDigest")),
-    ProcedureStep("request", "send", REQUEST, _request),
+    ProcedureStep("request", "send-read", REQUEST, _request("read")),
+    ProcedureStep("request", "send-order", REQUEST, _request("order")),
     ProcedureStep("request", "view", MESSAGE, _message("ViewRequest")),
 )
-
-
-async def settle(seconds: float) -> None:
-    """Lets the deployment run on."""
-    await asyncio.sleep(seconds)
--- a/tests/matrix/run_cell.py
+++ b/tests/matrix/run_cell.py
@@ -3,13 +3,16 @@
 import asyncio
 import gc
 import logging
+import signal
 import sys
+import warnings
 from typing import TYPE_CHECKING
 
 from balsamway.standins.checker import check
 from tests.fakes.faults import Injection
 from tests.fakes.step import Step
 from tests.matrix.availability import longest_unavailable
+from tests.matrix.bounds import SERVED_AGAIN_SECONDS, unavailable_bound
 from tests.matrix.cell import Cell, CellResult
 from tests.matrix.procedures import PROCEDURES
 from tests.matrix.process import start_outside
@@ -21,29 +24,46 @@
 
 REACH_TIMEOUT_SECONDS = 12.0
 SECOND_AFTER_SECONDS = 0.2
-SERVED_AGAIN_SECONDS = 5.0
+HANGING_SECONDS = 45.0
+"""Of real time; a cell takes about one."""
 QUIET_SECONDS = 4.0
 
 
+class CellHangsError(BaseException):
+    """The cell makes no end, for example because its clock stands still."""
+
+
 def run_cell(cell: Cell, seed: int) -> CellResult:
     """Runs one cell on a clock of its own."""
-    loop = ProcessLoop(start=0.0)
+    loop = ProcessLoop(start=0.0, noop_cycles=0)
     asyncio.set_event_loop(loop)
     logging.disable(logging.CRITICAL)
     hook = sys.unraisablehook
+    alarm = signal.signal(signal.SIGALRM, _stop_hanging)
+    signal.setitimer(signal.ITIMER_REAL, HANGING_SECONDS)
     try:
         return loop.run_until_complete(_CellRun(cell, seed).run())
+    except CellHangsError:
+        return CellResult(cell, True, ("the cell hangs",), 0.0)
     finally:
+        signal.setitimer(signal.ITIMER_REAL, 0.0)
+        signal.signal(signal.SIGALRM, alarm)
         # What lost processes have left is cleared away without a word.
         sys.unraisablehook = lambda unraisable: None
         asyncio.set_event_loop(None)
         loop.close()
         del loop
-        gc.collect()
+        with warnings.catch_warnings():
+            warnings.simplefilter("ignore", RuntimeWarning)
+            gc.collect()
         sys.unraisablehook = hook
         logging.disable(logging.NOTSET)
 
 
+def _stop_hanging(number: int, frame: object) -> None:
+    raise CellHangsError
+
+
 class _CellRun:
     def __init__(self, cell: Cell, seed: int) -> None:
         self._cell = cell
@@ -67,6 +87,7 @@
             if not await world.wait_ready():
                 self._failures.append("never ready")
                 return self._result(False)
+            await asyncio.sleep(world.rng.random())
             self._arm()
             await self._procedure.drive(world)
         reached = await self._wait_struck()
@@ -74,6 +95,7 @@
             await asyncio.gather(*self._heals)
             self._healed_at = world.now
             await self._wait_served()
+            await asyncio.gather(*world.stops)
             self._judge()
         return self._result(reached)
 
@@ -132,6 +154,13 @@
         journal = self._world.observer.journal()
         self._failures += [f"{one.invariant}: {one.detail}" for one in check(journal)]
         self._failures += self._world.crashes()
+        self._judge_availability()
+
+    def _judge_availability(self) -> None:
+        worst = longest_unavailable(self._world.callers.probes, self._struck_at)
+        bound = unavailable_bound(self._cell)
+        if worst > bound:
+            self._failures.append(f"not served for {worst:.3f} s, bound {bound:.1f} s")
 
     def _result(self, reached: bool) -> CellResult:
         probes = self._world.callers.probes
