--- a/benchmarks/run.py
+++ b/benchmarks/run.py
@@ -4,7 +4,7 @@
 
 from pathlib import Path
 
-from absl import app, flags
+from absl import app, flags, logging
 from rich.console import Console
 from rich.progress import track
 
@@ -22,6 +22,7 @@
     Returns:
         1 where a goal was not met, else 0.
     """
+    logging.set_verbosity(logging.ERROR)
     console = Console()
     missed = False
     for name in track(ONLY.value or list(EXPERIMENTS), console=console):
