--- a/src/balsamway/observe/experiments/steady.py
+++ b/src/balsamway/observe/experiments/steady.py
@@ -8,7 +8,7 @@
 from balsamway.configuration import Weights
 from balsamway.observe.experiments.keyed_run import KeyedRun, KeyedSetup
 from balsamway.observe.experiments.keyed_workload import KeyedWorkload
-from balsamway.observe.experiments.result import Row
+from balsamway.observe.experiments.result import Goal, Row
 from balsamway.observe.experiments.server_event import ServerEvent
 from balsamway.observe.experiments.static_planner import StaticPlanner
 
@@ -44,6 +44,7 @@
             self.policy,
             (
                 churn.over_least,
+                churn.traffic / least,
                 churn.key_space,
                 churn.traffic,
                 float(churn.moves),
@@ -55,7 +56,8 @@
 
 
 MOVEMENT_COLUMNS = (
-    "moved over least",
+    "key space over least",
+    "traffic over least",
     "key space moved",
     "traffic moved",
     "moves",
@@ -65,6 +67,22 @@
 )
 
 
+def movement_goals(rows: tuple[Row, ...]) -> tuple[Goal, ...]:
+    """Compares what the planner moved with the least possible.
+
+    Args:
+        rows: The measures; the first row is the baseline's.
+
+    Returns:
+        A goal for the key space and one for the traffic of each row.
+    """
+    return tuple(
+        Goal(f"{MOVEMENT_COLUMNS[index]}, {row.policy}", MOVEMENT_GOAL, value)
+        for row in rows[1:]
+        for index, value in enumerate(row.values[:2])
+    )
+
+
 def run_policies(
     seed: int, events: tuple[ServerEvent, ...], servers: int = 12
 ) -> list[PolicyRun]:
