Give gateways outside a member's zones no share of its connections

Cause: every gateway kept connections warm to every member's servers, more in sum than servers with 50 connections accept, and asked each that refused again every second: 39,769 calls in 40 s of an idle deployment. A server that did not answer is left alone for 5 s; the list of entry hosts is made once for each change of it.

--- a/src/balsamway/daemon/daemon.py
+++ b/src/balsamway/daemon/daemon.py
@@ -231,7 +231,7 @@
         pool = ServerPool(self._membership, budget, self._rng)
         self._transport = HttpTransport(budget.limit, metrics.on_open)
         self._warmer = ConnectionWarmer(
-            self._membership, self._configurations, self._transport
+            self._membership, self._configurations, self._transport, budget
         )
         recorder = LoadRecorder()
         self._load_reporter = LoadReporter(
--- a/src/balsamway/gateway/connection_budget.py
+++ b/src/balsamway/gateway/connection_budget.py
@@ -37,6 +37,9 @@
         self._directory = directory
         self._configurations = configurations
         self._chosen_at: dict[str, float] = {}
+        self._hosts: tuple[Host, ...] = ()
+        self._zones: dict[str, frozenset[str]] = {}
+        self._gateways: dict[str, frozenset[str]] = {}
 
     def service_of(self, host: Host) -> Service | None:
         """Finds the service that a server runs.
@@ -62,16 +65,34 @@
         service = self.service_of(host)
         if service is None:
             return 0
-        return equal_share(service) or self._subset_share(host, service)
-
-    def _subset_share(self, host: Host, service: Service) -> int:
-        member = self._configurations.member(host.member)
-        zones = member.zone_names if member else frozenset()
-        gateways = [
-            entry.name for entry in self._directory.entry_hosts() if entry.zone in zones
-        ]
+        gateways = self._gateways_of(host.member)
+        if self._gateway not in gateways:
+            return 0
+        return equal_share(service) or self._subset_share(host, service, gateways)
+
+    def _subset_share(
+        self, host: Host, service: Service, gateways: frozenset[str]
+    ) -> int:
         if not is_in_subset(service, host.name, self._gateway, gateways):
             self._chosen_at.pop(host.name, None)
             return 0
         now = asyncio.get_running_loop().time()
         return int(now - self._chosen_at.setdefault(host.name, now) >= SETTLE_SECONDS)
+
+    def _gateways_of(self, member: str) -> frozenset[str]:
+        # The connections of a server are shared out among the entry hosts in
+        # its member's zones; one elsewhere has no share.
+        hosts = self._directory.entry_hosts()
+        zones = self._zones_of(member)
+        if hosts is not self._hosts:
+            self._hosts = hosts
+            self._gateways.clear()
+        if zones != self._zones.get(member) or member not in self._gateways:
+            self._zones[member] = zones
+            names = (host.name for host in hosts if host.zone in zones)
+            self._gateways[member] = frozenset(names)
+        return self._gateways[member]
+
+    def _zones_of(self, member: str) -> frozenset[str]:
+        configuration = self._configurations.member(member)
+        return configuration.zone_names if configuration else frozenset()
--- a/src/balsamway/gateway/connection_warmer.py
+++ b/src/balsamway/gateway/connection_warmer.py
@@ -9,6 +9,7 @@
 
 if TYPE_CHECKING:
     from balsamway.configuration.configurations import Configurations
+    from balsamway.gateway.connection_budget import ConnectionBudget
     from balsamway.membership.directory import Directory
     from balsamway.platform import Host
     from balsamway.servers.http_transport import HttpTransport
@@ -17,6 +18,8 @@
 """How often servers that joined are looked for."""
 WARM_SECONDS = 20.0
 """How often a connection is used, well within the time it is kept open."""
+RETRY_SECONDS = 5.0
+"""How long a server that did not answer is left alone."""
 TIMEOUT_SECONDS = 1.0
 
 
@@ -31,6 +34,7 @@
         directory: Directory,
         configurations: Configurations,
         transport: HttpTransport,
+        budget: ConnectionBudget,
     ) -> None:
         """Makes a warmer that has opened nothing.
 
@@ -38,12 +42,14 @@
             directory: Which servers there are.
             configurations: The configurations in force.
             transport: Holds the connections.
+            budget: Tells which servers this gateway may connect to.
         """
         super().__init__()
         self._directory = directory
         self._configurations = configurations
         self._transport = transport
-        self._warmed_at: dict[str, float] = {}
+        self._budget = budget
+        self._warm_at: dict[str, float] = {}
 
     @mode.Service.task
     async def _keep_warm(self) -> None:
@@ -53,18 +59,18 @@
 
     def dump(self) -> dict[str, object]:
         """Gives how many servers are kept warm, for the state dump."""
-        return {"servers": len(self._warmed_at)}
+        return {"servers": len(self._warm_at)}
 
     def _due(self) -> list[Host]:
         now = asyncio.get_running_loop().time()
         hosts = {host.address: host for host in self._servers()}
-        self._warmed_at = {
-            address: at for address, at in self._warmed_at.items() if address in hosts
+        self._warm_at = {
+            address: at for address, at in self._warm_at.items() if address in hosts
         }
         return [
             host
             for address, host in hosts.items()
-            if now - self._warmed_at.get(address, -WARM_SECONDS) >= WARM_SECONDS
+            if now >= self._warm_at.get(address, 0.0)
         ]
 
     def _servers(self) -> list[Host]:
@@ -73,8 +79,10 @@
             for member in self._configurations.members()
             for service in member.services
             for host in self._directory.servers(member.member, service.name)
+            if self._budget.limit(host)
         ]
 
     async def _warm(self, host: Host) -> None:
-        if await self._transport.health(host, TIMEOUT_SECONDS) is not None:
-            self._warmed_at[host.address] = asyncio.get_running_loop().time()
+        health = await self._transport.health(host, TIMEOUT_SECONDS)
+        pause = RETRY_SECONDS if health is None else WARM_SECONDS
+        self._warm_at[host.address] = asyncio.get_running_loop().time() + pause
--- a/src/balsamway/membership/membership_service.py
+++ b/src/balsamway/membership/membership_service.py
@@ -67,6 +67,7 @@
         self._listed_at: float | None = None
         self._states: dict[str, PeerState] = {}
         self._servers = ServerTable()
+        self._entry_hosts: tuple[Host, ...] | None = None
         self._stopping = False
         self._peers: Peers | None = None
         self._leads: Callable[[], tuple[LeadershipClaim, ...]] = tuple
@@ -120,6 +121,7 @@
             host: This host, once its listeners are bound.
         """
         self._host = host
+        self._entry_hosts = None
 
     def servers(self, member: str, service: str) -> tuple[Host, ...]:
         """Lists the servers of a service; see `Directory`."""
@@ -135,12 +137,13 @@
 
     def entry_hosts(self) -> tuple[Host, ...]:
         """Lists the entry hosts; see `Directory`."""
-        known = dict(self._seeds)
-        known.update(self._listed_entry_hosts())
-        for state in self._states.values():
-            known[state.heartbeat.host.name] = state.heartbeat.host
-        known[self._host.name] = self._host
-        return tuple(known[name] for name in sorted(known))
+        if self._entry_hosts is None:
+            known = self._seeds | self._listed_entry_hosts()
+            for state in self._states.values():
+                known[state.heartbeat.host.name] = state.heartbeat.host
+            known[self._host.name] = self._host
+            self._entry_hosts = tuple(known[name] for name in sorted(known))
+        return self._entry_hosts
 
     def live_witnesses(self) -> tuple[Witness, ...]:
         """Lists the daemons heard from lately; see `Directory`."""
@@ -246,6 +249,7 @@
         now = _now()
         self._listed = {host.name: host for host in hosts}
         self._listed_at = now - age_seconds
+        self._entry_hosts = None
         servers = [host for host in hosts if host.role is HostRole.SERVER]
         self._servers.adopt(tuple(servers), now)
 
@@ -285,11 +289,15 @@
         for name, state in list(self._states.items()):
             if now - state.heard_at > PEER_FORGOTTEN_SECONDS:
                 del self._states[name]
+                self._entry_hosts = None
 
     async def _on_heartbeat(self, sender: str, beat: Heartbeat) -> None:
         if sender != beat.host.name:
             return
         now = _now()
+        known = self._states.get(sender)
+        if known is None or known.heartbeat.host != beat.host:
+            self._entry_hosts = None
         self._states[sender] = PeerState(beat, now)
         for server in beat.leaving_servers:
             self._servers.hear_leaving(server, now)
--- a/tests/fakes/gateway_path.py
+++ b/tests/fakes/gateway_path.py
@@ -49,9 +49,9 @@
 
     async def start(self) -> GatewayPath:
         metrics = GatewayMetrics(self.registry)
-        budget = ConnectionBudget("g1", self.directory, self.configurations)
-        self.pool = ServerPool(self.directory, budget, random.Random(2))
-        self.transport = HttpTransport(budget.limit, metrics.on_open)
+        self.budget = ConnectionBudget("g1", self.directory, self.configurations)
+        self.pool = ServerPool(self.directory, self.budget, random.Random(2))
+        self.transport = HttpTransport(self.budget.limit, metrics.on_open)
         self.gateway = Gateway(
             self.pool,
             self.routes,
--- a/tests/gateway/test_connections.py
+++ b/tests/gateway/test_connections.py
@@ -7,10 +7,12 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from balsamway.configuration import Zone
 from balsamway.gateway.connection_budget import SETTLE_SECONDS, ConnectionBudget
 from balsamway.gateway.connection_warmer import ConnectionWarmer
 from balsamway.gateway.retry_budget import TOKENS_AT_MOST, RetryBudget
 from balsamway.gateway.subset import equal_share, is_in_subset
+from balsamway.platform import Host, HostRole
 from tests.fakes import gateway_server as fake
 from tests.fakes.gateway_configurations import LIDS, PRICES, GatewayConfigurations
 from tests.fakes.gateway_directory import GatewayDirectory
@@ -75,7 +77,9 @@
 @pytest.mark.looptime
 async def test_the_first_request_finds_a_warm_connection(path):
     server = await path.add_server()
-    warmer = ConnectionWarmer(path.directory, path.configurations, path.transport)
+    warmer = ConnectionWarmer(
+        path.directory, path.configurations, path.transport, path.budget
+    )
     async with warmer:
         await asyncio.sleep(0.5)
         assert len(server.connections) == 1
@@ -99,3 +103,15 @@
     await asyncio.sleep(1000.0)
     assert budget.withdraw()
     assert budget.tokens <= TOKENS_AT_MOST
+
+
+def test_a_gateway_outside_the_zones_of_a_member_has_no_share():
+    directory = GatewayDirectory()
+    directory.gateways = ("g1",)
+    here = ConnectionBudget("g1", directory, GatewayConfigurations(LIDS))
+    zones = (Zone("elsewhere", "r", 3),)
+    elsewhere = GatewayConfigurations(replace(LIDS, zones=zones))
+    away = ConnectionBudget("g1", directory, elsewhere)
+    server = Host("s1", HostRole.SERVER, "a", "127.0.0.1:1", "lids", "prices")
+    assert here.limit(server) == equal_share(PRICES)
+    assert away.limit(server) == 0
