--- a/src/balsamway/standins/server/request_runner.py
+++ b/src/balsamway/standins/server/request_runner.py
@@ -79,6 +79,7 @@
             Whether its effect was applied.
         """
         known = self._known.setdefault(attempt.request_id, KnownRequest())
+        known.received.add(attempt.attempt_id)
         task = asyncio.ensure_future(self._carry_out(attempt, known))
         known.tasks.add(task)
         self._in_progress.add(attempt)
@@ -94,20 +95,22 @@
             return AttemptRefused("cancelled")
         return task.result()
 
-    def cancel(self, request_id: str) -> str:
+    def cancel(self, request_id: str, attempt_id: str = "") -> str:
         """Cancels the attempts of a request.
 
         Args:
             request_id: The request's id.
+            attempt_id: The id of the attempt that is asked about.
 
         Returns:
             `not-run`, `ran` or `unknown`.
         """
         known = self._known.get(request_id)
-        if known is None:
-            return "unknown"
-        if known.ran:
+        if known is not None and known.ran:
             return "ran"
+        if known is None or attempt_id not in known.received:
+            # The attempt may still be on its way.
+            return "unknown"
         for task in known.tasks:
             task.cancel()
         return "not-run"
