--- /dev/null
+++ b/tests/test_report_processes.py
@@ -0,0 +1,43 @@
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import subprocess
+import sys
+
+import pytest
+
+from tests.process_deployment import ROOT, ProcessDeployment
+
+RUN_COMMAND = "from balsamway.commands.main import run; run()"
+
+pytestmark = pytest.mark.processes
+
+
+async def test_a_report_is_made_from_the_metrics_of_running_daemons(tmp_path):
+    deployment = ProcessDeployment(tmp_path)
+    page = tmp_path / "report.html"
+    try:
+        await deployment.start()
+        told = await deployment.call_for(1.0, ["entry-1", "entry-2"], 1)
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-c",
+            RUN_COMMAND,
+            "report",
+            f"--platform={deployment.platform.url}",
+            "--member=workshop",
+            f"--html={page}",
+            "--json",
+            stdout=subprocess.PIPE,
+            env={**os.environ, "PYTHONPATH": str(ROOT / "src")},
+        )
+        printed, _ = await process.communicate()
+    finally:
+        await deployment.stop()
+    assert process.returncode == 0
+    report = json.loads(printed)
+    assert sum(each["requests"] for each in report["services"]) >= len(told)
+    assert any(each["servers"] for each in report["services"])
+    assert "<svg" in page.read_text()
