Wait for an owner that the host list does not name yet

Cause: the leader may read the host list before a gateway does, and the gateway refused as no-owner a request that it could have carried a moment later, so that a planned join had an unavailable moment. The matrix shares its cells among processes; the order of sets is the same in every run of the tests; one function reads the clock for all packages.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,11 @@
 VENV ?= .venv
 PYTHON := $(VENV)/bin/python
+JOBS ?= $(shell nproc)
 STAMP := $(VENV)/.installed
 
+# The order of sets decides between equals, so it is the same in every run.
+export PYTHONHASHSEED := 0
+
 .PHONY: setup format lint types test matrix bench demo clean
 
 setup: $(STAMP)
@@ -27,7 +31,7 @@
 	$(PYTHON) -m pytest
 
 matrix: setup
-	$(PYTHON) -m tests.matrix.run
+	$(PYTHON) -m tests.matrix.run --jobs $(JOBS)
 
 bench: setup
 	$(PYTHON) -m benchmarks.run --output out/bench
--- a/src/balsamway/configuration/configuration_service.py
+++ b/src/balsamway/configuration/configuration_service.py
@@ -8,6 +8,7 @@
 
 import mode
 
+from balsamway.clock import now
 from balsamway.configuration.adopted_configuration import AdoptedConfiguration
 from balsamway.configuration.codec import Malformed, decode_configuration
 from balsamway.configuration.configuration_metrics import ConfigurationMetrics
@@ -110,7 +111,7 @@
                     "version": found.configuration.version,
                     "change_id": found.configuration.change_id,
                     "source": found.source,
-                    "age_seconds": round(_now() - found.adopted_at, 3),
+                    "age_seconds": round(now() - found.adopted_at, 3),
                 }
                 for found in adopted
                 if found is not None
@@ -200,7 +201,7 @@
                 extra={"member": member, "source": source, "reason": found.reason},
             )
             return None
-        offered = AdoptedConfiguration(found, body, source, _now())
+        offered = AdoptedConfiguration(found, body, source, now())
         if not self._table.adopt(offered):
             return None
         self._note_adopted(offered)
@@ -238,7 +239,3 @@
     return ConfigurationNotice(
         configuration.member, configuration.version, adopted.body
     )
-
-
-def _now() -> float:
-    return asyncio.get_running_loop().time()
--- a/src/balsamway/gateway/exclusive_path.py
+++ b/src/balsamway/gateway/exclusive_path.py
@@ -6,6 +6,7 @@
 from contextlib import ExitStack
 from typing import TYPE_CHECKING
 
+from balsamway.clock import now
 from balsamway.gateway.admission import StillWaiting
 from balsamway.outcome import Completed, MayHaveRun, NotRun, Reason
 from balsamway.ownership.route import NoRoute
@@ -68,9 +69,13 @@
                 continue
             owner = self._pool.owner(route.owner)
             if owner is None:
-                return NotRun(Reason.NO_OWNER, "the owner is not listed", 1.0)
+                # The leader may have read the host list before this host.
+                if now() + RECHECK_SECONDS >= request.deadline:
+                    return NotRun(Reason.NO_OWNER, "the owner is not listed", 1.0)
+                await asyncio.sleep(RECHECK_SECONDS)
+                continue
             state, admission = owner
-            until = asyncio.get_running_loop().time() + RECHECK_SECONDS
+            until = now() + RECHECK_SECONDS
             admitted = await admission.enter(attempt, until)
             match admitted:
                 case NotRun():
--- a/src/balsamway/membership/membership_service.py
+++ b/src/balsamway/membership/membership_service.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-import asyncio
 import logging
 from typing import TYPE_CHECKING
 
 import mode
 
+from balsamway.clock import now
 from balsamway.membership.heartbeat import Heartbeat
 from balsamway.membership.hosts_answer import HostsAnswer
 from balsamway.membership.hosts_query import HostsQuery
@@ -125,15 +125,15 @@
 
     def servers(self, member: str, service: str) -> tuple[Host, ...]:
         """Lists the servers of a service; see `Directory`."""
-        return self._servers.of_service(member, service, _now())
+        return self._servers.of_service(member, service, now())
 
     def server(self, name: str) -> Host | None:
         """Finds a server by name; see `Directory`."""
-        return self._servers.find(name, _now())
+        return self._servers.find(name, now())
 
     def all_servers(self) -> tuple[Host, ...]:
         """Lists the servers of every service, in the order of their names."""
-        return self._servers.all(_now())
+        return self._servers.all(now())
 
     def entry_hosts(self) -> tuple[Host, ...]:
         """Lists the entry hosts; see `Directory`."""
@@ -171,7 +171,7 @@
 
     def mark_leaving(self, server: str) -> None:
         """Records that a server is leaving; see `Directory`."""
-        self._servers.mark_leaving(server, _now())
+        self._servers.mark_leaving(server, now())
 
     def address_of(self, name: str) -> str | None:
         """Gives the address of an entry host's peer listener.
@@ -190,7 +190,7 @@
 
     def dump(self) -> dict[str, object]:
         """Describes the directory for the state dump."""
-        now = _now()
+        moment = now()
         return {
             "host": self._host.name,
             "incarnation": self._incarnation,
@@ -199,13 +199,13 @@
                 name: {
                     "zone": state.heartbeat.host.zone,
                     "incarnation": state.heartbeat.incarnation,
-                    "silent_seconds": round(now - state.heard_at, 3),
+                    "silent_seconds": round(moment - state.heard_at, 3),
                     "stopping": state.heartbeat.stopping,
                     "leads": [str(claim.shard) for claim in state.heartbeat.leads],
                 }
                 for name, state in sorted(self._states.items())
             },
-            "servers": self._servers.dump(now),
+            "servers": self._servers.dump(moment),
         }
 
     @mode.Service.task
@@ -246,12 +246,12 @@
                 return
 
     def _adopt(self, hosts: tuple[Host, ...], age_seconds: float) -> None:
-        now = _now()
+        moment = now()
         self._listed = {host.name: host for host in hosts}
-        self._listed_at = now - age_seconds
+        self._listed_at = moment - age_seconds
         self._entry_hosts = None
         servers = [host for host in hosts if host.role is HostRole.SERVER]
-        self._servers.adopt(tuple(servers), now)
+        self._servers.adopt(tuple(servers), moment)
 
     def _listed_entry_hosts(self) -> dict[str, Host]:
         return {
@@ -263,11 +263,11 @@
     def _list_age(self) -> float:
         if self._listed_at is None:
             return float("inf")
-        return _now() - self._listed_at
+        return now() - self._listed_at
 
     def _is_live(self, state: PeerState) -> bool:
-        now = _now()
-        return now - state.heard_at < LIVE_SECONDS and not state.heartbeat.stopping
+        moment = now()
+        return moment - state.heard_at < LIVE_SECONDS and not state.heartbeat.stopping
 
     def _send_heartbeats(self) -> None:
         if self._peers is None:
@@ -276,7 +276,7 @@
             self._host,
             self._incarnation,
             self._leads(),
-            self._servers.seen_leaving(_now()),
+            self._servers.seen_leaving(now()),
             self._stopping,
         )
         zones = self._zones()
@@ -285,26 +285,22 @@
                 self._peers.send(host.name, beat)
 
     def _forget_lost_peers(self) -> None:
-        now = _now()
+        moment = now()
         for name, state in list(self._states.items()):
-            if now - state.heard_at > PEER_FORGOTTEN_SECONDS:
+            if moment - state.heard_at > PEER_FORGOTTEN_SECONDS:
                 del self._states[name]
                 self._entry_hosts = None
 
     async def _on_heartbeat(self, sender: str, beat: Heartbeat) -> None:
         if sender != beat.host.name:
             return
-        now = _now()
+        moment = now()
         known = self._states.get(sender)
         if known is None or known.heartbeat.host != beat.host:
             self._entry_hosts = None
-        self._states[sender] = PeerState(beat, now)
+        self._states[sender] = PeerState(beat, moment)
         for server in beat.leaving_servers:
-            self._servers.hear_leaving(server, now)
+            self._servers.hear_leaving(server, moment)
 
     async def _on_hosts_query(self, sender: str, query: HostsQuery) -> HostsAnswer:
         return HostsAnswer(tuple(self._listed.values()), min(self._list_age(), 1e9))
-
-
-def _now() -> float:
-    return asyncio.get_running_loop().time()
--- a/src/balsamway/ownership/authority.py
+++ b/src/balsamway/ownership/authority.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from balsamway.ownership._clock import now
+from balsamway.clock import now
 from balsamway.ownership._majority import majority_of
 
 if TYPE_CHECKING:
--- a/src/balsamway/ownership/claim.py
+++ b/src/balsamway/ownership/claim.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING, TypeAlias, TypeGuard
 
-from balsamway.ownership._clock import now
+from balsamway.clock import now
 from balsamway.ownership._majority import majority_of
 from balsamway.ownership.messages import AdoptAnswer, AdoptRequest
 from balsamway.ownership.roster_choice import choose_roster
--- a/src/balsamway/ownership/follower.py
+++ b/src/balsamway/ownership/follower.py
@@ -7,7 +7,7 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
-from balsamway.ownership._clock import now
+from balsamway.clock import now
 from balsamway.ownership._majority import majority_of
 from balsamway.ownership._rank import ranked
 from balsamway.ownership.found_record import FoundRecord
--- a/src/balsamway/ownership/grant_keeper.py
+++ b/src/balsamway/ownership/grant_keeper.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from balsamway.ownership._clock import now
+from balsamway.clock import now
 from balsamway.servers.orders import (
     GrantedRange,
     GrantOrder,
--- a/src/balsamway/ownership/handover.py
+++ b/src/balsamway/ownership/handover.py
@@ -7,7 +7,7 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
-from balsamway.ownership._clock import now
+from balsamway.clock import now
 from balsamway.ownership.record_writer import WriteOutcome
 from balsamway.ownership.shard_state import with_entries
 
--- a/src/balsamway/ownership/leadership_service.py
+++ b/src/balsamway/ownership/leadership_service.py
@@ -10,9 +10,9 @@
 
 import mode
 
+from balsamway.clock import now
 from balsamway.membership.member_directory import MemberDirectory
 from balsamway.membership.member_zones import MemberZones
-from balsamway.ownership._clock import now
 from balsamway.ownership.claim import Claim, Claimed
 from balsamway.ownership.follower import Follower
 from balsamway.ownership.messages import ViewAnswer, ViewRequest
--- a/src/balsamway/ownership/loss.py
+++ b/src/balsamway/ownership/loss.py
@@ -6,7 +6,7 @@
 import logging
 from typing import TYPE_CHECKING
 
-from balsamway.ownership._clock import now
+from balsamway.clock import now
 from balsamway.ownership.handover import moved
 from balsamway.ownership.record_writer import WriteOutcome
 from balsamway.ownership.shard_state import with_entries
--- a/src/balsamway/ownership/placement.py
+++ b/src/balsamway/ownership/placement.py
@@ -5,8 +5,8 @@
 from typing import TYPE_CHECKING
 
 from balsamway.balance import Candidate, CandidateState, PlacementInput
+from balsamway.clock import now
 from balsamway.configuration import Weights
-from balsamway.ownership._clock import now
 from balsamway.ownership.reshape import reshaped
 
 if TYPE_CHECKING:
--- a/src/balsamway/ownership/record_writer.py
+++ b/src/balsamway/ownership/record_writer.py
@@ -9,7 +9,7 @@
 from enum import Enum
 from typing import TYPE_CHECKING, TypeAlias
 
-from balsamway.ownership._clock import now
+from balsamway.clock import now
 from balsamway.platform import (
     Conflict,
     StoredObject,
--- a/src/balsamway/ownership/recovery.py
+++ b/src/balsamway/ownership/recovery.py
@@ -7,7 +7,7 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
-from balsamway.ownership._clock import now
+from balsamway.clock import now
 
 if TYPE_CHECKING:
     from balsamway.ownership.grant_keeper import GrantKeeper
--- a/src/balsamway/ownership/roster.py
+++ b/src/balsamway/ownership/roster.py
@@ -6,7 +6,7 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
-from balsamway.ownership._clock import now
+from balsamway.clock import now
 from balsamway.ownership.messages import AdoptAnswer, AdoptRequest
 from balsamway.ownership.record_writer import WriteOutcome
 from balsamway.ownership.roster_choice import ROSTER_SIZE, choose_roster
--- a/src/balsamway/ownership/shard_leader.py
+++ b/src/balsamway/ownership/shard_leader.py
@@ -8,7 +8,7 @@
 
 import mode
 
-from balsamway.ownership._clock import now
+from balsamway.clock import now
 from balsamway.ownership.authority import Authority
 from balsamway.ownership.grant_keeper import GrantKeeper
 from balsamway.ownership.handover import Handover
--- a/src/balsamway/ownership/shard_state.py
+++ b/src/balsamway/ownership/shard_state.py
@@ -5,7 +5,7 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
-from balsamway.ownership._clock import now
+from balsamway.clock import now
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
--- a/src/balsamway/ownership/store_relay.py
+++ b/src/balsamway/ownership/store_relay.py
@@ -5,7 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING, TypeVar
 
-from balsamway.ownership._clock import now
+from balsamway.clock import now
 from balsamway.ownership._store_answers import (
     answer_of,
     read_result_of,
--- a/src/balsamway/ownership/view_cache.py
+++ b/src/balsamway/ownership/view_cache.py
@@ -6,8 +6,8 @@
 from collections import Counter
 from typing import TYPE_CHECKING
 
+from balsamway.clock import now
 from balsamway.outcome import Reason
-from balsamway.ownership._clock import now
 from balsamway.ownership.route import NoRoute, Route
 from balsamway.slices.slice_map import SliceMap
 
--- a/src/balsamway/ownership/view_keeper.py
+++ b/src/balsamway/ownership/view_keeper.py
@@ -9,7 +9,7 @@
 
 import mode
 
-from balsamway.ownership._clock import now
+from balsamway.clock import now
 from balsamway.ownership.messages import (
     ViewAnswer,
     ViewNotice,
--- a/src/balsamway/ownership/view_server.py
+++ b/src/balsamway/ownership/view_server.py
@@ -5,7 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from balsamway.ownership._clock import now
+from balsamway.clock import now
 from balsamway.ownership.messages import (
     ViewAnswer,
     ViewNotice,
--- a/tests/gateway/test_exclusive_path.py
+++ b/tests/gateway/test_exclusive_path.py
@@ -99,3 +99,18 @@
     path.routes.owner = "s2"
     assert (await late).verdict == "completed"
     assert second.ran == ["late"]
+
+
+async def test_an_owner_that_is_not_listed_yet_is_waited_for(path, owners):
+    path.routes.owner = "s3"
+    answer = asyncio.create_task(path.post(ORDER, Balsamway_Key="k"))
+    await asyncio.sleep(0.2)
+    assert not answer.done()
+    await path.add_server(name="s3", service="stock")
+    assert (await answer).verdict == "completed"
+
+
+async def test_an_owner_that_is_never_listed_is_refused_by_the_deadline(path, owners):
+    path.routes.owner = "s3"
+    answer = await path.post(ORDER, Balsamway_Key="k", Balsamway_Timeout_Ms="300")
+    assert (answer.verdict, answer.reason) == ("not-run", "no-owner")
--- a/tests/matrix/run.py
+++ b/tests/matrix/run.py
@@ -5,6 +5,8 @@
 import os
 import sys
 from collections import defaultdict
+from concurrent.futures import ProcessPoolExecutor
+from itertools import repeat
 from statistics import median
 from typing import TYPE_CHECKING
 
@@ -19,12 +21,14 @@
     from tests.matrix.cell import Cell, CellResult
 
 DEFAULT_SEED = 20261204
+CHUNK_CELLS = 4
 
 _SEED = flags.DEFINE_integer("seed", DEFAULT_SEED, "Seeds all random choices.")
 _PART = flags.DEFINE_enum(
     "part", "all", ["all", "single", "pair"], "Which cells to run."
 )
 _MATCH = flags.DEFINE_string("match", "", "Runs only cells whose name has this.")
+_JOBS = flags.DEFINE_integer("jobs", 1, "How many processes share the cells.")
 _SHARE = flags.DEFINE_string("share", "1/1", "Runs the i-th of n shares, as i/n.")
 
 
@@ -39,7 +43,12 @@
     """
     console = Console(stderr=True)
     cells = chosen_cells()
-    results = [_run(cell) for cell in track(cells, "cells", console=console)]
+    with ProcessPoolExecutor(_JOBS.value) as jobs:
+        found = jobs.map(run_cell, cells, repeat(_SEED.value), chunksize=CHUNK_CELLS)
+        results = [
+            _told(one)
+            for one in track(found, "cells", total=len(cells), console=console)
+        ]
     _print_times(results)
     failed = [one for one in results if not one.passed]
     for result in failed:
@@ -64,11 +73,10 @@
     return cells[index - 1 :: count]
 
 
-def _run(cell: Cell) -> CellResult:
-    result = run_cell(cell, _SEED.value)
+def _told(result: CellResult) -> CellResult:
     if not result.passed:
         reasons = "; ".join(result.failures)[:400]
-        print(f"failed {cell}: {reasons}", file=sys.stderr, flush=True)
+        print(f"failed {result.cell}: {reasons}", file=sys.stderr, flush=True)
     return result
 
 
