Let a leader stand down only where a peer reaches servers that it cannot

Cause: a new leader that never reached a server kept its shard until its cut healed; standing down at silence alone would pass leadership round for ever when all servers are lost. Followers of the first ranks pause 1 s at most. Weights of an accepted configuration reach a leader in power.

--- a/src/balsamway/ownership/follower.py
+++ b/src/balsamway/ownership/follower.py
@@ -28,7 +28,8 @@
 """Hosts ranked lower look less often."""
 SPARE_PAUSE_SECONDS = 2.0
 SHORTEST_PAUSE_SECONDS = 0.25
-LONGEST_PAUSE_SECONDS = 4.0
+LONGEST_PAUSE_SECONDS = 1.0
+LONGEST_SPARE_PAUSE_SECONDS = 4.0
 QUERY_TIMEOUT_SECONDS = 0.1
 
 
@@ -119,8 +120,11 @@
 
     def _longer_pause(self) -> float:
         pause = self._pause * (0.5 + self._cluster.rng.random())
-        self._pause = min(2 * self._pause, LONGEST_PAUSE_SECONDS)
-        return pause
+        record = self._found.record if self._found else None
+        is_spare = self._rank(record) >= SPARE_RANK
+        longest = LONGEST_SPARE_PAUSE_SECONDS if is_spare else LONGEST_PAUSE_SECONDS
+        self._pause = min(2 * self._pause, longest)
+        return min(pause, longest * (1 + JITTER_SECONDS))
 
     async def _pause_before_claim(self, record: ShardRecord | None) -> float:
         if record is None:
--- a/src/balsamway/ownership/leadership_service.py
+++ b/src/balsamway/ownership/leadership_service.py
@@ -15,14 +15,20 @@
 from balsamway.membership.member_zones import MemberZones
 from balsamway.ownership.claim import Claim, Claimed
 from balsamway.ownership.follower import Follower
-from balsamway.ownership.messages import ViewAnswer, ViewRequest
+from balsamway.ownership.messages import (
+    ReachAnswer,
+    ReachRequest,
+    ViewAnswer,
+    ViewRequest,
+)
+from balsamway.ownership.reach import answer_reach
 from balsamway.ownership.roster_choice import ROSTER_SIZE
 from balsamway.ownership.shard_leader import ShardLeader
 from balsamway.slices import ShardId
 
 if TYPE_CHECKING:
     from balsamway.balance import Planner
-    from balsamway.configuration import MemberConfiguration, Service
+    from balsamway.configuration import MemberConfiguration, Service, Weights
     from balsamway.configuration.configurations import Configurations
     from balsamway.ownership.cluster import Cluster
     from balsamway.ownership.load_source import LoadSource
@@ -84,6 +90,7 @@
     async def on_start(self) -> None:
         """Answers gateways that ask for views."""
         self._cluster.peers.handle(ViewRequest, self._on_view_request)
+        self._cluster.peers.handle(ReachRequest, self._on_reach_request)
 
     async def on_stop(self) -> None:
         """Gives up every leadership."""
@@ -188,13 +195,28 @@
     ) -> ShardLeader:
         planner = self._planner_factory(shard)
         cluster = self._member_cluster(shard.member)
-        return ShardLeader(cluster, claimed, planner, self._loads, member.weights)
+        return ShardLeader(
+            cluster,
+            claimed,
+            planner,
+            self._loads,
+            lambda: self._weights_of(member),
+        )
+
+    def _weights_of(self, member: MemberConfiguration) -> Weights:
+        found = self._configurations.member(member.member)
+        return (found or member).weights
 
     def _member_cluster(self, member: str) -> Cluster:
         zones = MemberZones(self._configurations, member)
         directory = MemberDirectory(self._cluster.directory, zones.current)
         return replace(self._cluster, directory=directory)
 
+    async def _on_reach_request(
+        self, sender: str, request: ReachRequest
+    ) -> ReachAnswer:
+        return await answer_reach(self._cluster, request)
+
     async def _on_view_request(self, sender: str, request: ViewRequest) -> ViewAnswer:
         leader = self._leaders.get(request.shard)
         if leader is None:
--- a/src/balsamway/ownership/messages/__init__.py
+++ b/src/balsamway/ownership/messages/__init__.py
@@ -9,6 +9,8 @@
 from balsamway.ownership.messages.promise_answer import PromiseAnswer
 from balsamway.ownership.messages.promise_request import PromiseRequest
 from balsamway.ownership.messages.range_load import RangeLoad
+from balsamway.ownership.messages.reach_answer import ReachAnswer
+from balsamway.ownership.messages.reach_request import ReachRequest
 from balsamway.ownership.messages.store_answer import StoreAnswer, StoreOutcome
 from balsamway.ownership.messages.store_read import StoreRead
 from balsamway.ownership.messages.store_write import StoreWrite
@@ -27,6 +29,8 @@
     "PromiseAnswer",
     "PromiseRequest",
     "RangeLoad",
+    "ReachAnswer",
+    "ReachRequest",
     "StoreAnswer",
     "StoreOutcome",
     "StoreRead",
--- /dev/null
+++ b/src/balsamway/ownership/messages/reach_answer.py
@@ -0,0 +1,15 @@
+"""How many servers a peer reaches."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from balsamway.peers.codec import message
+
+
+@message("reach-answer")
+@dataclass(frozen=True, slots=True)
+class ReachAnswer:
+    """How many of the servers that were named answered the peer."""
+
+    reached: int
--- a/src/balsamway/ownership/placement.py
+++ b/src/balsamway/ownership/placement.py
@@ -10,6 +10,8 @@
 from balsamway.ownership.reshape import reshaped
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from balsamway.balance import Plan, Planner
     from balsamway.ownership.handover import Handover
     from balsamway.ownership.load_source import LoadSource
@@ -27,7 +29,7 @@
         handover: Makes the moves.
         planner: Decides.
         loads: The loads that gateways reported; None where nothing reports.
-        weights: What the member weighs.
+        weights: Gives what the member weighs now.
     """
 
     def __init__(
@@ -36,7 +38,7 @@
         handover: Handover,
         planner: Planner,
         loads: LoadSource | None,
-        weights: Weights,
+        weights: Callable[[], Weights],
     ) -> None:
         self._context = context
         self._handover = handover
@@ -64,7 +66,7 @@
             self._candidates(),
             loads.slice_loads(shard, ranges) if loads else (),
             loads.hot_keys(shard) if loads else (),
-            self._weights,
+            self._weights(),
             now(),
         )
 
--- a/src/balsamway/ownership/shard_leader.py
+++ b/src/balsamway/ownership/shard_leader.py
@@ -17,6 +17,7 @@
 from balsamway.ownership.messages import ViewAnswer, ViewRequest
 from balsamway.ownership.placement import Placement
 from balsamway.ownership.promise_keeper import PromiseKeeper
+from balsamway.ownership.reach import peer_reaches
 from balsamway.ownership.record_writer import RecordWriter
 from balsamway.ownership.recovery import Recovery
 from balsamway.ownership.roster import Roster
@@ -25,6 +26,8 @@
 from balsamway.ownership.view_server import ViewServer
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from balsamway.balance import Planner
     from balsamway.configuration import Weights
     from balsamway.ownership.claim import Claimed
@@ -40,7 +43,7 @@
 LOSS_CHECK_SECONDS = 0.05
 LEAVING_CHECK_SECONDS = 0.1
 SILENCE_SECONDS = 0.4
-"""How long no server answers before another host had better lead."""
+"""How long no server answers before peers are asked for their reach."""
 PLAN_SECONDS = 1.0
 ROSTER_CHECK_SECONDS = 0.5
 FLUSH_CHECK_SECONDS = 0.2
@@ -55,7 +58,7 @@
         claimed: The claim that was won.
         planner: Decides on placement.
         loads: The loads that gateways reported; None where nothing reports.
-        weights: What the member weighs.
+        weights: Gives what the member weighs now.
     """
 
     def __init__(
@@ -64,7 +67,7 @@
         claimed: Claimed,
         planner: Planner,
         loads: LoadSource | None,
-        weights: Weights,
+        weights: Callable[[], Weights],
     ) -> None:
         super().__init__()
         record = claimed.record
@@ -243,22 +246,30 @@
 
     @mode.Service.task
     async def _watch_silence(self) -> None:
-        """Stands down where no server answers that answered before."""
+        """Stands down where none of several servers answers but to a peer."""
         await self._recovered.wait()
         heard_at = now()
         while not self.should_stop and not self._authority.ended:
-            met = [one for one in self._keepers.values() if one.met]
-            if len(met) < 2 or any(one.answers for one in met):
+            keepers = self._keepers.values()
+            if len(keepers) < 2 or any(one.answers for one in keepers):
                 heard_at = now()
             if now() - heard_at >= SILENCE_SECONDS:
-                logger.info(
-                    "leadership given up, no server answers",
-                    extra={"shard": str(self._state.record.shard)},
-                )
-                self.stood_down = True
-                self._authority.end()
+                await self._stand_down_if_cut_off()
+                heard_at = now()
             await self.sleep(LOSS_CHECK_SECONDS)
 
+    async def _stand_down_if_cut_off(self) -> None:
+        shard = self._state.record.shard
+        servers = sorted(self._keepers)
+        if not await peer_reaches(self._cluster, shard, self.epoch, servers):
+            return
+        logger.info(
+            "leadership given up, only peers reach servers",
+            extra={"shard": str(shard)},
+        )
+        self.stood_down = True
+        self._authority.end()
+
     @mode.Service.task
     async def _flush(self) -> None:
         await self._recovered.wait()
--- a/tests/matrix/run.py
+++ b/tests/matrix/run.py
@@ -6,7 +6,8 @@
 import sys
 from collections import defaultdict
 from concurrent.futures import ProcessPoolExecutor
-from itertools import repeat
+from dataclasses import replace
+from multiprocessing import get_context
 from statistics import median
 from typing import TYPE_CHECKING
 
@@ -23,6 +24,8 @@
 DEFAULT_SEED = 20261204
 CHUNK_CELLS = 4
 
+_cells: list[Cell] = []
+
 _SEED = flags.DEFINE_integer("seed", DEFAULT_SEED, "Seeds all random choices.")
 _PART = flags.DEFINE_enum(
     "part", "all", ["all", "single", "pair"], "Which cells to run."
@@ -43,11 +46,14 @@
     """
     console = Console(stderr=True)
     cells = chosen_cells()
-    with ProcessPoolExecutor(_JOBS.value) as jobs:
-        found = jobs.map(run_cell, cells, repeat(_SEED.value), chunksize=CHUNK_CELLS)
+    _cells.extend(cells)
+    # Cells hold functions, which cannot be sent; forked processes have them.
+    with ProcessPoolExecutor(_JOBS.value, get_context("fork")) as jobs:
+        found = jobs.map(_run_nth, range(len(cells)), chunksize=CHUNK_CELLS)
+        shown = track(found, "cells", total=len(cells), console=console)
         results = [
-            _told(one)
-            for one in track(found, "cells", total=len(cells), console=console)
+            _told(replace(one, cell=cell))
+            for cell, one in zip(cells, shown, strict=True)
         ]
     _print_times(results)
     failed = [one for one in results if not one.passed]
@@ -73,6 +79,10 @@
     return cells[index - 1 :: count]
 
 
+def _run_nth(number: int) -> CellResult:
+    return replace(run_cell(_cells[number], _SEED.value), cell=None)
+
+
 def _told(result: CellResult) -> CellResult:
     if not result.passed:
         reasons = "; ".join(result.failures)[:400]
