Let a leader that stops or stands down resign to its witnesses

Cause: the promises to a leader that had given its shard up still ran for 1.2 s. One function reads every settings file.

--- a/src/balsamway/daemon/main.py
+++ b/src/balsamway/daemon/main.py
@@ -7,17 +7,13 @@
 import signal
 import sys
 from pathlib import Path
-from typing import TYPE_CHECKING
 
 import msgspec
 from absl import app, flags
 
 from balsamway.daemon.daemon import Daemon
 from balsamway.observe.json_logs import set_up_json_logs
-from balsamway.settings import SettingsError, read_settings
-
-if TYPE_CHECKING:
-    from balsamway.settings import Settings
+from balsamway.settings import Settings, SettingsError, read_settings
 
 SETTINGS_FLAG = flags.DEFINE_string(
     "settings", None, "The settings file, JSON with comments.", required=True
@@ -36,7 +32,7 @@
 
 def _main(arguments: list[str]) -> int:
     try:
-        settings = read_settings(Path(SETTINGS_FLAG.value))
+        settings = read_settings(Path(SETTINGS_FLAG.value), Settings)
     except SettingsError as error:
         print(f"balsamwayd: {error}", file=sys.stderr)
         return USAGE_EXIT_STATUS
--- a/src/balsamway/ownership/messages/__init__.py
+++ b/src/balsamway/ownership/messages/__init__.py
@@ -11,6 +11,7 @@
 from balsamway.ownership.messages.range_load import RangeLoad
 from balsamway.ownership.messages.reach_answer import ReachAnswer
 from balsamway.ownership.messages.reach_request import ReachRequest
+from balsamway.ownership.messages.resignation import Resignation
 from balsamway.ownership.messages.store_answer import StoreAnswer, StoreOutcome
 from balsamway.ownership.messages.store_read import StoreRead
 from balsamway.ownership.messages.store_write import StoreWrite
@@ -31,6 +32,7 @@
     "RangeLoad",
     "ReachAnswer",
     "ReachRequest",
+    "Resignation",
     "StoreAnswer",
     "StoreOutcome",
     "StoreRead",
--- a/src/balsamway/ownership/promise_keeper.py
+++ b/src/balsamway/ownership/promise_keeper.py
@@ -6,7 +6,12 @@
 from typing import TYPE_CHECKING
 
 from balsamway.clock import now
-from balsamway.ownership.messages import AdoptRequest, PromiseAnswer, PromiseRequest
+from balsamway.ownership.messages import (
+    AdoptRequest,
+    PromiseAnswer,
+    PromiseRequest,
+    Resignation,
+)
 
 if TYPE_CHECKING:
     from balsamway.ownership.authority import Authority
@@ -69,6 +74,16 @@
             self._ask_all()
             await asyncio.sleep(self._cluster.timing.renewal)
 
+    def resign(self) -> None:
+        """Tells the witnesses that this leader acts no more.
+
+        Authority must have ended before; another host may then claim the
+        shard without waiting for the promises to run out.
+        """
+        resignation = Resignation(self._shard, self._epoch, self._cluster.me)
+        for witness in self._authority.witnesses:
+            self._cluster.peers.send(witness.host, resignation)
+
     def stop(self) -> None:
         """Gives up the questions that are under way."""
         for task in self._running:
--- a/src/balsamway/ownership/shard_leader.py
+++ b/src/balsamway/ownership/shard_leader.py
@@ -131,6 +131,7 @@
         """Gives authority up."""
         self._authority.end()
         self._promises.stop()
+        self._promises.resign()
         self.lapsed.set()
 
     def answer_view(self, gateway: str, request: ViewRequest) -> ViewAnswer:
--- a/src/balsamway/ownership/witness_service.py
+++ b/src/balsamway/ownership/witness_service.py
@@ -15,6 +15,7 @@
     LeaderQueryAnswer,
     PromiseAnswer,
     PromiseRequest,
+    Resignation,
 )
 from balsamway.ownership.witness_state import WitnessState
 from balsamway.slices import ShardId, Witness
@@ -62,6 +63,7 @@
         self._peers.handle(PromiseRequest, self._on_promise_request)
         self._peers.handle(AdoptRequest, self._on_adopt_request)
         self._peers.handle(LeaderQuery, self._on_leader_query)
+        self._peers.handle(Resignation, self._on_resignation)
 
     def dump(self) -> dict[str, object]:
         """Describes the promises for the state dump.
@@ -140,6 +142,16 @@
             state.epoch, self._promise_seconds(state), self._witness.incarnation
         )
 
+    async def _on_resignation(self, sender: str, resignation: Resignation) -> None:
+        state = self._states.get(resignation.shard)
+        if state is None:
+            return
+        if (resignation.epoch, resignation.leader) != (state.epoch, state.leader):
+            return
+        # The epoch stays adopted; a late request of it gets no promise.
+        state.leader = None
+        state.promised_until = now()
+
     def _promise_seconds(self, state: WitnessState) -> float:
         forgotten_until = self._started_at + self._timing.promise * self._allowance
         return max(0.0, max(state.promised_until, forgotten_until) - now())
--- a/src/balsamway/settings.py
+++ b/src/balsamway/settings.py
@@ -4,10 +4,13 @@
 
 from dataclasses import dataclass, field
 from pathlib import Path
+from typing import TypeVar
 
 import msgspec
 import pyjson5
 
+T = TypeVar("T")
+
 
 class SettingsError(ValueError):
     """The settings cannot be used; the text says where and why."""
@@ -63,11 +66,12 @@
     """Seeds the random choices; None draws a seed at each start."""
 
 
-def read_settings(path: Path) -> Settings:
+def read_settings(path: Path, cls: type[T]) -> T:
     """Reads and checks a settings file.
 
     Args:
         path: The file, JSON with comments.
+        cls: The data class of the settings.
 
     Returns:
         The settings.
@@ -77,7 +81,7 @@
     """
     try:
         found = pyjson5.decode(path.read_text(encoding="utf-8"))
-        return msgspec.convert(found, Settings)
+        return msgspec.convert(found, cls)
     except OSError as error:
         raise SettingsError(f"{path}: {error.strerror}") from error
     except (pyjson5.Json5Exception, msgspec.ValidationError) as error:
--- a/src/balsamway/standins/main.py
+++ b/src/balsamway/standins/main.py
@@ -10,11 +10,10 @@
 
 from absl import app, flags
 
-from balsamway.settings import SettingsError
+from balsamway.settings import SettingsError, read_settings
 from balsamway.standins.caller import CallerSettings, CallerStandin
 from balsamway.standins.http_standin import HttpStandin
 from balsamway.standins.platform import PlatformSettings, PlatformStandin
-from balsamway.standins.read_standin_settings import read_standin_settings
 from balsamway.standins.server import ServerSettings, ServerStandin
 
 if TYPE_CHECKING:
@@ -40,11 +39,11 @@
     """
     match role:
         case "platform":
-            return PlatformStandin(read_standin_settings(settings, PlatformSettings))
+            return PlatformStandin(read_settings(settings, PlatformSettings))
         case "server":
-            return ServerStandin(read_standin_settings(settings, ServerSettings))
+            return ServerStandin(read_settings(settings, ServerSettings))
         case "caller":
-            return CallerStandin(read_standin_settings(settings, CallerSettings))
+            return CallerStandin(read_settings(settings, CallerSettings))
     raise SettingsError(f"unknown stand-in {role}: platform, server or caller")
 
 
--- a/tests/ownership/test_leadership_silence.py
+++ b/tests/ownership/test_leadership_silence.py
@@ -6,6 +6,7 @@
 import pytest
 
 from balsamway.configuration import Weights
+from balsamway.ownership.messages import PromiseRequest, Resignation
 from tests.fakes.world import World
 
 pytestmark = pytest.mark.looptime
@@ -35,3 +36,25 @@
         world.configurations.found["m"] = replace(member, weights=changed)
         await asyncio.sleep(4)
         assert seen[-1] == changed
+
+
+async def test_a_leader_that_resigns_is_followed_before_its_promises_run_out():
+    async with World(hosts=5) as world:
+        first = world.leader
+        begin = asyncio.get_running_loop().time()
+        await first.stop()
+        await world.until(lambda: world.leader not in (None, first))
+        assert asyncio.get_running_loop().time() - begin < world.timing.promise
+        assert world.overlaps() == []
+
+
+async def test_a_witness_gives_a_resigned_leader_no_late_promise():
+    async with World(hosts=5) as world:
+        shard = world.record.shard
+        leader, epoch = world.record.leader, world.record.leader_epoch
+        witness = next(one for one in world.record.roster if one != leader)
+        peers = world.network.end(witness.host)
+        await peers.call(witness.host, Resignation(shard, epoch, leader), 0.1)
+        late = PromiseRequest(shard, epoch, leader, witness, 1.0)
+        answer = await peers.call(witness.host, late, 1.0)
+        assert (answer.given, answer.epoch) == (False, epoch)
