Show that reports of load do not steer, and say what false draining costs

Weighed and left out: believing the host list where every server of a service says that it drains. The last server that really leaves would then get new work for as long as the list lags, which must never be.

--- a/tests/fakes/gateway_server.py
+++ b/tests/fakes/gateway_server.py
@@ -32,6 +32,9 @@
     """The attempt that a cancellation tells of; empty for the right one."""
     seen: list[dict[str, str]] = field(default_factory=list)
     connections: set[asyncio.Transport] = field(default_factory=set)
+    health: dict[str, object] = field(
+        default_factory=lambda: {"state": "ready", "load": 0.0}
+    )
     address: str = ""
     runner: web.AppRunner | None = None
 
@@ -72,7 +75,7 @@
 
     async def on_health(self, request: web.Request) -> web.Response:
         self.connections.add(request.transport)
-        return web.json_response({"state": "ready", "load": 0.0})
+        return web.json_response(self.health)
 
 
 def answer(
--- a/tests/gateway/test_whole_path.py
+++ b/tests/gateway/test_whole_path.py
@@ -43,3 +43,15 @@
     assert in_flight + waiting == 9
     await asyncio.gather(*requests)
     assert path.registry.get_sample_value("balsamway_in_flight") == 0
+
+
+async def test_what_servers_report_of_their_load_does_not_steer(path):
+    reports = {"idle": 0.0, "full": 1.0, "half": 0.5}
+    for name, load in reports.items():
+        health = {"state": "ready", "load": load, "in_flight": int(load * 100)}
+        await path.add_server(name=name, health=health)
+    for _ in range(20):
+        await asyncio.gather(*(path.post("/v1/prices/order") for _ in range(6)))
+    ran = [len(server.ran) for server in path.servers]
+    assert sum(ran) == 120
+    assert min(ran) > 120 / 3 / 2
