Remove what standing down by peers left unused; name the probers once

GrantKeeper.met had no caller any more, and the connections kept for probes stood as a second constant beside the number of probers. Behaviour is the same. Format, lint and types are clean; the ownership, gateway, prober, membership and mutation tests pass.

--- a/src/balsamway/gateway/subset.py
+++ b/src/balsamway/gateway/subset.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from balsamway.membership.server_prober import PROBERS_OF_A_SERVER
 from balsamway.rendezvous import weight
 
 if TYPE_CHECKING:
@@ -11,8 +12,8 @@
 
     from balsamway.configuration import Service
 
-PROBE_CONNECTIONS = 2
-"""Those of the entry host that probes a server, and of the next one."""
+PROBE_CONNECTIONS = PROBERS_OF_A_SERVER
+"""Each entry host that probes a server has a connection of its own for it."""
 LEADER_CONNECTIONS = 2
 """Those of the leader of each shard: for grants, and for a release."""
 
--- a/src/balsamway/ownership/grant_keeper.py
+++ b/src/balsamway/ownership/grant_keeper.py
@@ -96,11 +96,6 @@
         """Whether the server answered the last order it was sent."""
         return self._reading is not None and not self._silent
 
-    @property
-    def met(self) -> bool:
-        """Whether the server ever answered this leader."""
-        return self._reading is not None
-
     @property
     def lapsed(self) -> bool:
         """Whether nothing that the server was granted can still run."""
