--- a/benchmarks/hop/one_service.py
+++ b/benchmarks/hop/one_service.py
@@ -14,8 +14,8 @@
     Zone,
 )
 from balsamway.ownership.route import Route
-from balsamway.platform import Host, HostRole
 from balsamway.slices import POSITION_END, KeyRange
+from balsamway.store import Host, HostRole
 
 if TYPE_CHECKING:
     from contextlib import AbstractContextManager
--- a/benchmarks/slopes/measurements.py
+++ b/benchmarks/slopes/measurements.py
@@ -22,9 +22,9 @@
 from balsamway.ownership.view_cache import ViewCache
 from balsamway.ownership.witness_state import WitnessState
 from balsamway.peers.codec import Frame, decode, encode
-from balsamway.platform import Host, HostRole
 from balsamway.slices import POSITION_END, Witness
 from balsamway.slices.record_codec import decode_record, encode_record
+from balsamway.store import Host, HostRole
 from benchmarks.slopes import samples
 from benchmarks.slopes.meter import memory_bytes, processor_seconds
 from benchmarks.slopes.slope import Slope
--- a/src/balsamway/commands/_operators.py
+++ b/src/balsamway/commands/_operators.py
@@ -10,11 +10,11 @@
 import msgspec
 
 from balsamway.daemon.health import Health
-from balsamway.platform import HostRole, Unavailable
-from balsamway.platform.http_host_list import HttpHostList
+from balsamway.store import HostRole, Unavailable
+from balsamway.store.http_host_list import HttpHostList
 
 if TYPE_CHECKING:
-    from balsamway.platform import Host
+    from balsamway.store import Host
 
 ASK_TIMEOUT_SECONDS = 2.0
 ASKED_AT_ONCE = 50
--- a/src/balsamway/commands/_platform.py
+++ b/src/balsamway/commands/_platform.py
@@ -8,7 +8,7 @@
 from absl import flags
 
 from balsamway.commands.verb import UsageError
-from balsamway.platform.http_store import HttpStore
+from balsamway.store.http_store import HttpStore
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
--- a/src/balsamway/commands/diff.py
+++ b/src/balsamway/commands/diff.py
@@ -15,7 +15,7 @@
 from balsamway.configuration.change import Change
 from balsamway.configuration.codec import Malformed, decode_configuration
 from balsamway.configuration.difference import difference
-from balsamway.platform import Absent, StoredObject, Unavailable
+from balsamway.store import Absent, StoredObject, Unavailable
 
 
 def run(arguments: list[str]) -> int:
--- a/src/balsamway/commands/dump.py
+++ b/src/balsamway/commands/dump.py
@@ -9,7 +9,7 @@
 
 from balsamway.commands._operators import read_state
 from balsamway.commands.verb import FINE, NOT_DONE, Verb
-from balsamway.platform import Unavailable
+from balsamway.store import Unavailable
 
 if TYPE_CHECKING:
     from absl import flags
--- a/src/balsamway/commands/report.py
+++ b/src/balsamway/commands/report.py
@@ -15,7 +15,7 @@
 from balsamway.commands.verb import FINE, NOT_DONE, NOT_MET, UsageError, Verb
 from balsamway.observe.report import MemberReport, build_report
 from balsamway.observe.report.presentation import report_page, report_table
-from balsamway.platform import Unavailable
+from balsamway.store import Unavailable
 
 
 def run(arguments: list[str]) -> int:
--- a/src/balsamway/commands/status.py
+++ b/src/balsamway/commands/status.py
@@ -20,10 +20,10 @@
     decode_members,
 )
 from balsamway.configuration.constants import MEMBERS_OBJECT
-from balsamway.platform import StoredObject, Unavailable
+from balsamway.store import StoredObject, Unavailable
 
 if TYPE_CHECKING:
-    from balsamway.platform import Store
+    from balsamway.store import Store
 
 
 def run(arguments: list[str]) -> int:
--- a/src/balsamway/configuration/acceptance.py
+++ b/src/balsamway/configuration/acceptance.py
@@ -23,7 +23,7 @@
 )
 from balsamway.configuration.constants import MEMBERS_OBJECT
 from balsamway.configuration.difference import difference
-from balsamway.platform import (
+from balsamway.store import (
     Absent,
     Conflict,
     StoredObject,
@@ -31,13 +31,13 @@
     WriteUnknown,
     Written,
 )
-from balsamway.platform.backoff import Backoff
+from balsamway.store.backoff import Backoff
 
 if TYPE_CHECKING:
     from random import Random
 
     from balsamway.configuration.member_configuration import MemberConfiguration
-    from balsamway.platform import Store
+    from balsamway.store import Store
 
 REMEMBERED_CHANGES = 32
 """How many change ids a configuration keeps of the versions before it."""
--- a/src/balsamway/configuration/configuration_service.py
+++ b/src/balsamway/configuration/configuration_service.py
@@ -29,7 +29,7 @@
     from balsamway.configuration.member_configuration import MemberConfiguration
     from balsamway.membership.directory import Directory
     from balsamway.peers.peers import Peers
-    from balsamway.platform import Store
+    from balsamway.store import Store
 
 STORE_SOURCE = "store"
 EXCHANGE_SECONDS = 1.0
--- a/src/balsamway/configuration/object_watch.py
+++ b/src/balsamway/configuration/object_watch.py
@@ -7,14 +7,14 @@
 
 import mode
 
-from balsamway.platform import Absent, StoredObject, Unavailable
-from balsamway.platform.backoff import Backoff
+from balsamway.store import Absent, StoredObject, Unavailable
+from balsamway.store.backoff import Backoff
 
 if TYPE_CHECKING:
     from collections.abc import Callable
     from random import Random
 
-    from balsamway.platform import Store
+    from balsamway.store import Store
 
 WATCH_SECONDS = 2.0
 PAUSE_SECONDS = 0.05
--- a/src/balsamway/configuration/store_follower.py
+++ b/src/balsamway/configuration/store_follower.py
@@ -17,7 +17,7 @@
 
     from balsamway.configuration.configuration_table import ConfigurationTable
     from balsamway.configuration.relays import Relays
-    from balsamway.platform import Store
+    from balsamway.store import Store
 
 ADJUST_SECONDS = 0.25
 
--- a/src/balsamway/daemon/daemon.py
+++ b/src/balsamway/daemon/daemon.py
@@ -31,13 +31,13 @@
 from balsamway.ownership.view_keeper import ViewKeeper
 from balsamway.ownership.witness_service import WitnessService
 from balsamway.peers.stream_peers import StreamPeers
-from balsamway.platform import Host, HostRole
-from balsamway.platform.call_counts import CallCounts
-from balsamway.platform.http_host_list import HttpHostList
-from balsamway.platform.http_store import HttpStore
 from balsamway.servers.http_control import HttpControl
 from balsamway.servers.http_transport import HttpTransport
 from balsamway.slices import Witness
+from balsamway.store import Host, HostRole
+from balsamway.store.call_counts import CallCounts
+from balsamway.store.http_host_list import HttpHostList
+from balsamway.store.http_store import HttpStore
 
 if TYPE_CHECKING:
     from balsamway.settings import Seed, Settings
--- a/src/balsamway/demo/deployment.py
+++ b/src/balsamway/demo/deployment.py
@@ -12,9 +12,9 @@
 from balsamway.configuration.acceptance import Acceptance
 from balsamway.configuration.acceptance_result import Accepted
 from balsamway.demo.embedded_member import EmbeddedMember
-from balsamway.platform.http_store import HttpStore
 from balsamway.standins.journal import Journal, VersionSeen
 from balsamway.standins.platform import PlatformSettings, PlatformStandin
+from balsamway.store.http_store import HttpStore
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/src/balsamway/gateway/connection_budget.py
+++ b/src/balsamway/gateway/connection_budget.py
@@ -11,7 +11,7 @@
     from balsamway.configuration import Service
     from balsamway.configuration.configurations import Configurations
     from balsamway.membership.directory import Directory
-    from balsamway.platform import Host
+    from balsamway.store import Host
 
 SETTLE_SECONDS = 10.0
 """How long a gateway must have been in a server's subset before it connects.
--- a/src/balsamway/gateway/connection_warmer.py
+++ b/src/balsamway/gateway/connection_warmer.py
@@ -11,8 +11,8 @@
     from balsamway.configuration.configurations import Configurations
     from balsamway.gateway.connection_budget import ConnectionBudget
     from balsamway.membership.directory import Directory
-    from balsamway.platform import Host
     from balsamway.servers.http_transport import HttpTransport
+    from balsamway.store import Host
 
 CHECK_SECONDS = 1.0
 """How often servers that joined are looked for."""
--- a/src/balsamway/gateway/server_pool.py
+++ b/src/balsamway/gateway/server_pool.py
@@ -9,7 +9,7 @@
 from balsamway.gateway.admission import Admission
 from balsamway.gateway.owner_group import OwnerGroup
 from balsamway.gateway.server_state import ServerState
-from balsamway.platform import HostState
+from balsamway.store import HostState
 
 if TYPE_CHECKING:
     import random
@@ -17,7 +17,7 @@
 
     from balsamway.gateway.connection_budget import ConnectionBudget
     from balsamway.membership.directory import Directory
-    from balsamway.platform import Host
+    from balsamway.store import Host
 
 REFRESH_SECONDS = 1.0
 """How often the shares of connections are worked out anew."""
--- a/src/balsamway/gateway/server_state.py
+++ b/src/balsamway/gateway/server_state.py
@@ -13,7 +13,7 @@
 
     from balsamway.gateway.admission import Admission
     from balsamway.outcome import Verdict
-    from balsamway.platform import Host
+    from balsamway.store import Host
 
 LATENCY_WEIGHT = 0.1
 """The weight of the newest answer in the average latency."""
--- a/src/balsamway/membership/directory.py
+++ b/src/balsamway/membership/directory.py
@@ -5,8 +5,8 @@
 from typing import TYPE_CHECKING, Protocol
 
 if TYPE_CHECKING:
-    from balsamway.platform import Host
     from balsamway.slices import ShardId, Witness
+    from balsamway.store import Host
 
 
 class Directory(Protocol):
--- a/src/balsamway/membership/heartbeat.py
+++ b/src/balsamway/membership/heartbeat.py
@@ -6,7 +6,7 @@
 
 from balsamway.membership.leadership_claim import LeadershipClaim
 from balsamway.peers.codec import message
-from balsamway.platform.host import Host
+from balsamway.store.host import Host
 
 
 @message("heartbeat")
--- a/src/balsamway/membership/hosts_answer.py
+++ b/src/balsamway/membership/hosts_answer.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 
 from balsamway.peers.codec import message
-from balsamway.platform.host import Host
+from balsamway.store.host import Host
 
 
 @message("hosts-answer")
--- a/src/balsamway/membership/member_directory.py
+++ b/src/balsamway/membership/member_directory.py
@@ -8,8 +8,8 @@
     from collections.abc import Callable
 
     from balsamway.membership.directory import Directory
-    from balsamway.platform import Host
     from balsamway.slices import ShardId, Witness
+    from balsamway.store import Host
 
 
 class MemberDirectory:
--- a/src/balsamway/membership/membership_service.py
+++ b/src/balsamway/membership/membership_service.py
@@ -13,8 +13,8 @@
 from balsamway.membership.hosts_query import HostsQuery
 from balsamway.membership.peer_state import PeerState
 from balsamway.membership.server_table import ServerTable
-from balsamway.platform import Host, HostRole, HostState, Unavailable
 from balsamway.slices.witness import Witness
+from balsamway.store import Host, HostRole, HostState, Unavailable
 
 if TYPE_CHECKING:
     import random
@@ -22,8 +22,8 @@
 
     from balsamway.membership.leadership_claim import LeadershipClaim
     from balsamway.peers.peers import Peers
-    from balsamway.platform import HostList
     from balsamway.slices.shard_id import ShardId
+    from balsamway.store import HostList
 
 HEARTBEAT_SECONDS = 0.3
 LIVE_SECONDS = 1.2
--- a/src/balsamway/membership/server_prober.py
+++ b/src/balsamway/membership/server_prober.py
@@ -17,7 +17,7 @@
     from collections.abc import Callable, Collection
 
     from balsamway.membership.membership_service import MembershipService
-    from balsamway.platform import Host
+    from balsamway.store import Host
 
 PROBERS_OF_A_SERVER = 2
 PROBE_SECONDS = 1.0
--- a/src/balsamway/membership/server_table.py
+++ b/src/balsamway/membership/server_table.py
@@ -5,10 +5,10 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
-from balsamway.platform.host import HostState
+from balsamway.store.host import HostState
 
 if TYPE_CHECKING:
-    from balsamway.platform.host import Host
+    from balsamway.store.host import Host
 
 KEPT_AFTER_DEPARTURE_SECONDS = 120.0
 LEAVING_MARK_SECONDS = 3.0
--- a/src/balsamway/observe/experiments/fleet_surroundings.py
+++ b/src/balsamway/observe/experiments/fleet_surroundings.py
@@ -9,8 +9,8 @@
     Urgency,
     Zone,
 )
-from balsamway.platform import Host, HostRole
 from balsamway.slices import ShardId, Witness
+from balsamway.store import Host, HostRole
 
 ZONES = 4
 TIMEOUT_SECONDS = 0.5
--- a/src/balsamway/observe/experiments/fleet_transport.py
+++ b/src/balsamway/observe/experiments/fleet_transport.py
@@ -13,8 +13,8 @@
 
     from balsamway.observe.experiments.fleet_server import FleetServer
     from balsamway.outcome import Verdict
-    from balsamway.platform import Host
     from balsamway.servers.request import ServerRequest
+    from balsamway.store import Host
 
 CONNECT_SECONDS = 0.001
 
--- a/src/balsamway/ownership/_store_answers.py
+++ b/src/balsamway/ownership/_store_answers.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from balsamway.ownership.messages import StoreAnswer, StoreOutcome
-from balsamway.platform import (
+from balsamway.store import (
     Absent,
     Conflict,
     StoredObject,
@@ -15,7 +15,7 @@
 )
 
 if TYPE_CHECKING:
-    from balsamway.platform.store import ReadResult, WriteResult
+    from balsamway.store.store import ReadResult, WriteResult
 
 
 def answer_of(name: str, result: ReadResult | WriteResult) -> StoreAnswer:
--- a/src/balsamway/ownership/claim.py
+++ b/src/balsamway/ownership/claim.py
@@ -12,7 +12,6 @@
 from balsamway.ownership._majority import majority_of
 from balsamway.ownership.messages import AdoptAnswer, AdoptRequest
 from balsamway.ownership.roster_choice import choose_roster
-from balsamway.platform import Conflict, StoredObject, Unavailable, Written
 from balsamway.slices import (
     POSITION_END,
     KeyRange,
@@ -22,6 +21,7 @@
     Witness,
 )
 from balsamway.slices.record_codec import RecordError, decode_record, encode_record
+from balsamway.store import Conflict, StoredObject, Unavailable, Written
 
 if TYPE_CHECKING:
     from balsamway.ownership.cluster import Cluster
--- a/src/balsamway/ownership/cluster.py
+++ b/src/balsamway/ownership/cluster.py
@@ -10,10 +10,10 @@
 
     from balsamway.membership.directory import Directory
     from balsamway.peers.peers import Peers
-    from balsamway.platform import Store
     from balsamway.servers.control import ServerControl
     from balsamway.settings import Timing
     from balsamway.slices import Witness
+    from balsamway.store import Store
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/balsamway/ownership/follower.py
+++ b/src/balsamway/ownership/follower.py
@@ -12,8 +12,8 @@
 from balsamway.ownership._rank import ranked
 from balsamway.ownership.found_record import FoundRecord
 from balsamway.ownership.messages import LeaderQuery, LeaderQueryAnswer
-from balsamway.platform import Absent, StoredObject
 from balsamway.slices.record_codec import RecordError, decode_record
+from balsamway.store import Absent, StoredObject
 
 if TYPE_CHECKING:
     from balsamway.ownership.cluster import Cluster
--- a/src/balsamway/ownership/grant_keeper.py
+++ b/src/balsamway/ownership/grant_keeper.py
@@ -24,9 +24,9 @@
     from balsamway.ownership.authority import Authority
     from balsamway.ownership.cluster import Cluster
     from balsamway.ownership.shard_state import ShardState
-    from balsamway.platform import Host
     from balsamway.servers.orders import OrderResult
     from balsamway.slices import KeyRange, SliceEntry
+    from balsamway.store import Host
 
 logger = logging.getLogger(__name__)
 
--- a/src/balsamway/ownership/leaving.py
+++ b/src/balsamway/ownership/leaving.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from balsamway.balance import Move
-from balsamway.platform import HostState
+from balsamway.store import HostState
 
 if TYPE_CHECKING:
     from balsamway.ownership.handover import Handover
--- a/src/balsamway/ownership/record_writer.py
+++ b/src/balsamway/ownership/record_writer.py
@@ -10,22 +10,22 @@
 from typing import TYPE_CHECKING, TypeAlias
 
 from balsamway.clock import now
-from balsamway.platform import (
+from balsamway.slices.record_codec import RecordError, decode_record, encode_record
+from balsamway.slices.shard_record import ShardRecord
+from balsamway.store import (
     Conflict,
     StoredObject,
     Unavailable,
     WriteUnknown,
     Written,
 )
-from balsamway.slices.record_codec import RecordError, decode_record, encode_record
-from balsamway.slices.shard_record import ShardRecord
 
 if TYPE_CHECKING:
     from balsamway.ownership.authority import Authority
     from balsamway.ownership.cluster import Cluster
     from balsamway.ownership.shard_state import ShardState
-    from balsamway.platform.store import WriteResult
     from balsamway.slices import Witness
+    from balsamway.store.store import WriteResult
 
 logger = logging.getLogger(__name__)
 
--- a/src/balsamway/ownership/shard_leader.py
+++ b/src/balsamway/ownership/shard_leader.py
@@ -33,7 +33,7 @@
     from balsamway.ownership.claim import Claimed
     from balsamway.ownership.cluster import Cluster
     from balsamway.ownership.load_source import LoadSource
-    from balsamway.platform import Host
+    from balsamway.store import Host
 
 logger = logging.getLogger(__name__)
 
--- a/src/balsamway/ownership/store_relay.py
+++ b/src/balsamway/ownership/store_relay.py
@@ -12,7 +12,7 @@
     write_result_of,
 )
 from balsamway.ownership.messages import StoreAnswer, StoreRead, StoreWrite
-from balsamway.platform import Unavailable, WriteUnknown
+from balsamway.store import Unavailable, WriteUnknown
 
 if TYPE_CHECKING:
     import random
@@ -20,8 +20,8 @@
 
     from balsamway.membership.directory import Directory
     from balsamway.peers.peers import Peers
-    from balsamway.platform import Store
-    from balsamway.platform.store import ReadResult, WriteResult
+    from balsamway.store import Store
+    from balsamway.store.store import ReadResult, WriteResult
 
 RELAYS_AT_MOST = 2
 RELAY_TIMEOUT_SECONDS = 0.6
--- a/src/balsamway/ownership/view_keeper.py
+++ b/src/balsamway/ownership/view_keeper.py
@@ -18,9 +18,9 @@
 )
 from balsamway.ownership.route import NoRoute
 from balsamway.ownership.view_cache import ViewCache
-from balsamway.platform import StoredObject, Unavailable
 from balsamway.slices import KeyRange, ShardId
 from balsamway.slices.record_codec import RecordError, decode_record
+from balsamway.store import StoredObject, Unavailable
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
--- a/src/balsamway/servers/control.py
+++ b/src/balsamway/servers/control.py
@@ -5,13 +5,13 @@
 from typing import TYPE_CHECKING, Protocol
 
 if TYPE_CHECKING:
-    from balsamway.platform import Host
     from balsamway.servers.orders import (
         GrantOrder,
         OrderResult,
         ReleaseOrder,
         SurveyOrder,
     )
+    from balsamway.store import Host
 
 
 class ServerControl(Protocol):
--- a/src/balsamway/servers/http_control.py
+++ b/src/balsamway/servers/http_control.py
@@ -11,13 +11,13 @@
 from balsamway.servers.orders import OrderLost, OrderRefused, ServerState
 
 if TYPE_CHECKING:
-    from balsamway.platform import Host
     from balsamway.servers.orders import (
         GrantOrder,
         OrderResult,
         ReleaseOrder,
         SurveyOrder,
     )
+    from balsamway.store import Host
 
 KEEPALIVE_SECONDS = 60.0
 
--- a/src/balsamway/servers/http_transport.py
+++ b/src/balsamway/servers/http_transport.py
@@ -21,8 +21,8 @@
     from collections.abc import Callable
 
     from balsamway.outcome import Verdict
-    from balsamway.platform import Host
     from balsamway.servers.request import ServerRequest
+    from balsamway.store import Host
 
 logger = logging.getLogger(__name__)
 
--- a/src/balsamway/servers/transport.py
+++ b/src/balsamway/servers/transport.py
@@ -6,8 +6,8 @@
 
 if TYPE_CHECKING:
     from balsamway.outcome import Verdict
-    from balsamway.platform import Host
     from balsamway.servers.request import ServerRequest
+    from balsamway.store import Host
 
 
 class ServerTransport(Protocol):
--- a/src/balsamway/standins/platform/host_table.py
+++ b/src/balsamway/standins/platform/host_table.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from balsamway.platform import Host
+    from balsamway.store import Host
 
 HISTORY_LENGTH = 256
 
--- a/src/balsamway/standins/platform/object_table.py
+++ b/src/balsamway/standins/platform/object_table.py
@@ -4,7 +4,7 @@
 
 import asyncio
 
-from balsamway.platform import Absent, Conflict, StoredObject, Written
+from balsamway.store import Absent, Conflict, StoredObject, Written
 
 
 class ObjectTable:
--- a/src/balsamway/standins/platform/platform_settings.py
+++ b/src/balsamway/standins/platform/platform_settings.py
@@ -4,8 +4,8 @@
 
 from dataclasses import dataclass, field
 
-from balsamway.platform import Host
 from balsamway.standins.platform.platform_faults import PlatformFaults
+from balsamway.store import Host
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/balsamway/standins/platform/platform_standin.py
+++ b/src/balsamway/standins/platform/platform_standin.py
@@ -7,7 +7,6 @@
 
 from aiohttp import web
 
-from balsamway.platform import Conflict, Host, StoredObject, Written
 from balsamway.standins.drop_connection import drop_connection
 from balsamway.standins.http_standin import HttpStandin
 from balsamway.standins.json_body import json_answer, merge_json, read_json
@@ -16,12 +15,13 @@
 from balsamway.standins.platform.object_table import ObjectTable
 from balsamway.standins.platform.platform_faults import PlatformFaults
 from balsamway.standins.platform.rate_limit import RateLimit
+from balsamway.store import Conflict, Host, StoredObject, Written
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from balsamway.platform import Absent
     from balsamway.standins.platform.platform_settings import PlatformSettings
+    from balsamway.store import Absent
 
 LONGEST_WATCH_SECONDS = 60.0
 LARGEST_OBJECT_BYTES = 1_000_000
--- a/src/balsamway/standins/server/server_standin.py
+++ b/src/balsamway/standins/server/server_standin.py
@@ -13,7 +13,6 @@
 import msgspec
 from aiohttp import web
 
-from balsamway.platform import Host, HostRole, HostState
 from balsamway.servers.orders import (
     GrantOrder,
     OrderRefused,
@@ -32,6 +31,7 @@
 from balsamway.standins.server.request_runner import RequestRunner
 from balsamway.standins.server.server_faults import ServerFaults
 from balsamway.standins.server.server_journal import ServerJournal
+from balsamway.store import Host, HostRole, HostState
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
--- a/src/balsamway/platform/__init__.py
+++ b/src/balsamway/store/__init__.py
@@ -1,8 +1,8 @@
 """The platform's object store and host list, as narrow interfaces."""
 
-from balsamway.platform.host import Host, HostRole, HostState
-from balsamway.platform.host_list import HostList
-from balsamway.platform.store import (
+from balsamway.store.host import Host, HostRole, HostState
+from balsamway.store.host_list import HostList
+from balsamway.store.store import (
     Absent,
     Conflict,
     Store,
--- a/src/balsamway/platform/host_list.py
+++ b/src/balsamway/store/host_list.py
@@ -5,8 +5,8 @@
 from typing import TYPE_CHECKING, Protocol
 
 if TYPE_CHECKING:
-    from balsamway.platform.host import Host
-    from balsamway.platform.store import Unavailable
+    from balsamway.store.host import Host
+    from balsamway.store.store import Unavailable
 
 
 class HostList(Protocol):
--- a/src/balsamway/platform/http_host_list.py
+++ b/src/balsamway/store/http_host_list.py
@@ -6,14 +6,14 @@
 import mode
 import msgspec
 
-from balsamway.platform.call_counts import CallCounts
-from balsamway.platform.host import Host
-from balsamway.platform.http_store import (
+from balsamway.store.call_counts import CallCounts
+from balsamway.store.host import Host
+from balsamway.store.http_store import (
     CALL_TIMEOUT_SECONDS,
     CONNECT_TIMEOUT_SECONDS,
     ZONE_HEADER,
 )
-from balsamway.platform.store import Unavailable
+from balsamway.store.store import Unavailable
 
 
 class HttpHostList(mode.Service):
--- a/src/balsamway/platform/http_store.py
+++ b/src/balsamway/store/http_store.py
@@ -8,8 +8,8 @@
 import aiohttp
 import mode
 
-from balsamway.platform.call_counts import CallCounts
-from balsamway.platform.store import (
+from balsamway.store.call_counts import CallCounts
+from balsamway.store.store import (
     Absent,
     Conflict,
     ReadResult,
--- a/tests/fakes/configuration_network.py
+++ b/tests/fakes/configuration_network.py
@@ -6,8 +6,8 @@
 
 from balsamway.peers.codec import Frame, decode, encode
 from balsamway.peers.peers import PeerFailure
-from balsamway.platform import Host, HostRole
 from balsamway.slices import Witness
+from balsamway.store import Host, HostRole
 
 
 class ConfigurationNetwork:
--- a/tests/fakes/configuration_store.py
+++ b/tests/fakes/configuration_store.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from balsamway.platform import (
+from balsamway.store import (
     Absent,
     Conflict,
     StoredObject,
--- a/tests/fakes/directory.py
+++ b/tests/fakes/directory.py
@@ -1,7 +1,7 @@
 from __future__ import annotations
 
-from balsamway.platform import Host, HostRole, HostState
 from balsamway.slices import ShardId, Witness
+from balsamway.store import Host, HostRole, HostState
 from tests.fakes.network import FakeNetwork
 from tests.fakes.servers import FakeServers
 
--- a/tests/fakes/gateway_directory.py
+++ b/tests/fakes/gateway_directory.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from balsamway.platform import Host, HostRole
+from balsamway.store import Host, HostRole
 
 
 @dataclass
--- a/tests/fakes/gateway_fleet.py
+++ b/tests/fakes/gateway_fleet.py
@@ -13,7 +13,7 @@
 from balsamway.gateway.connection_budget import ConnectionBudget
 from balsamway.gateway.server_pool import ServerPool
 from balsamway.outcome import Completed
-from balsamway.platform import Host, HostRole
+from balsamway.store import Host, HostRole
 from tests.fakes.gateway_configurations import LIDS, PRICES, GatewayConfigurations
 from tests.fakes.gateway_directory import GatewayDirectory
 from tests.fakes.gateway_recorder import GatewayRecorder
--- a/tests/fakes/gateway_server.py
+++ b/tests/fakes/gateway_server.py
@@ -9,8 +9,8 @@
 
 from aiohttp import web
 
-from balsamway.platform import Host, HostRole
 from balsamway.servers import header_names
+from balsamway.store import Host, HostRole
 
 Behaviour = Callable[["GatewayServer", web.Request], Awaitable[web.StreamResponse]]
 
--- a/tests/fakes/host_list.py
+++ b/tests/fakes/host_list.py
@@ -1,6 +1,6 @@
 from __future__ import annotations
 
-from balsamway.platform import Host, Unavailable
+from balsamway.store import Host, Unavailable
 
 
 class FakeHostList:
--- a/tests/fakes/server.py
+++ b/tests/fakes/server.py
@@ -3,7 +3,6 @@
 import asyncio
 from dataclasses import dataclass, replace
 
-from balsamway.platform import Host, HostRole
 from balsamway.servers.orders import (
     GrantedRange,
     GrantOrder,
@@ -13,6 +12,7 @@
     SurveyOrder,
 )
 from balsamway.slices import ShardId
+from balsamway.store import Host, HostRole
 from tests.fakes.ownership_interval import OwnershipInterval
 
 
--- a/tests/fakes/servers.py
+++ b/tests/fakes/servers.py
@@ -5,7 +5,6 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
-from balsamway.platform import Host
 from balsamway.servers.orders import (
     GrantOrder,
     OrderLost,
@@ -13,6 +12,7 @@
     ReleaseOrder,
     SurveyOrder,
 )
+from balsamway.store import Host
 from tests.fakes.fate import Fate
 from tests.fakes.faults import Faults
 from tests.fakes.ownership_interval import OwnershipInterval
--- a/tests/fakes/store.py
+++ b/tests/fakes/store.py
@@ -4,7 +4,7 @@
 import contextvars
 from collections import Counter
 
-from balsamway.platform import (
+from balsamway.store import (
     Absent,
     Conflict,
     StoredObject,
@@ -12,7 +12,7 @@
     WriteUnknown,
     Written,
 )
-from balsamway.platform.store import ReadResult, WriteResult
+from balsamway.store.store import ReadResult, WriteResult
 from tests.fakes.fate import Fate
 from tests.fakes.faults import Faults
 from tests.fakes.step import Step
--- a/tests/fakes/world.py
+++ b/tests/fakes/world.py
@@ -6,10 +6,10 @@
 
 from balsamway.configuration import MemberConfiguration, Service, Zone
 from balsamway.ownership.shard_leader import ShardLeader
-from balsamway.platform import Store
 from balsamway.settings import Timing
 from balsamway.slices import ShardId, ShardRecord
 from balsamway.slices.record_codec import decode_record
+from balsamway.store import Store
 from tests.fakes.configurations import FakeConfigurations
 from tests.fakes.directory import FakeHosts
 from tests.fakes.entry_host import EntryHost
--- a/tests/gateway/test_connections.py
+++ b/tests/gateway/test_connections.py
@@ -12,7 +12,7 @@
 from balsamway.gateway.connection_warmer import ConnectionWarmer
 from balsamway.gateway.retry_budget import TOKENS_AT_MOST, RetryBudget
 from balsamway.gateway.subset import equal_share, is_in_subset
-from balsamway.platform import Host, HostRole
+from balsamway.store import Host, HostRole
 from tests.fakes import gateway_server as fake
 from tests.fakes.gateway_configurations import LIDS, PRICES, GatewayConfigurations
 from tests.fakes.gateway_directory import GatewayDirectory
--- a/tests/gateway/test_overload.py
+++ b/tests/gateway/test_overload.py
@@ -11,7 +11,7 @@
 from balsamway.gateway.owner_group import OwnerGroup
 from balsamway.gateway.server_state import ServerState
 from balsamway.outcome import Completed, MayHaveRun, NotRun, Reason
-from balsamway.platform import HostState
+from balsamway.store import HostState
 from tests.fakes.gateway_configurations import ARCHIVE, LIDS, LOOKUP, ORDER, PRICES
 from tests.fakes.gateway_fleet import GatewayFleet
 from tests.fakes.gateway_slots import GatewaySlots
--- a/tests/gateway/test_verdicts.py
+++ b/tests/gateway/test_verdicts.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from balsamway.platform import Host, HostRole
+from balsamway.store import Host, HostRole
 from tests.fakes import gateway_server as fake
 
 pytestmark = pytest.mark.looptime
--- a/tests/matrix/entry_host.py
+++ b/tests/matrix/entry_host.py
@@ -27,7 +27,7 @@
 if TYPE_CHECKING:
     import mode
 
-    from balsamway.platform import Host
+    from balsamway.store import Host
     from tests.matrix.world import World
 
 
--- a/tests/matrix/matrix_hosts.py
+++ b/tests/matrix/matrix_hosts.py
@@ -3,7 +3,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from balsamway.platform import Host, Unavailable
+from balsamway.store import Host, Unavailable
 
 if TYPE_CHECKING:
     from tests.fakes.store import FakeStore
--- a/tests/matrix/matrix_transport.py
+++ b/tests/matrix/matrix_transport.py
@@ -12,8 +12,8 @@
 
 if TYPE_CHECKING:
     from balsamway.outcome import Verdict
-    from balsamway.platform import Host
     from balsamway.servers.request import ServerRequest
+    from balsamway.store import Host
     from tests.fakes.servers import FakeServers
     from tests.matrix.matrix_server import MatrixServer
 
--- a/tests/matrix/observer.py
+++ b/tests/matrix/observer.py
@@ -14,8 +14,8 @@
 )
 
 if TYPE_CHECKING:
-    from balsamway.platform import StoredObject
     from balsamway.slices import ShardView
+    from balsamway.store import StoredObject
     from tests.matrix.entry_host import EntryHost
     from tests.matrix.world import World
 
--- a/tests/matrix/record_change.py
+++ b/tests/matrix/record_change.py
@@ -2,8 +2,8 @@
 
 from typing import TYPE_CHECKING
 
-from balsamway.platform import StoredObject
 from balsamway.slices.record_codec import decode_record
+from balsamway.store import StoredObject
 
 if TYPE_CHECKING:
     from balsamway.slices import ShardRecord
--- a/tests/matrix/world.py
+++ b/tests/matrix/world.py
@@ -12,8 +12,8 @@
 )
 from balsamway.configuration.codec import encode_configuration, encode_members
 from balsamway.configuration.constants import MEMBERS_OBJECT
-from balsamway.platform import Host, HostRole, HostState
 from balsamway.slices import ShardId
+from balsamway.store import Host, HostRole, HostState
 from tests.fakes.network import FakeNetwork
 from tests.fakes.servers import FakeServers
 from tests.fakes.store import FakeStore
--- a/tests/ownership/test_store_relay.py
+++ b/tests/ownership/test_store_relay.py
@@ -7,7 +7,7 @@
 
 from balsamway.balance import Move
 from balsamway.ownership.store_relay import RelayedStore
-from balsamway.platform import (
+from balsamway.store import (
     Absent,
     Conflict,
     StoredObject,
--- a/tests/process_deployment.py
+++ b/tests/process_deployment.py
@@ -15,13 +15,13 @@
 from balsamway.configuration.acceptance_result import Accepted
 from balsamway.configuration.generator import generate
 from balsamway.configuration.questionnaire import read_questionnaire
-from balsamway.platform import Host, HostRole
-from balsamway.platform.http_store import HttpStore
 from balsamway.standins.caller import CallerSettings, CallerStandin
 from balsamway.standins.caller.call_kind import CallKind
 from balsamway.standins.journal import Journal
 from balsamway.standins.platform import PlatformSettings, PlatformStandin
 from balsamway.standins.server import ServerSettings, ServerStandin
+from balsamway.store import Host, HostRole
+from balsamway.store.http_store import HttpStore
 
 ROOT = Path(__file__).parent.parent
 WORKSHOP = ROOT / "examples" / "walkthrough" / "workshop.json5"
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -10,8 +10,8 @@
 import pytest
 
 from balsamway.commands.main import main, verbs
-from balsamway.platform import Host, HostRole
 from balsamway.standins.platform import PlatformSettings, PlatformStandin
+from balsamway.store import Host, HostRole
 
 EXAMPLES = Path(__file__).parent.parent / "examples"
 TAPADERAS = str(EXAMPLES / "tapaderas.json5")
--- a/tests/test_http_platform.py
+++ b/tests/test_http_platform.py
@@ -3,7 +3,7 @@
 import msgspec
 import pytest
 
-from balsamway.platform import (
+from balsamway.store import (
     Absent,
     Conflict,
     Host,
@@ -13,9 +13,9 @@
     WriteUnknown,
     Written,
 )
-from balsamway.platform.call_counts import CallCounts
-from balsamway.platform.http_host_list import HttpHostList
-from balsamway.platform.http_store import HttpStore
+from balsamway.store.call_counts import CallCounts
+from balsamway.store.http_host_list import HttpHostList
+from balsamway.store.http_store import HttpStore
 from tests.fakes.configuration_platform import ConfigurationPlatform
 
 TIMEOUT_SECONDS = 0.2
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -8,8 +8,8 @@
 
 from balsamway.membership.leadership_claim import LeadershipClaim
 from balsamway.membership.membership_service import MembershipService
-from balsamway.platform import Host, HostRole, HostState
 from balsamway.slices import ShardId, Witness
+from balsamway.store import Host, HostRole, HostState
 from tests.fakes.faults import Faults
 from tests.fakes.host_list import FakeHostList
 from tests.fakes.network import FakeNetwork
--- a/tests/test_server_prober.py
+++ b/tests/test_server_prober.py
@@ -7,8 +7,8 @@
 
 from balsamway.membership.membership_service import MembershipService
 from balsamway.membership.server_prober import ServerProber
-from balsamway.platform import Host, HostRole, HostState
 from balsamway.standins.server import ServerSettings, ServerStandin
+from balsamway.store import Host, HostRole, HostState
 from tests.fakes.faults import Faults
 from tests.fakes.host_list import FakeHostList
 from tests.fakes.network import FakeNetwork
