--- a/benchmarks/hop/__main__.py
+++ b/benchmarks/hop/__main__.py
@@ -1,6 +1,6 @@
 """Measures what one gateway hop adds to a direct call, in one run.
 
-The server, the gateway and the caller are a process each. The ways are taken
+The target, the gateway and the caller are a process each. The ways are taken
 in turn, several times, so that all of them meet the same state of the machine.
 """
 
@@ -53,11 +53,11 @@
 
 
 def _targets(
-    server: subprocess.Popen[str], gateway: subprocess.Popen[str], address: str
+    target: subprocess.Popen[str], gateway: subprocess.Popen[str], address: str
 ) -> list[Target]:
     entry = _address(gateway)
     return [
-        Target("direct", f"http://{address}/requests/prices/order", server.pid),
+        Target("direct", f"http://{address}/requests/prices/order", target.pid),
         Target("order, no owner", f"http://{entry}/v1/prices/order", gateway.pid),
         Target("order, by key", f"http://{entry}/v1/stock/order", gateway.pid),
         Target("lookup, no owner", f"http://{entry}/v1/prices/lookup", gateway.pid),
@@ -86,15 +86,15 @@
 
 
 def _main(arguments: list[str]) -> None:
-    server = _start("bare_server")
-    address = _address(server)
+    target = _start("bare_target")
+    address = _address(target)
     more = ["--profile"] if PROFILE_FLAG.value else []
     gateway = _start("gateway_process", address, *more)
     try:
-        targets = _targets(server, gateway, address)
+        targets = _targets(target, gateway, address)
         measurements = asyncio.run(_measure(targets, SECONDS_FLAG.value))
     finally:
-        for process in (gateway, server):
+        for process in (gateway, target):
             process.terminate()
             process.wait(timeout=30)
     _show(measurements)
--- a/benchmarks/hop/bare_server.py
+++ b/benchmarks/hop/bare_target.py
@@ -1,4 +1,4 @@
-"""A server that answers at once, in its own process."""
+"""A target that answers at once, in its own process."""
 
 from __future__ import annotations
 
@@ -7,7 +7,7 @@
 
 from aiohttp import web
 
-from balsamway.servers import header_names
+from balsamway.targets import header_names
 
 ANSWER = b"x" * 256
 
--- a/benchmarks/hop/gateway_process.py
+++ b/benchmarks/hop/gateway_process.py
@@ -1,4 +1,4 @@
-"""A gateway with one server behind it, in its own process."""
+"""A gateway with one target behind it, in its own process."""
 
 from __future__ import annotations
 
@@ -14,18 +14,18 @@
 
 from balsamway.gateway import CallerListener, Gateway, GatewayMetrics
 from balsamway.gateway.connection_budget import ConnectionBudget
-from balsamway.gateway.server_pool import ServerPool
-from balsamway.servers.http_transport import HttpTransport
+from balsamway.gateway.target_pool import TargetPool
+from balsamway.targets.http_transport import HttpTransport
 from benchmarks.hop.one_service import OneService
 
 PROFILED_FUNCTIONS = 40
 
 
-async def _serve(server_address: str) -> None:
-    world: Any = OneService(server_address)
+async def _serve(target_address: str) -> None:
+    world: Any = OneService(target_address)
     metrics = GatewayMetrics(CollectorRegistry())
     budget = ConnectionBudget("g1", world, world)
-    pool = ServerPool(world, budget, random.Random(1))
+    pool = TargetPool(world, budget, random.Random(1))
     transport = HttpTransport(budget.limit, metrics.on_open)
     gateway = Gateway(pool, world, transport, world, metrics, "a", random.Random(1))
     listener = CallerListener("127.0.0.1:0", gateway, world, metrics)
--- a/benchmarks/hop/load.py
+++ b/benchmarks/hop/load.py
@@ -19,7 +19,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Target:
-    """A way to the server: where to post, and whose processor time counts."""
+    """A way to the target: where to post, and whose processor time counts."""
 
     path: str
     url: str
--- a/benchmarks/hop/measurement.py
+++ b/benchmarks/hop/measurement.py
@@ -1,4 +1,4 @@
-"""What was measured of one way to the server."""
+"""What was measured of one way to the target."""
 
 from __future__ import annotations
 
@@ -7,7 +7,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Measurement:
-    """What was measured of one way to the server."""
+    """What was measured of one way to the target."""
 
     path: str
     requests: int
@@ -18,4 +18,4 @@
     """Requests a second of one caller with many at a time."""
     per_core_second: float
     """Requests for each second of processor time of the gateway, or of the
-    server where there is no gateway."""
+    target where there is no gateway."""
--- a/benchmarks/hop/one_service.py
+++ b/benchmarks/hop/one_service.py
@@ -1,4 +1,4 @@
-"""A configuration and a directory of one service with one server."""
+"""A configuration and a directory of one service with one target."""
 
 from __future__ import annotations
 
@@ -7,10 +7,10 @@
 from typing import TYPE_CHECKING
 
 from balsamway.configuration import (
-    MemberConfiguration,
     RequestKind,
     Service,
     Urgency,
+    WorkspaceConfiguration,
     Zone,
 )
 from balsamway.ownership.route import Route
@@ -31,45 +31,45 @@
     Service("prices", False, KINDS, 64, 1030, 1),
     Service("stock", True, KINDS, 64, 1030, 1),
 )
-MEMBER = MemberConfiguration("hop", 1, "c", (Zone("a", "r", 1),), SERVICES, ())
+WORKSPACE = WorkspaceConfiguration("hop", 1, "c", (Zone("a", "r", 1),), SERVICES, ())
 
 
 class OneService:
     """Stands for the configuration, the directory, routes and load counts."""
 
-    def __init__(self, server_address: str) -> None:
-        self._servers = {
+    def __init__(self, target_address: str) -> None:
+        self._targets = {
             service.name: Host(
                 f"{service.name}-1",
-                HostRole.SERVER,
+                HostRole.TARGET,
                 "a",
-                server_address,
-                MEMBER.member,
+                target_address,
+                WORKSPACE.workspace,
                 service.name,
             )
             for service in SERVICES
         }
-        self._listed = {name: (host,) for name, host in self._servers.items()}
+        self._listed = {name: (host,) for name, host in self._targets.items()}
 
-    def member(self, name: str) -> MemberConfiguration:
-        """Gives the one member."""
-        return MEMBER
+    def workspace(self, name: str) -> WorkspaceConfiguration:
+        """Gives the one workspace."""
+        return WORKSPACE
 
-    def members(self) -> tuple[MemberConfiguration, ...]:
-        """Lists the one member."""
-        return (MEMBER,)
+    def workspaces(self) -> tuple[WorkspaceConfiguration, ...]:
+        """Lists the one workspace."""
+        return (WORKSPACE,)
 
-    def member_of_token(self, token: str) -> MemberConfiguration | None:
-        """Finds the member by its token."""
-        return MEMBER if token == TOKEN else None
+    def workspace_of_token(self, token: str) -> WorkspaceConfiguration | None:
+        """Finds the workspace by its token."""
+        return WORKSPACE if token == TOKEN else None
 
-    def servers(self, member: str, service: str) -> tuple[Host, ...]:
-        """Lists the one server of a service."""
+    def targets(self, workspace: str, service: str) -> tuple[Host, ...]:
+        """Lists the one target of a service."""
         return self._listed[service]
 
-    def server(self, name: str) -> Host | None:
-        """Finds a server by name."""
-        return self._servers[name.removesuffix("-1")]
+    def target(self, name: str) -> Host | None:
+        """Finds a target by name."""
+        return self._targets[name.removesuffix("-1")]
 
     def entry_hosts(self) -> tuple[Host, ...]:
         """Lists no entry host but this."""
--- a/benchmarks/slopes/__main__.py
+++ b/benchmarks/slopes/__main__.py
@@ -22,7 +22,7 @@
     for part in (
         measurements.gateway_slopes,
         measurements.leader_slopes,
-        measurements.server_slopes,
+        measurements.target_slopes,
         measurements.store_slopes,
         measurements.witness_slopes,
         measurements.relay_slopes,
--- a/benchmarks/slopes/measurements.py
+++ b/benchmarks/slopes/measurements.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from balsamway.balance import HeavyHitters, PlacementPlanner
-from balsamway.configuration import MemberConfiguration, RequestKind, Service, Zone
+from balsamway.configuration import RequestKind, Service, WorkspaceConfiguration, Zone
 from balsamway.configuration.codec import decode_configuration, encode_configuration
 from balsamway.membership.heartbeat import Heartbeat
 from balsamway.membership.leadership_claim import LeadershipClaim
@@ -86,17 +86,17 @@
         measure("leader", "estimate", "us", "gateways", SIZES, _estimate_us),
         measure("leader", "estimate", "us", "slices", SLICES, _estimate_slices_us),
         measure("leader", "estimate", "bytes", "gateways", SIZES, _estimate_bytes),
-        measure("leader", "plan", "us", "servers", SIZES, _plan_us),
+        measure("leader", "plan", "us", "targets", SIZES, _plan_us),
         measure("leader", "plan", "us", "slices", SLICES, _plan_slices_us),
         measure("leader", "record held", "bytes", "slices", SLICES, _record_memory),
     ]
 
 
-def server_slopes() -> list[Slope]:
-    """Measures the grants that a server is sent."""
+def target_slopes() -> list[Slope]:
+    """Measures the grants that a target is sent."""
     return [
-        measure("server side", "grant", "bytes", "ranges", SIZES, _grant_bytes),
-        measure("server side", "grant", "us", "ranges", SIZES, _grant_us),
+        measure("target side", "grant", "bytes", "ranges", SIZES, _grant_bytes),
+        measure("target side", "grant", "us", "ranges", SIZES, _grant_us),
     ]
 
 
@@ -240,8 +240,8 @@
     return memory_bytes(lambda: samples.loaded_estimate(gateways, 256))
 
 
-def _plan_us(servers: int) -> float:
-    state = samples.placement_input(512, servers)
+def _plan_us(targets: int) -> float:
+    state = samples.placement_input(512, targets)
     return processor_seconds(lambda: PlacementPlanner().plan(state)) * MICRO
 
 
@@ -276,7 +276,7 @@
 def _witness_bytes(shards: int) -> float:
     def build() -> dict[str, WitnessState]:
         return {
-            f"member-{index}/inventory/0": WitnessState(
+            f"workspace-{index}/inventory/0": WitnessState(
                 index + 1000, Witness(f"entry-host-{index:05}", index << 40), index / 7
             )
             for index in range(shards)
@@ -311,7 +311,9 @@
         for index in range(services)
     )
     hashes = ("0" * 64, "1" * 64)
-    configuration = MemberConfiguration("member", 3, "a" * 32, zones, parts, hashes)
+    configuration = WorkspaceConfiguration(
+        "workspace", 3, "a" * 32, zones, parts, hashes
+    )
     return encode_configuration(configuration)
 
 
@@ -321,7 +323,7 @@
 
 def _conf_us(services: int) -> float:
     body = _configuration(services)
-    return processor_seconds(lambda: decode_configuration(body, "member")) * MICRO
+    return processor_seconds(lambda: decode_configuration(body, "workspace")) * MICRO
 
 
 def _host(index: int) -> Host:
--- a/benchmarks/slopes/samples.py
+++ b/benchmarks/slopes/samples.py
@@ -7,7 +7,6 @@
 
 from balsamway.balance import Candidate, LoadEstimate, LoadRecorder, PlacementInput
 from balsamway.ownership.messages import LoadReport
-from balsamway.servers.orders import GrantedRange, GrantOrder
 from balsamway.slices import (
     POSITION_END,
     KeyRange,
@@ -18,8 +17,9 @@
     ViewSlice,
     Witness,
 )
+from balsamway.targets.orders import GrantedRange, GrantOrder
 
-SHARD = ShardId("member-of-average-name", "inventory", 17)
+SHARD = ShardId("workspace-of-average-name", "inventory", 17)
 SEED = 1
 
 
@@ -30,50 +30,50 @@
     return tuple(KeyRange(*pair) for pair in pairwise(bounds))
 
 
-def server_name(index: int) -> str:
-    """Names a server."""
-    return f"inventory-server-{index:05}"
+def target_name(index: int) -> str:
+    """Names a target."""
+    return f"inventory-target-{index:05}"
 
 
-def view(slices: int, servers: int = 30) -> ShardView:
+def view(slices: int, targets: int = 30) -> ShardView:
     """Makes a gateway's view of a shard."""
     parts = tuple(
-        ViewSlice(item, server_name(index % servers), 7 << 24, checked=True)
+        ViewSlice(item, target_name(index % targets), 7 << 24, checked=True)
         for index, item in enumerate(ranges(slices))
     )
     return ShardView(SHARD, 7, 120, 2.0, parts)
 
 
-def record(slices: int, servers: int = 30) -> ShardRecord:
+def record(slices: int, targets: int = 30) -> ShardRecord:
     """Makes a shard's record."""
     roster = tuple(Witness(f"entry-host-{index:05}", 1 << 60) for index in range(5))
     return ShardRecord(
-        SHARD, 120, roster[0], 7, roster, entries(slices, servers), 7 << 24, "a" * 32
+        SHARD, 120, roster[0], 7, roster, entries(slices, targets), 7 << 24, "a" * 32
     )
 
 
-def entries(slices: int, servers: int) -> tuple[SliceEntry, ...]:
+def entries(slices: int, targets: int) -> tuple[SliceEntry, ...]:
     """Makes slices with owners and standbys."""
     return tuple(
         SliceEntry(
             item,
-            server_name(index % servers),
+            target_name(index % targets),
             7 << 24,
-            server_name((index + 1 + index // servers) % servers),
+            target_name((index + 1 + index // targets) % targets),
         )
         for index, item in enumerate(ranges(slices))
     )
 
 
-def placement_input(slices: int, servers: int) -> PlacementInput:
+def placement_input(slices: int, targets: int) -> PlacementInput:
     """Makes a balanced shard as placement sees it."""
     candidates = tuple(
-        Candidate(server_name(index), f"zone-{index % 3}") for index in range(servers)
+        Candidate(target_name(index), f"zone-{index % 3}") for index in range(targets)
     )
     estimate = loaded_estimate(1, slices)
     loads = estimate.loads(ranges(slices), 1.0)
     return PlacementInput(
-        entries(slices, servers), candidates, loads, estimate.hot_keys(), now=1.0
+        entries(slices, targets), candidates, loads, estimate.hot_keys(), now=1.0
     )
 
 
--- a/src/balsamway/__init__.py
+++ b/src/balsamway/__init__.py
@@ -1,3 +1,3 @@
-"""A request router for servers that own keys exclusively."""
+"""A request router for targets that own keys exclusively."""
 
 __version__ = "0.1.0"
--- a/src/balsamway/balance/_board.py
+++ b/src/balsamway/balance/_board.py
@@ -22,18 +22,18 @@
 """The share of the counted load that goes by key space and not by load."""
 
 WARMING_CAPACITY_SHARE = 0.25
-"""What a server counts for while it is in its cold start."""
+"""What a target counts for while it is in its cold start."""
 
 
 class Board:
-    """Slices and servers with their loads, changed as the plan grows."""
+    """Slices and targets with their loads, changed as the plan grows."""
 
     def __init__(self, state: PlacementInput, seed: int) -> None:
         """Sets up the board.
 
         Args:
             state: The shard as it is.
-            seed: Breaks ties between servers.
+            seed: Breaks ties between targets.
         """
         self.moves: list[Move] = []
         self.moved: set[KeyRange] = set()
@@ -64,42 +64,42 @@
         """The counted load for each unit of capacity."""
         return self.total / sum(self.capacity.values())
 
-    def weight(self, server: str) -> float:
-        """Gives the counted load of a usable server.
+    def weight(self, target: str) -> float:
+        """Gives the counted load of a usable target.
 
         Args:
-            server: The server's name.
+            target: The target's name.
 
         Returns:
             The load of its slices, and of those that move to it.
         """
-        return self._weights[server]
+        return self._weights[target]
 
-    def pressure(self, server: str, added: float = 0.0) -> float:
-        """Gives a server's load for each unit of its capacity.
+    def pressure(self, target: str, added: float = 0.0) -> float:
+        """Gives a target's load for each unit of its capacity.
 
         Args:
-            server: The name of a usable server.
+            target: The name of a usable target.
             added: Load to count as well.
 
         Returns:
             The load over the capacity.
         """
-        return (self._weights[server] + added) / self.capacity[server]
+        return (self._weights[target] + added) / self.capacity[target]
 
-    def is_usable(self, server: str) -> bool:
-        """Tells whether a server may be given slices."""
-        return server in self.capacity
+    def is_usable(self, target: str) -> bool:
+        """Tells whether a target may be given slices."""
+        return target in self.capacity
 
     def least_loaded(self, added: float, names: Iterable[str]) -> str:
-        """Finds the server that would have the least load.
+        """Finds the target that would have the least load.
 
         Args:
             added: The load to add.
-            names: The servers to choose among.
+            names: The targets to choose among.
 
         Returns:
-            The server's name.
+            The target's name.
         """
         return min(
             names, key=lambda name: (self.pressure(name, added), self.rank[name])
@@ -109,12 +109,12 @@
         """Tells whether a slice may be changed: nothing moves it yet."""
         return not item.moving and item.range not in self.moved
 
-    def owned(self, server: str) -> list[BoardSlice]:
-        """Lists the slices of a server, in order."""
+    def owned(self, target: str) -> list[BoardSlice]:
+        """Lists the slices of a target, in order."""
         return [
             each
             for each in sorted(self.slices.values(), key=lambda each: each.range)
-            if each.owner == server
+            if each.owner == target
         ]
 
     def move(self, item: BoardSlice, to: str) -> None:
@@ -122,7 +122,7 @@
 
         Args:
             item: A slice that is not moving.
-            to: The server that is to own it.
+            to: The target that is to own it.
         """
         move = Move(item.range, to)
         self.moves.append(move)
--- a/src/balsamway/balance/_board_slice.py
+++ b/src/balsamway/balance/_board_slice.py
@@ -33,7 +33,7 @@
             weight: The load that placement counts.
 
         Returns:
-            The slice; one that moves counts for the server it moves to.
+            The slice; one that moves counts for the target it moves to.
         """
         owner = entry.moving_to or entry.owner
         moving = bool(entry.moving_to)
--- a/src/balsamway/balance/_evacuation.py
+++ b/src/balsamway/balance/_evacuation.py
@@ -12,10 +12,10 @@
 
 
 def evacuate(board: Board) -> None:
-    """Moves every slice off servers that are leaving, lost or not known.
+    """Moves every slice off targets that are leaving, lost or not known.
 
     Slices without an owner are placed in the same way. The heaviest go
-    first, each to the server that then has the least load for its capacity.
+    first, each to the target that then has the least load for its capacity.
 
     Args:
         board: The shard; the moves are added to it.
@@ -38,11 +38,11 @@
     return board.least_loaded(item.weight, names)
 
 
-def _is_lost(board: Board, server: str) -> bool:
-    found = board.candidates.get(server)
+def _is_lost(board: Board, target: str) -> bool:
+    found = board.candidates.get(target)
     return found is not None and found.state is CandidateState.LOST
 
 
-def _is_live(board: Board, server: str) -> bool:
-    found = board.candidates.get(server)
+def _is_live(board: Board, target: str) -> bool:
+    found = board.candidates.get(target)
     return found is not None and found.state is CandidateState.LIVE
--- a/src/balsamway/balance/_fair_share.py
+++ b/src/balsamway/balance/_fair_share.py
@@ -1,4 +1,4 @@
-"""What each server should carry, where single keys cannot be divided."""
+"""What each target should carry, where single keys cannot be divided."""
 
 from __future__ import annotations
 
@@ -11,19 +11,19 @@
 
 @dataclass(frozen=True, slots=True)
 class FairShare:
-    """The even load, and the servers that one key alone fills."""
+    """The even load, and the targets that one key alone fills."""
 
     pressure: float
-    """The load for each unit of capacity of the servers not so filled."""
+    """The load for each unit of capacity of the targets not so filled."""
     bound: dict[str, float]
-    """The load of the one key, by the server that has it."""
+    """The load of the one key, by the target that has it."""
 
     @classmethod
     def of(cls, board: Board) -> FairShare:
         """Works out the even load.
 
-        A key with more load than an even share fills its server. Such
-        servers and keys are left out of the even share of the rest.
+        A key with more load than an even share fills its target. Such
+        targets and keys are left out of the even share of the rest.
 
         Args:
             board: The shard.
@@ -45,23 +45,23 @@
             capacity -= own
         return cls(load / capacity, bound)
 
-    def excess(self, board: Board, server: str) -> float:
-        """Compares a server's load with its share.
+    def excess(self, board: Board, target: str) -> float:
+        """Compares a target's load with its share.
 
         Args:
             board: The shard.
-            server: The name of a usable server.
+            target: The name of a usable target.
 
         Returns:
-            The load over the share; 1 is even. A server that one key fills
+            The load over the share; 1 is even. A target that one key fills
             is even when it has nothing else.
         """
         if self.pressure <= 0.0:
             return 1.0
-        own = self.bound.get(server)
+        own = self.bound.get(target)
         if own is None:
-            return board.pressure(server) / self.pressure
-        rest = (board.weight(server) - own) / board.capacity[server]
+            return board.pressure(target) / self.pressure
+        rest = (board.weight(target) - own) / board.capacity[target]
         return 1.0 + rest / self.pressure
 
 
--- a/src/balsamway/balance/_gathering.py
+++ b/src/balsamway/balance/_gathering.py
@@ -13,7 +13,7 @@
     from balsamway.balance._move_budget import MoveBudget
 
 LIGHT_SHARE = 0.025
-"""A slice below this share of a server's even load may be gathered."""
+"""A slice below this share of a target's even load may be gathered."""
 
 GATHERED_AT_ONCE = 8
 
@@ -29,7 +29,7 @@
 
     Args:
         board: The shard; the moves are added to it.
-        share: What a server should carry.
+        share: What a target should carry.
         budget: What may be moved.
         wanted: The number of slices down to which none is gathered.
         is_settled: Tells whether a slice may be moved.
--- a/src/balsamway/balance/_merging.py
+++ b/src/balsamway/balance/_merging.py
@@ -15,7 +15,7 @@
     from balsamway.balance._fair_share import FairShare
 
 COLD_SHARE = 0.08
-"""A merged slice has at most this share of a server's even load."""
+"""A merged slice has at most this share of a target's even load."""
 
 MERGES_AT_ONCE = 16
 
@@ -30,7 +30,7 @@
 
     Args:
         board: The shard; it is changed as the merges leave it.
-        share: What a server should carry.
+        share: What a target should carry.
         wanted: The number of slices down to which there is nothing to merge.
         is_settled: Tells whether a slice is old enough to be merged.
 
--- a/src/balsamway/balance/_rebalance.py
+++ b/src/balsamway/balance/_rebalance.py
@@ -1,4 +1,4 @@
-"""Moves slices from servers with too much load to those with too little."""
+"""Moves slices from targets with too much load to those with too little."""
 
 from __future__ import annotations
 
@@ -26,12 +26,12 @@
 ) -> None:
     """Evens out the load within a budget.
 
-    Each move takes from the server furthest over its share and gives to the
+    Each move takes from the target furthest over its share and gives to the
     one furthest under it, and never shifts more than either needs.
 
     Args:
         board: The shard; the moves are added to it.
-        share: What a server should carry.
+        share: What a target should carry.
         budget: What may be moved.
         trade: When the load is even enough, and how many moves may be made.
         is_settled: Tells whether a slice may be moved again.
@@ -101,6 +101,6 @@
     return smallest if after < before else None
 
 
-def _fills(share: FairShare, item: BoardSlice, server: str) -> bool:
-    """Tells whether a slice is the one key that fills its server."""
-    return item.range.size == 1 and share.bound.get(server) == item.weight
+def _fills(share: FairShare, item: BoardSlice, target: str) -> bool:
+    """Tells whether a slice is the one key that fills its target."""
+    return item.range.size == 1 and share.bound.get(target) == item.weight
--- a/src/balsamway/balance/_slice_sums.py
+++ b/src/balsamway/balance/_slice_sums.py
@@ -33,7 +33,7 @@
 
         Args:
             position: The position of the request's key.
-            busy_seconds: The server's time that it took.
+            busy_seconds: The target's time that it took.
         """
         index = bisect_right(self._starts, position) - 1
         self._requests[index] += 1
--- a/src/balsamway/balance/_splitting.py
+++ b/src/balsamway/balance/_splitting.py
@@ -14,10 +14,10 @@
     from balsamway.balance._fair_share import FairShare
 
 GRAIN_SHARE = 0.1
-"""Slices heavier than this share of a server's even load are cut."""
+"""Slices heavier than this share of a target's even load are cut."""
 
 KEY_SHARE = 0.05
-"""Keys heavier than this share of a server's even load get a slice."""
+"""Keys heavier than this share of a target's even load get a slice."""
 
 PARTS_AT_MOST = 8
 """How many parts a slice without hot keys is cut into at once."""
@@ -28,7 +28,7 @@
 
     Args:
         board: The shard; it is changed as the splits leave it.
-        share: What a server should carry.
+        share: What a target should carry.
         room: How many more slices the shard may have.
 
     Returns:
--- a/src/balsamway/balance/_standbys.py
+++ b/src/balsamway/balance/_standbys.py
@@ -1,4 +1,4 @@
-"""Chooses the server that takes over each slice if its owner is lost."""
+"""Chooses the target that takes over each slice if its owner is lost."""
 
 from __future__ import annotations
 
@@ -18,7 +18,7 @@
 
     A standby stands in another availability zone than the owner wherever
     there is one. The standbys of one owner are spread, so that the load of
-    a lost server falls on many.
+    a lost target falls on many.
 
     Args:
         board: The shard as the plan leaves it.
--- a/src/balsamway/balance/candidate.py
+++ b/src/balsamway/balance/candidate.py
@@ -1,4 +1,4 @@
-"""A server that slices may be placed on."""
+"""A target that slices may be placed on."""
 
 from __future__ import annotations
 
@@ -7,7 +7,7 @@
 
 
 class CandidateState(StrEnum):
-    """Whether a server may be given slices, or must lose them."""
+    """Whether a target may be given slices, or must lose them."""
 
     LIVE = "live"
     WARMING = "warming"
@@ -18,7 +18,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Candidate:
-    """A server as placement sees it."""
+    """A target as placement sees it."""
 
     name: str
     zone: str
--- a/src/balsamway/balance/heavy_hitters.py
+++ b/src/balsamway/balance/heavy_hitters.py
@@ -41,7 +41,7 @@
 
         Args:
             position: The position of the request's key.
-            busy_seconds: The server's time that it took.
+            busy_seconds: The target's time that it took.
         """
         counter = self._counters.get(position)
         if counter is None:
--- a/src/balsamway/balance/load_estimate.py
+++ b/src/balsamway/balance/load_estimate.py
@@ -26,8 +26,8 @@
 class LoadEstimate:
     """Merges what the gateways of a shard saw.
 
-    Only what gateways measured of their own requests counts. What servers
-    say of their load has no way in, so a server that misreports its load
+    Only what gateways measured of their own requests counts. What targets
+    say of their load has no way in, so a target that misreports its load
     cannot steer placement.
     """
 
--- a/src/balsamway/balance/load_recorder.py
+++ b/src/balsamway/balance/load_recorder.py
@@ -31,8 +31,8 @@
 class LoadRecorder:
     """Counts the load of each slice and of the keys with the most load.
 
-    A gateway sees how long a request took, its wait in the server included.
-    At a server with a queue that is a multiple of the work, and a slice would
+    A gateway sees how long a request took, its wait in the target included.
+    At a target with a queue that is a multiple of the work, and a slice would
     seem heavier the longer the queue, so a request counts for little more
     than the median.
     """
@@ -48,7 +48,7 @@
         return tuple(sorted(self._sums))
 
     def record(self, shard: ShardId, position: int, busy_seconds: float) -> None:
-        """Counts one request that a server ran.
+        """Counts one request that a target ran.
 
         Args:
             shard: The shard of the key.
--- a/src/balsamway/balance/placement_planner.py
+++ b/src/balsamway/balance/placement_planner.py
@@ -37,16 +37,16 @@
 class PlacementPlanner:
     """Plans one shard; the plan is the same for the same inputs and seed.
 
-    Slices leave servers that are leaving or lost at once. What only serves
-    balance waits until a server is well over its share, stops when all are
-    nearly even, and keeps to a budget; the member's weights set all three.
+    Slices leave targets that are leaving or lost at once. What only serves
+    balance waits until a target is well over its share, stops when all are
+    nearly even, and keeps to a budget; the workspace's weights set all three.
     """
 
     def __init__(self, seed: int = 0, limits: PlacementLimits | None = None) -> None:
         """Creates a planner without history.
 
         Args:
-            seed: Breaks ties between servers, so that shards differ.
+            seed: Breaks ties between targets, so that shards differ.
             limits: Bounds on the number of slices.
         """
         self._seed = seed
--- a/src/balsamway/balance/placement_trade.py
+++ b/src/balsamway/balance/placement_trade.py
@@ -1,4 +1,4 @@
-"""How a member's weights trade balance against moves."""
+"""How a workspace's weights trade balance against moves."""
 
 from __future__ import annotations
 
@@ -17,7 +17,7 @@
     """When rebalancing begins, and how much it may move."""
 
     start_ratio: float
-    """Rebalancing begins when a server has more than this times its share."""
+    """Rebalancing begins when a target has more than this times its share."""
     budget_share_a_minute: float
     """The share of the shard's load that may be moved in a minute."""
     moves_at_once: int
@@ -25,7 +25,7 @@
 
     @property
     def end_ratio(self) -> float:
-        """Rebalancing ends when no server is this far from its share."""
+        """Rebalancing ends when no target is this far from its share."""
         return 1.0 + (self.start_ratio - 1.0) * END_FRACTION
 
     @property
@@ -35,10 +35,10 @@
 
     @classmethod
     def of(cls, weights: Weights) -> PlacementTrade:
-        """Works out the trade from a member's weights.
+        """Works out the trade from a workspace's weights.
 
         Args:
-            weights: What the member weighs.
+            weights: What the workspace weighs.
 
         Returns:
             The trade; the more imbalance weighs, the sooner slices move.
--- a/src/balsamway/commands/_reviewed.py
+++ b/src/balsamway/commands/_reviewed.py
@@ -8,10 +8,10 @@
 import pyjson5
 
 from balsamway.commands.verb import UsageError
-from balsamway.configuration import MemberConfiguration
+from balsamway.configuration import WorkspaceConfiguration
 
 
-def read_configuration(path: str) -> MemberConfiguration:
+def read_configuration(path: str) -> WorkspaceConfiguration:
     """Reads a configuration that `generate` wrote.
 
     Args:
@@ -25,7 +25,7 @@
     """
     try:
         found = pyjson5.decode(Path(path).read_text(encoding="utf-8"))
-        return msgspec.convert(found, MemberConfiguration)
+        return msgspec.convert(found, WorkspaceConfiguration)
     except (OSError, UnicodeDecodeError) as error:
         raise UsageError(f"{path}: {error}") from error
     except (pyjson5.Json5Exception, msgspec.ValidationError) as error:
--- a/src/balsamway/commands/accept.py
+++ b/src/balsamway/commands/accept.py
@@ -13,7 +13,7 @@
 from balsamway.commands._platform import define_platform, open_store, platform_of
 from balsamway.commands._reviewed import read_configuration
 from balsamway.commands.verb import FINE, NOT_DONE, NOT_MET, Arguments, UsageError, Verb
-from balsamway.configuration import MemberConfiguration
+from balsamway.configuration import WorkspaceConfiguration
 from balsamway.configuration.acceptance import SETTLE_SECONDS, Acceptance
 from balsamway.configuration.acceptance_result import (
     AcceptConflict,
@@ -64,7 +64,7 @@
     flags.DEFINE_boolean("json", False, "Prints JSON.", flag_values=values)
 
 
-def _is_reviewed(offered: MemberConfiguration, path: str | None) -> bool:
+def _is_reviewed(offered: WorkspaceConfiguration, path: str | None) -> bool:
     if path is None:
         return True
     changes = difference(read_configuration(path), offered)
@@ -73,7 +73,7 @@
     return not changes
 
 
-async def _accept(offered: MemberConfiguration, parsed: Arguments) -> AcceptResult:
+async def _accept(offered: WorkspaceConfiguration, parsed: Arguments) -> AcceptResult:
     async with open_store(platform_of(parsed)) as store:
         acceptance = Acceptance(
             store, random.SystemRandom(), parsed.flags.settle_seconds
@@ -81,12 +81,14 @@
         return await acceptance.accept(offered, parsed.flags.base)
 
 
-def _report(offered: MemberConfiguration, result: AcceptResult, as_json: bool) -> int:
+def _report(
+    offered: WorkspaceConfiguration, result: AcceptResult, as_json: bool
+) -> int:
     if as_json:
         document = {"result": type(result).__name__, **msgspec.to_builtins(result)}
         print(msgspec.json.encode(document).decode())
     else:
-        print("\n".join(_lines(offered.member, result)))
+        print("\n".join(_lines(offered.workspace, result)))
     return FINE if isinstance(result, Accepted) else _status(result)
 
 
@@ -94,13 +96,13 @@
     return NOT_MET if isinstance(result, AcceptConflict) else NOT_DONE
 
 
-def _lines(member: str, result: AcceptResult) -> list[str]:
+def _lines(workspace: str, result: AcceptResult) -> list[str]:
     match result:
         case Accepted(version=version):
-            return [f"accepted: {member} version {version}"]
+            return [f"accepted: {workspace} version {version}"]
         case AcceptConflict(base=base, version=version, changes=changes):
             return [
-                f"conflict: {member} is at version {version}, reviewed was {base};"
+                f"conflict: {workspace} is at version {version}, reviewed was {base};"
                 " nothing changed",
                 "from what is there to what was offered:",
                 *(f"  {change}" for change in changes),
--- a/src/balsamway/commands/check.py
+++ b/src/balsamway/commands/check.py
@@ -32,8 +32,8 @@
 
 def _check(path: str) -> bool:
     match read_questionnaire(Path(path)):
-        case Questionnaire(member=member):
-            print(f"{path}: fine, member {member}")
+        case Questionnaire(workspace=workspace):
+            print(f"{path}: fine, workspace {workspace}")
             return True
         case problems:
             for problem in problems:
--- a/src/balsamway/commands/demo.py
+++ b/src/balsamway/commands/demo.py
@@ -1,4 +1,4 @@
-"""Runs both members' deployments on embedded stand-ins, and checks them."""
+"""Runs both workspaces' deployments on embedded stand-ins, and checks them."""
 
 from __future__ import annotations
 
@@ -16,7 +16,7 @@
 
 from balsamway.commands._answers import generate_from
 from balsamway.commands.verb import FINE, NOT_DONE, NOT_MET, Verb
-from balsamway.demo.board_table import event_table, member_table
+from balsamway.demo.board_table import event_table, workspace_table
 from balsamway.demo.demo_run import run_demo
 from balsamway.demo.deployment import NotReadyError
 
@@ -72,7 +72,7 @@
 
 
 def _show(console: Console, result: DemoResult) -> None:
-    console.print(member_table(result))
+    console.print(workspace_table(result))
     console.print(event_table(result))
     for violation in result.violations:
         console.print(f"does not hold: {violation.invariant}: {violation.detail}")
@@ -86,7 +86,7 @@
     flags.DEFINE_float(
         "requests_per_second",
         REQUESTS_PER_SECOND,
-        "The load of each member.",
+        "The load of each workspace.",
         flag_values=values,
     )
 
@@ -94,9 +94,9 @@
 VERB = Verb(
     "demo",
     "[QUESTIONNAIRE ...] [--json]",
-    "Starts a platform stand-in and each member's entry hosts, servers and\n"
+    "Starts a platform stand-in and each workspace's entry hosts, targets and\n"
     "callers in this process; takes them through hot keys, the loss of a\n"
-    "server, a planned stop and an accepted change; checks the journals.\n"
+    "target, a planned stop and an accepted change; checks the journals.\n"
     "Exits with 0 if everything that must always hold did, 1 if not, and 2 if\n"
     "the deployment did not come to serve.",
     _define,
--- a/src/balsamway/commands/diff.py
+++ b/src/balsamway/commands/diff.py
@@ -11,7 +11,7 @@
 from balsamway.commands._answers import generate_from
 from balsamway.commands._platform import define_platform, open_store, platform_of
 from balsamway.commands.verb import FINE, NOT_DONE, NOT_MET, Arguments, Verb
-from balsamway.configuration import MemberConfiguration
+from balsamway.configuration import WorkspaceConfiguration
 from balsamway.configuration.change import Change
 from balsamway.configuration.codec import Malformed, decode_configuration
 from balsamway.configuration.difference import difference
@@ -45,10 +45,10 @@
     flags.DEFINE_boolean("json", False, "Prints JSON.", flag_values=values)
 
 
-async def _against_stored(after: MemberConfiguration, parsed: Arguments) -> int:
+async def _against_stored(after: WorkspaceConfiguration, parsed: Arguments) -> int:
     async with open_store(platform_of(parsed)) as store:
         found = await store.read(after.object_name)
-    match _current(found, after.member):
+    match _current(found, after.workspace):
         case Malformed(reason=reason) | Unavailable(reason=reason):
             print(f"balsamway diff: {reason}", file=sys.stderr)
             return NOT_DONE
@@ -59,11 +59,11 @@
 
 
 def _current(
-    found: StoredObject | Absent | Unavailable, member: str
-) -> MemberConfiguration | Malformed | Unavailable | None:
+    found: StoredObject | Absent | Unavailable, workspace: str
+) -> WorkspaceConfiguration | Malformed | Unavailable | None:
     match found:
         case StoredObject(body=body):
-            return decode_configuration(body, member)
+            return decode_configuration(body, workspace)
         case Absent():
             return None
         case Unavailable():
--- a/src/balsamway/commands/report.py
+++ b/src/balsamway/commands/report.py
@@ -1,4 +1,4 @@
-"""Reports balance, refusals and cost of a member from the daemons' metrics."""
+"""Reports a workspace's balance, refusals and cost from metrics."""
 
 from __future__ import annotations
 
@@ -13,13 +13,13 @@
 from balsamway.commands._operators import read_entry_hosts, read_metrics
 from balsamway.commands._platform import define_platform, platform_of
 from balsamway.commands.verb import FINE, NOT_DONE, NOT_MET, UsageError, Verb
-from balsamway.observe.report import MemberReport, build_report
+from balsamway.observe.report import WorkspaceReport, build_report
 from balsamway.observe.report.presentation import report_page, report_table
 from balsamway.store import Unavailable
 
 
 def run(arguments: list[str]) -> int:
-    """Prints the report of a member.
+    """Prints the report of a workspace.
 
     Args:
         arguments: What follows the verb.
@@ -28,9 +28,9 @@
         The exit status.
     """
     parsed = VERB.parse(arguments)
-    if not parsed.flags.member:
-        raise UsageError("--member NAME is needed")
-    report = asyncio.run(_report(platform_of(parsed), parsed.flags.member))
+    if not parsed.flags.workspace:
+        raise UsageError("--workspace NAME is needed")
+    report = asyncio.run(_report(platform_of(parsed), parsed.flags.workspace))
     if isinstance(report, Unavailable):
         print(f"balsamway report: the host list: {report.reason}", file=sys.stderr)
         return NOT_DONE
@@ -47,22 +47,22 @@
 
 def _define(values: flags.FlagValues) -> None:
     define_platform(values)
-    flags.DEFINE_string("member", None, "The member's name.", flag_values=values)
+    flags.DEFINE_string("workspace", None, "The workspace's name.", flag_values=values)
     flags.DEFINE_string("html", None, "A file for the page.", flag_values=values)
     flags.DEFINE_boolean("json", False, "Prints JSON.", flag_values=values)
 
 
-async def _report(platform: str, member: str) -> MemberReport | Unavailable:
+async def _report(platform: str, workspace: str) -> WorkspaceReport | Unavailable:
     hosts = await read_entry_hosts(platform)
     if isinstance(hosts, Unavailable):
         return hosts
     pages = await read_metrics(hosts)
     reached = {name: page for name, page in pages.items() if isinstance(page, str)}
     unreached = tuple(name for name in sorted(pages) if name not in reached)
-    return build_report(member, reached, unreached)
+    return build_report(workspace, reached, unreached)
 
 
-def _write_page(path: Path, report: MemberReport) -> None:
+def _write_page(path: Path, report: WorkspaceReport) -> None:
     try:
         path.write_text(report_page(report), encoding="utf-8")
     except OSError as error:
@@ -71,10 +71,10 @@
 
 VERB = Verb(
     "report",
-    "--platform URL --member NAME [--json] [--html FILE]",
-    "Reports how evenly a member's servers were busy, which requests were not\n"
+    "--platform URL --workspace NAME [--json] [--html FILE]",
+    "Reports how evenly a workspace's targets were busy, which requests were not\n"
     "completed, and what the system cost, from the metrics of all entry hosts.\n"
-    "Exits with 0, 1 if no host knows a request of the member, 2 if the\n"
+    "Exits with 0, 1 if no host knows a request of the workspace, 2 if the\n"
     "platform or a host was not reached.",
     _define,
 )
--- a/src/balsamway/commands/status.py
+++ b/src/balsamway/commands/status.py
@@ -17,9 +17,9 @@
 from balsamway.configuration.codec import (
     Malformed,
     decode_configuration,
-    decode_members,
+    decode_workspaces,
 )
-from balsamway.configuration.constants import MEMBERS_OBJECT
+from balsamway.configuration.constants import WORKSPACES_OBJECT
 from balsamway.store import StoredObject, Unavailable
 
 if TYPE_CHECKING:
@@ -27,7 +27,7 @@
 
 
 def run(arguments: list[str]) -> int:
-    """Prints the version in force for each host and member.
+    """Prints the version in force for each host and workspace.
 
     Args:
         arguments: What follows the verb.
@@ -57,19 +57,19 @@
 
 
 async def _accepted_versions(store: Store) -> dict[str, int]:
-    index = await store.read(MEMBERS_OBJECT)
+    index = await store.read(WORKSPACES_OBJECT)
     if not isinstance(index, StoredObject):
         return {}
-    members = decode_members(index.body)
-    if isinstance(members, Malformed):
+    workspaces = decode_workspaces(index.body)
+    if isinstance(workspaces, Malformed):
         return {}
     versions = {}
-    for member in members:
-        found = await store.read(f"configuration/{member}")
+    for workspace in workspaces:
+        found = await store.read(f"configuration/{workspace}")
         if isinstance(found, StoredObject):
-            configuration = decode_configuration(found.body, member)
+            configuration = decode_configuration(found.body, workspace)
             if not isinstance(configuration, Malformed):
-                versions[member] = configuration.version
+                versions[workspace] = configuration.version
     return versions
 
 
--- a/src/balsamway/configuration/_sizing.py
+++ b/src/balsamway/configuration/_sizing.py
@@ -1,4 +1,4 @@
-"""Sizes that follow from a member's answers."""
+"""Sizes that follow from a workspace's answers."""
 
 from __future__ import annotations
 
@@ -25,10 +25,10 @@
     """Chooses the number of slices that a shard starts with.
 
     Args:
-        instances: The servers planned.
+        instances: The targets planned.
 
     Returns:
-        The power of two that gives each server enough slices to spread.
+        The power of two that gives each target enough slices to spread.
     """
     wanted = min(max(instances * SLICES_PER_INSTANCE, FEWEST_SLICES), MOST_SLICES)
     return 1 << (wanted - 1).bit_length()
--- a/src/balsamway/configuration/_unsafe_changes.py
+++ b/src/balsamway/configuration/_unsafe_changes.py
@@ -5,12 +5,12 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from balsamway.configuration.member_configuration import MemberConfiguration
     from balsamway.configuration.service import Service
+    from balsamway.configuration.workspace_configuration import WorkspaceConfiguration
 
 
 def unsafe_changes(
-    current: MemberConfiguration | None, offered: MemberConfiguration
+    current: WorkspaceConfiguration | None, offered: WorkspaceConfiguration
 ) -> str:
     """Tells whether a change is refused for the safety of keys.
 
@@ -18,7 +18,7 @@
     change how its keys are owned: a new service takes a new name.
 
     Args:
-        current: The configuration in force; None for a new member.
+        current: The configuration in force; None for a new workspace.
         offered: The configuration to come.
 
     Returns:
--- a/src/balsamway/configuration/acceptance.py
+++ b/src/balsamway/configuration/acceptance.py
@@ -17,11 +17,11 @@
 from balsamway.configuration.codec import (
     Malformed,
     decode_configuration,
-    decode_members,
+    decode_workspaces,
     encode_configuration,
-    encode_members,
+    encode_workspaces,
 )
-from balsamway.configuration.constants import MEMBERS_OBJECT
+from balsamway.configuration.constants import WORKSPACES_OBJECT
 from balsamway.configuration.difference import difference
 from balsamway.store import (
     Absent,
@@ -36,7 +36,7 @@
 if TYPE_CHECKING:
     from random import Random
 
-    from balsamway.configuration.member_configuration import MemberConfiguration
+    from balsamway.configuration.workspace_configuration import WorkspaceConfiguration
     from balsamway.store import Store
 
 REMEMBERED_CHANGES = 32
@@ -67,14 +67,14 @@
         self._rng = rng
         self._settle_seconds = settle_seconds
 
-    async def accept(self, offered: MemberConfiguration, base: int) -> AcceptResult:
+    async def accept(self, offered: WorkspaceConfiguration, base: int) -> AcceptResult:
         """Accepts a configuration if it replaces the version reviewed.
 
         Args:
             offered: The configuration; its version and change id are set
                 here.
             base: The version in force that the operator reviewed the
-                configuration against; 0 for a new member.
+                configuration against; 0 for a new workspace.
 
         Returns:
             Whether the configuration is accepted.
@@ -83,38 +83,38 @@
         found = await self._store.read(offered.object_name)
         if isinstance(found, Unavailable):
             return AcceptRefused(f"the store cannot be read: {found.reason}")
-        current = _decode(found, offered.member)
+        current = _decode(found, offered.workspace)
         if isinstance(current, Malformed):
             return AcceptRefused(f"the stored configuration: {current.reason}")
         if _version(current) != base:
             return _conflict(base, current, offered)
         refusal = unsafe_changes(current, offered) or await self._list(
-            offered.member, deadline
+            offered.workspace, deadline
         )
         if refusal:
             return AcceptRefused(refusal)
         return await self._write(_next(current, offered, self._rng), found, deadline)
 
-    async def _list(self, member: str, deadline: float) -> str:
-        """Lists the member in the index; returns a reason if it cannot.
+    async def _list(self, workspace: str, deadline: float) -> str:
+        """Lists the workspace in the index; returns a reason if it cannot.
 
-        A member that is listed and has no configuration has no effect, so
+        A workspace that is listed and has no configuration has no effect, so
         that a failure here leaves nothing in force.
         """
         backoff = Backoff(self._rng)
         while True:
-            found = await self._store.read(MEMBERS_OBJECT)
+            found = await self._store.read(WORKSPACES_OBJECT)
             if isinstance(found, Unavailable):
                 reason = f"the index cannot be read: {found.reason}"
             else:
-                members = _decode_index(found)
-                if isinstance(members, Malformed):
-                    return f"the stored index: {members.reason}"
-                if member in members:
+                workspaces = _decode_index(found)
+                if isinstance(workspaces, Malformed):
+                    return f"the stored index: {workspaces.reason}"
+                if workspace in workspaces:
                     return ""
-                body = encode_members((*members, member))
+                body = encode_workspaces((*workspaces, workspace))
                 result = await self._store.write(
-                    MEMBERS_OBJECT, body, _store_version(found)
+                    WORKSPACES_OBJECT, body, _store_version(found)
                 )
                 match result:
                     case Written():
@@ -128,7 +128,7 @@
 
     async def _write(
         self,
-        offered: MemberConfiguration,
+        offered: WorkspaceConfiguration,
         found: StoredObject | Absent,
         deadline: float,
     ) -> AcceptResult:
@@ -159,10 +159,10 @@
 
 
 def _settled(
-    offered: MemberConfiguration, current: StoredObject | Absent
+    offered: WorkspaceConfiguration, current: StoredObject | Absent
 ) -> AcceptResult:
     """Tells by the change ids whether the offered configuration won."""
-    there = _decode(current, offered.member)
+    there = _decode(current, offered.workspace)
     if isinstance(there, Malformed):
         return AcceptUnknown(offered.change_id, f"what is stored: {there.reason}")
     if there is not None and offered.change_id in (there.change_id, *there.replaced):
@@ -173,14 +173,14 @@
 
 
 def _conflict(
-    base: int, current: MemberConfiguration | None, offered: MemberConfiguration
+    base: int, current: WorkspaceConfiguration | None, offered: WorkspaceConfiguration
 ) -> AcceptConflict:
     return AcceptConflict(base, _version(current), difference(current, offered))
 
 
 def _next(
-    current: MemberConfiguration | None, offered: MemberConfiguration, rng: Random
-) -> MemberConfiguration:
+    current: WorkspaceConfiguration | None, offered: WorkspaceConfiguration, rng: Random
+) -> WorkspaceConfiguration:
     before = () if current is None else (current.change_id, *current.replaced)
     return replace(
         offered,
@@ -191,20 +191,20 @@
 
 
 def _decode(
-    found: StoredObject | Absent, member: str
-) -> MemberConfiguration | Malformed | None:
+    found: StoredObject | Absent, workspace: str
+) -> WorkspaceConfiguration | Malformed | None:
     if isinstance(found, Absent):
         return None
-    return decode_configuration(found.body, member)
+    return decode_configuration(found.body, workspace)
 
 
 def _decode_index(found: StoredObject | Absent) -> tuple[str, ...] | Malformed:
     if isinstance(found, Absent):
         return ()
-    return decode_members(found.body)
+    return decode_workspaces(found.body)
 
 
-def _version(configuration: MemberConfiguration | None) -> int:
+def _version(configuration: WorkspaceConfiguration | None) -> int:
     return 0 if configuration is None else configuration.version
 
 
--- a/src/balsamway/configuration/adopted_configuration.py
+++ b/src/balsamway/configuration/adopted_configuration.py
@@ -4,14 +4,14 @@
 
 from dataclasses import dataclass
 
-from balsamway.configuration.member_configuration import MemberConfiguration
+from balsamway.configuration.workspace_configuration import WorkspaceConfiguration
 
 
 @dataclass(frozen=True, slots=True)
 class AdoptedConfiguration:
     """A configuration in force on this host, and how it came."""
 
-    configuration: MemberConfiguration
+    configuration: WorkspaceConfiguration
     body: bytes
     """The configuration as the store holds it, to pass on."""
     source: str
--- a/src/balsamway/configuration/codec.py
+++ b/src/balsamway/configuration/codec.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from balsamway.configuration.member_configuration import MemberConfiguration
+from balsamway.configuration.workspace_configuration import WorkspaceConfiguration
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -20,7 +20,7 @@
     reason: str
 
 
-def encode_configuration(configuration: MemberConfiguration) -> bytes:
+def encode_configuration(configuration: WorkspaceConfiguration) -> bytes:
     """Encodes a configuration as it is stored.
 
     Args:
@@ -32,47 +32,49 @@
     return msgspec.json.encode(configuration)
 
 
-def decode_configuration(body: bytes, member: str) -> MemberConfiguration | Malformed:
+def decode_configuration(
+    body: bytes, workspace: str
+) -> WorkspaceConfiguration | Malformed:
     """Decodes a stored configuration.
 
     Args:
         body: JSON.
-        member: The member whose configuration is expected.
+        workspace: The workspace whose configuration is expected.
 
     Returns:
         The configuration, or what is wrong with the body.
     """
     try:
-        found = msgspec.json.decode(body, type=MemberConfiguration)
+        found = msgspec.json.decode(body, type=WorkspaceConfiguration)
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
         return Malformed(str(error))
-    if found.member != member:
-        return Malformed(f"the member is {found.member!r}")
+    if found.workspace != workspace:
+        return Malformed(f"the workspace is {found.workspace!r}")
     if found.version < 1:
         return Malformed(f"the version is {found.version}")
     return found
 
 
-def encode_members(members: Iterable[str]) -> bytes:
-    """Encodes the list of members.
+def encode_workspaces(workspaces: Iterable[str]) -> bytes:
+    """Encodes the list of workspaces.
 
     Args:
-        members: The members' names.
+        workspaces: The workspaces' names.
 
     Returns:
         JSON, in the order of the names.
     """
-    return msgspec.json.encode(sorted(set(members)))
+    return msgspec.json.encode(sorted(set(workspaces)))
 
 
-def decode_members(body: bytes) -> tuple[str, ...] | Malformed:
-    """Decodes the list of members.
+def decode_workspaces(body: bytes) -> tuple[str, ...] | Malformed:
+    """Decodes the list of workspaces.
 
     Args:
         body: JSON.
 
     Returns:
-        The members' names, or what is wrong with the body.
+        The workspaces' names, or what is wrong with the body.
     """
     try:
         return msgspec.json.decode(body, type=tuple[str, ...])
--- a/src/balsamway/configuration/configuration_metrics.py
+++ b/src/balsamway/configuration/configuration_metrics.py
@@ -7,11 +7,11 @@
 from prometheus_client import CollectorRegistry, Counter, Gauge
 
 if TYPE_CHECKING:
-    from balsamway.configuration.member_configuration import MemberConfiguration
+    from balsamway.configuration.workspace_configuration import WorkspaceConfiguration
 
 
 class ConfigurationMetrics:
-    """The version in force for each member, and where versions come from."""
+    """The version in force for each workspace, and its source."""
 
     def __init__(self, registry: CollectorRegistry | None) -> None:
         """Registers the metrics.
@@ -22,8 +22,8 @@
         registry = registry or CollectorRegistry()
         self._version = Gauge(
             "balsamway_configuration_version",
-            "The version in force for a member.",
-            ("member",),
+            "The version in force for a workspace.",
+            ("workspace",),
             registry=registry,
         )
         self._adopted = Counter(
@@ -39,14 +39,14 @@
             registry=registry,
         )
 
-    def adopted(self, configuration: MemberConfiguration, source: str) -> None:
+    def adopted(self, configuration: WorkspaceConfiguration, source: str) -> None:
         """Counts a configuration that was put in force.
 
         Args:
             configuration: The configuration.
             source: `store`, or the name of a host.
         """
-        self._version.labels(configuration.member).set(configuration.version)
+        self._version.labels(configuration.workspace).set(configuration.version)
         self._adopted.labels(_kind(source)).inc()
 
     def refused(self, source: str) -> None:
--- a/src/balsamway/configuration/configuration_service.py
+++ b/src/balsamway/configuration/configuration_service.py
@@ -26,7 +26,7 @@
 
     from prometheus_client import CollectorRegistry
 
-    from balsamway.configuration.member_configuration import MemberConfiguration
+    from balsamway.configuration.workspace_configuration import WorkspaceConfiguration
     from balsamway.membership.directory import Directory
     from balsamway.peers.peers import Peers
     from balsamway.store import Store
@@ -85,29 +85,29 @@
         """Starts to follow the store."""
         await self.add_runtime_dependency(self._follower)
 
-    def member(self, name: str) -> MemberConfiguration | None:
+    def workspace(self, name: str) -> WorkspaceConfiguration | None:
         """Gives the configuration in force; see `Configurations`."""
-        return self._table.member(name)
+        return self._table.workspace(name)
 
-    def members(self) -> tuple[MemberConfiguration, ...]:
+    def workspaces(self) -> tuple[WorkspaceConfiguration, ...]:
         """Lists the configurations in force; see `Configurations`."""
-        return self._table.members()
+        return self._table.workspaces()
 
-    def member_of_token(self, token: str) -> MemberConfiguration | None:
-        """Finds the member of a token; see `Configurations`."""
-        return self._table.member_of_token(token)
+    def workspace_of_token(self, token: str) -> WorkspaceConfiguration | None:
+        """Finds the workspace of a token; see `Configurations`."""
+        return self._table.workspace_of_token(token)
 
     def versions(self) -> dict[str, int]:
-        """Gives the version in force for each member."""
-        return {found.member: found.version for found in self._table.versions()}
+        """Gives the version in force for each workspace."""
+        return {found.workspace: found.version for found in self._table.versions()}
 
     def dump(self) -> dict[str, object]:
         """Describes the configurations in force for the state dump."""
         adopted = (self._table.adopted(name) for name in self.versions())
         return {
             "store": self._follower.dump(),
-            "members": {
-                found.configuration.member: {
+            "workspaces": {
+                found.configuration.workspace: {
                     "version": found.configuration.version,
                     "change_id": found.configuration.change_id,
                     "source": found.source,
@@ -118,8 +118,8 @@
             },
         }
 
-    def _on_stored(self, member: str, body: bytes) -> None:
-        adopted = self._adopt(member, body, STORE_SOURCE)
+    def _on_stored(self, workspace: str, body: bytes) -> None:
+        adopted = self._adopt(workspace, body, STORE_SOURCE)
         if adopted is None:
             return
         self._pass_on_in_zone(adopted)
@@ -138,7 +138,7 @@
             return ConfigurationDigestAnswer(same=True)
         if digest.versions is None:
             return ConfigurationDigestAnswer(same=False)
-        theirs = {found.member: found.version for found in digest.versions}
+        theirs = {found.workspace: found.version for found in digest.versions}
         ours = self.versions()
         newer = [name for name in ours if ours[name] > theirs.get(name, 0)]
         wanted = [name for name in theirs if theirs[name] > ours.get(name, 0)]
@@ -150,7 +150,7 @@
     async def _exchange(self) -> None:
         while not self.should_stop:
             await asyncio.gather(*map(self._compare, self._choose_peers()))
-            is_empty = not self._table.members()
+            is_empty = not self._table.workspaces()
             await self.sleep(FIRST_EXCHANGE_SECONDS if is_empty else EXCHANGE_SECONDS)
 
     def _choose_peers(self) -> list[str]:
@@ -183,22 +183,26 @@
         return answer if isinstance(answer, ConfigurationDigestAnswer) else None
 
     def _take(self, sender: str, notice: ConfigurationNotice) -> None:
-        if notice.version <= self._table.version(notice.member):
+        if notice.version <= self._table.version(notice.workspace):
             return
-        adopted = self._adopt(notice.member, notice.body, sender)
+        adopted = self._adopt(notice.workspace, notice.body, sender)
         if adopted is not None and not self._relays.in_zone(sender):
             self._pass_on_in_zone(adopted)
 
     def _adopt(
-        self, member: str, body: bytes, source: str
+        self, workspace: str, body: bytes, source: str
     ) -> AdoptedConfiguration | None:
         """Puts a body in force; returns None where it is not newer."""
-        found = decode_configuration(body, member)
+        found = decode_configuration(body, workspace)
         if isinstance(found, Malformed):
             self._metrics.refused(source)
             logger.error(
                 "configuration malformed",
-                extra={"member": member, "source": source, "reason": found.reason},
+                extra={
+                    "workspace": workspace,
+                    "source": source,
+                    "reason": found.reason,
+                },
             )
             return None
         offered = AdoptedConfiguration(found, body, source, now())
@@ -213,7 +217,7 @@
         logger.info(
             "configuration adopted",
             extra={
-                "member": configuration.member,
+                "workspace": configuration.workspace,
                 "version": configuration.version,
                 "source": adopted.source,
             },
@@ -221,21 +225,21 @@
         shared = self._table.sharing_tokens(configuration)
         if shared:
             logger.error(
-                "token shared between members",
-                extra={"member": configuration.member, "others": shared},
+                "token shared between workspaces",
+                extra={"workspace": configuration.workspace, "others": shared},
             )
 
     def _pass_on_in_zone(self, adopted: AdoptedConfiguration) -> None:
         for host in self._relays.zone_hosts():
             self._peers.send(host, _notice(adopted))
 
-    def _notices(self, members: list[str]) -> tuple[ConfigurationNotice, ...]:
-        adopted = map(self._table.adopted, members[:NOTICES_PER_ANSWER])
+    def _notices(self, workspaces: list[str]) -> tuple[ConfigurationNotice, ...]:
+        adopted = map(self._table.adopted, workspaces[:NOTICES_PER_ANSWER])
         return tuple(_notice(found) for found in adopted if found is not None)
 
 
 def _notice(adopted: AdoptedConfiguration) -> ConfigurationNotice:
     configuration = adopted.configuration
     return ConfigurationNotice(
-        configuration.member, configuration.version, adopted.body
+        configuration.workspace, configuration.version, adopted.body
     )
--- a/src/balsamway/configuration/configuration_table.py
+++ b/src/balsamway/configuration/configuration_table.py
@@ -6,28 +6,28 @@
 
 import xxhash
 
-from balsamway.configuration.messages import MemberVersion
+from balsamway.configuration.messages import WorkspaceVersion
 from balsamway.configuration.token_index import TokenIndex
 
 if TYPE_CHECKING:
     from balsamway.configuration.adopted_configuration import AdoptedConfiguration
-    from balsamway.configuration.member_configuration import MemberConfiguration
+    from balsamway.configuration.workspace_configuration import WorkspaceConfiguration
 
 
 class ConfigurationTable:
     """The configurations in force on this host; versions only rise."""
 
     def __init__(self) -> None:
-        """Starts without members."""
+        """Starts without workspaces."""
         self._adopted: dict[str, AdoptedConfiguration] = {}
         self._tokens = TokenIndex()
         self._fingerprint: int | None = None
 
     @property
     def fingerprint(self) -> int:
-        """A hash of the members and their versions."""
+        """A hash of the workspaces and their versions."""
         if self._fingerprint is None:
-            text = "\n".join(f"{v.member} {v.version}" for v in self.versions())
+            text = "\n".join(f"{v.workspace} {v.version}" for v in self.versions())
             self._fingerprint = xxhash.xxh64_intdigest(text.encode()) >> 1
         return self._fingerprint
 
@@ -41,45 +41,45 @@
             Whether it is in force now and was not before.
         """
         configuration = offered.configuration
-        if configuration.version <= self.version(configuration.member):
+        if configuration.version <= self.version(configuration.workspace):
             return False
-        self._adopted[configuration.member] = offered
+        self._adopted[configuration.workspace] = offered
         self._tokens.put(configuration)
         self._fingerprint = None
         return True
 
-    def version(self, member: str) -> int:
-        """Gives the version in force for a member; 0 for none."""
-        found = self._adopted.get(member)
+    def version(self, workspace: str) -> int:
+        """Gives the version in force for a workspace; 0 for none."""
+        found = self._adopted.get(workspace)
         return 0 if found is None else found.configuration.version
 
-    def versions(self) -> tuple[MemberVersion, ...]:
-        """Lists the versions in force, in the order of the members' names."""
+    def versions(self) -> tuple[WorkspaceVersion, ...]:
+        """Lists the versions in force, ordered by workspace."""
         return tuple(
-            MemberVersion(name, self._adopted[name].configuration.version)
+            WorkspaceVersion(name, self._adopted[name].configuration.version)
             for name in sorted(self._adopted)
         )
 
-    def adopted(self, member: str) -> AdoptedConfiguration | None:
-        """Gives what is in force for a member, and how it came."""
-        return self._adopted.get(member)
+    def adopted(self, workspace: str) -> AdoptedConfiguration | None:
+        """Gives what is in force for a workspace, and how it came."""
+        return self._adopted.get(workspace)
 
-    def member(self, name: str) -> MemberConfiguration | None:
-        """Gives the configuration in force for a member."""
+    def workspace(self, name: str) -> WorkspaceConfiguration | None:
+        """Gives the configuration in force for a workspace."""
         found = self._adopted.get(name)
         return None if found is None else found.configuration
 
-    def members(self) -> tuple[MemberConfiguration, ...]:
+    def workspaces(self) -> tuple[WorkspaceConfiguration, ...]:
         """Lists the configurations in force, in the order of their names."""
         return tuple(
             self._adopted[name].configuration for name in sorted(self._adopted)
         )
 
-    def member_of_token(self, token: str) -> MemberConfiguration | None:
-        """Finds the member whose callers present a token."""
+    def workspace_of_token(self, token: str) -> WorkspaceConfiguration | None:
+        """Finds the workspace whose callers present a token."""
         name = self._tokens.find(token)
-        return None if name is None else self.member(name)
+        return None if name is None else self.workspace(name)
 
-    def sharing_tokens(self, configuration: MemberConfiguration) -> list[str]:
-        """Names the other members that have a token of this one."""
+    def sharing_tokens(self, configuration: WorkspaceConfiguration) -> list[str]:
+        """Names the other workspaces that have a token of this one."""
         return list(self._tokens.shared(configuration))
--- a/src/balsamway/configuration/configurations.py
+++ b/src/balsamway/configuration/configurations.py
@@ -5,34 +5,34 @@
 from typing import TYPE_CHECKING, Protocol
 
 if TYPE_CHECKING:
-    from balsamway.configuration.member_configuration import MemberConfiguration
+    from balsamway.configuration.workspace_configuration import WorkspaceConfiguration
 
 
 class Configurations(Protocol):
     """The configurations that this host has adopted."""
 
-    def member(self, name: str) -> MemberConfiguration | None:
-        """Gives the configuration in force for a member.
+    def workspace(self, name: str) -> WorkspaceConfiguration | None:
+        """Gives the configuration in force for a workspace.
 
         Args:
-            name: The member's name.
+            name: The workspace's name.
 
         Returns:
-            The configuration, or None for a member not known here.
+            The configuration, or None for a workspace not known here.
         """
         ...
 
-    def members(self) -> tuple[MemberConfiguration, ...]:
+    def workspaces(self) -> tuple[WorkspaceConfiguration, ...]:
         """Lists the configurations in force, in the order of their names."""
         ...
 
-    def member_of_token(self, token: str) -> MemberConfiguration | None:
-        """Finds the member whose callers present a token.
+    def workspace_of_token(self, token: str) -> WorkspaceConfiguration | None:
+        """Finds the workspace whose callers present a token.
 
         Args:
             token: The token as the caller sent it.
 
         Returns:
-            The configuration, or None where no member has the token.
+            The configuration, or None where no workspace has the token.
         """
         ...
--- a/src/balsamway/configuration/constants.py
+++ b/src/balsamway/configuration/constants.py
@@ -2,5 +2,5 @@
 
 from __future__ import annotations
 
-MEMBERS_OBJECT = "configuration-index"
-"""Lists the members, as a JSON array of names in order."""
+WORKSPACES_OBJECT = "configuration-index"
+"""Lists the workspaces, as a JSON array of names in order."""
--- a/src/balsamway/configuration/difference.py
+++ b/src/balsamway/configuration/difference.py
@@ -1,4 +1,4 @@
-"""Finds the differences between two configurations of a member."""
+"""Finds the differences between two configurations of a workspace."""
 
 from __future__ import annotations
 
@@ -11,14 +11,14 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from balsamway.configuration.member_configuration import MemberConfiguration
+    from balsamway.configuration.workspace_configuration import WorkspaceConfiguration
 
 BOOKKEEPING = frozenset({"version", "change_id", "replaced"})
 """The fields that acceptance sets; they are no differences."""
 
 
 def difference(
-    before: MemberConfiguration | None, after: MemberConfiguration
+    before: WorkspaceConfiguration | None, after: WorkspaceConfiguration
 ) -> tuple[Change, ...]:
     """Finds what changes from one configuration to another.
 
@@ -26,7 +26,7 @@
     no difference.
 
     Args:
-        before: The configuration in force; None for a new member.
+        before: The configuration in force; None for a new workspace.
         after: The configuration to come.
 
     Returns:
--- a/src/balsamway/configuration/generator.py
+++ b/src/balsamway/configuration/generator.py
@@ -1,4 +1,4 @@
-"""Generates a member's configuration from its answers."""
+"""Generates a workspace's configuration from its answers."""
 
 from __future__ import annotations
 
@@ -11,7 +11,6 @@
 from balsamway.configuration._sizing import gateways_at_most, starting_slices
 from balsamway.configuration.explained import Explained
 from balsamway.configuration.generated import Generated
-from balsamway.configuration.member_configuration import MemberConfiguration
 from balsamway.configuration.questionnaire import (
     KindAnswers,
     Patience,
@@ -23,6 +22,7 @@
 from balsamway.configuration.service import Service
 from balsamway.configuration.urgency import Urgency
 from balsamway.configuration.weights import Weights
+from balsamway.configuration.workspace_configuration import WorkspaceConfiguration
 from balsamway.configuration.zone import Zone
 
 T = TypeVar("T")
@@ -40,7 +40,7 @@
     """Generates a configuration; the same answers always give the same one.
 
     Args:
-        answers: The member's answers, checked.
+        answers: The workspace's answers, checked.
 
     Returns:
         The configuration, with version 0 and no change id until it is
@@ -58,8 +58,8 @@
 
     def generate(self) -> Generated:
         answers = self._answers
-        configuration = MemberConfiguration(
-            member=self._note("member", answers.member),
+        configuration = WorkspaceConfiguration(
+            workspace=self._note("workspace", answers.workspace),
             version=0,
             change_id="",
             zones=tuple(starmap(self._zone, enumerate(answers.zones))),
@@ -111,7 +111,7 @@
                 f"{place}.slices",
                 starting_slices(service.instances),
                 f"{place}.instances",
-                "16 for each server, up to the next power of two",
+                "16 for each target, up to the next power of two",
             ),
             gateways_at_most=self._note(
                 f"{place}.gateways_at_most",
--- a/src/balsamway/configuration/messages/__init__.py
+++ b/src/balsamway/configuration/messages/__init__.py
@@ -5,11 +5,11 @@
     ConfigurationDigestAnswer,
 )
 from balsamway.configuration.messages.configuration_notice import ConfigurationNotice
-from balsamway.configuration.messages.member_version import MemberVersion
+from balsamway.configuration.messages.workspace_version import WorkspaceVersion
 
 __all__ = [
     "ConfigurationDigest",
     "ConfigurationDigestAnswer",
     "ConfigurationNotice",
-    "MemberVersion",
+    "WorkspaceVersion",
 ]
--- a/src/balsamway/configuration/messages/configuration_digest.py
+++ b/src/balsamway/configuration/messages/configuration_digest.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 
-from balsamway.configuration.messages.member_version import MemberVersion
+from balsamway.configuration.messages.workspace_version import WorkspaceVersion
 from balsamway.peers.codec import message
 
 
@@ -15,5 +15,5 @@
 
     fingerprint: int
     """Equal where two hosts have the same versions."""
-    versions: tuple[MemberVersion, ...] | None
+    versions: tuple[WorkspaceVersion, ...] | None
     """None to compare only the fingerprints."""
--- a/src/balsamway/configuration/messages/configuration_digest_answer.py
+++ b/src/balsamway/configuration/messages/configuration_digest_answer.py
@@ -18,4 +18,4 @@
     newer: tuple[ConfigurationNotice, ...] = ()
     """Higher versions than the digest named; some, where they are many."""
     wanted: tuple[str, ...] = ()
-    """The members of which the digest named a higher version."""
+    """The workspaces of which the digest named a higher version."""
--- a/src/balsamway/configuration/messages/configuration_notice.py
+++ b/src/balsamway/configuration/messages/configuration_notice.py
@@ -12,7 +12,7 @@
 class ConfigurationNotice:
     """Passes on a configuration that the sender has adopted."""
 
-    member: str
+    workspace: str
     version: int
     body: bytes
     """The configuration as the store holds it."""
--- a/src/balsamway/configuration/questionnaire/__init__.py
+++ b/src/balsamway/configuration/questionnaire/__init__.py
@@ -1,4 +1,4 @@
-"""A member's answers about its services, and how they are checked."""
+"""A workspace's answers about its services, and how they are checked."""
 
 from balsamway.configuration.questionnaire.kind_answers import KindAnswers
 from balsamway.configuration.questionnaire.patience import Patience
--- a/src/balsamway/configuration/questionnaire/kind_answers.py
+++ b/src/balsamway/configuration/questionnaire/kind_answers.py
@@ -1,4 +1,4 @@
-"""What a member answers about one kind of request."""
+"""What a workspace answers about one kind of request."""
 
 from __future__ import annotations
 
@@ -14,7 +14,7 @@
 
 @dataclass(frozen=True, slots=True)
 class KindAnswers:
-    """What a member answers about one kind of request."""
+    """What a workspace answers about one kind of request."""
 
     name: Name
     idempotent: bool
--- a/src/balsamway/configuration/questionnaire/patience.py
+++ b/src/balsamway/configuration/questionnaire/patience.py
@@ -1,4 +1,4 @@
-"""What a member answers about waiting under overload."""
+"""What a workspace answers about waiting under overload."""
 
 from __future__ import annotations
 
--- a/src/balsamway/configuration/questionnaire/questionnaire.py
+++ b/src/balsamway/configuration/questionnaire/questionnaire.py
@@ -1,4 +1,4 @@
-"""All the answers of one member."""
+"""All the answers of one workspace."""
 
 from __future__ import annotations
 
@@ -12,9 +12,9 @@
 
 @dataclass(frozen=True, slots=True)
 class Questionnaire:
-    """All the answers of one member."""
+    """All the answers of one workspace."""
 
-    member: Name
+    workspace: Name
     zones: tuple[ZoneAnswers, ...]
     services: tuple[ServiceAnswers, ...]
     tokens_sha256: tuple[TokenHash, ...]
--- a/src/balsamway/configuration/service.py
+++ b/src/balsamway/configuration/service.py
@@ -1,4 +1,4 @@
-"""One service of a member."""
+"""One service of a workspace."""
 
 from __future__ import annotations
 
@@ -9,18 +9,18 @@
 
 @dataclass(frozen=True, slots=True)
 class Service:
-    """A service, its kinds of requests, and what its servers can take."""
+    """A service, its kinds of requests, and what its targets can take."""
 
     name: str
     exclusive_keys: bool
-    """Whether each key must have one owner among the servers."""
+    """Whether each key must have one owner among the targets."""
     kinds: tuple[RequestKind, ...]
     slots: int
-    """How many requests a server runs at once."""
+    """How many requests a target runs at once."""
     connections: int
-    """How many connections a server accepts."""
+    """How many connections a target accepts."""
     instances: int
-    """How many servers the member plans for."""
+    """How many targets the workspace plans for."""
     shards: int = 1
     slices: int = 256
     """How many slices each shard starts with."""
--- a/src/balsamway/configuration/store_follower.py
+++ b/src/balsamway/configuration/store_follower.py
@@ -7,8 +7,8 @@
 
 import mode
 
-from balsamway.configuration.codec import Malformed, decode_members
-from balsamway.configuration.constants import MEMBERS_OBJECT
+from balsamway.configuration.codec import Malformed, decode_workspaces
+from balsamway.configuration.constants import WORKSPACES_OBJECT
 from balsamway.configuration.object_watch import ObjectWatch
 
 if TYPE_CHECKING:
@@ -25,7 +25,7 @@
 
 
 class StoreFollower(mode.Service):
-    """Holds a watch on the index and on each member served in the zone."""
+    """Holds a watch on the index and on each workspace served in the zone."""
 
     def __init__(
         self,
@@ -42,8 +42,8 @@
             zone: This host's availability zone.
             store: Where configurations are kept.
             relays: Tells whether this host follows the store.
-            table: Tells which members are served in the zone.
-            on_body: Takes a member's name and a stored configuration.
+            table: Tells which workspaces are served in the zone.
+            on_body: Takes a workspace's name and a stored configuration.
             rng: Spreads the calls after a failure.
         """
         super().__init__()
@@ -69,7 +69,7 @@
     async def _adjust(self) -> None:
         while not self.should_stop:
             await self._adjust_index()
-            await self._adjust_members()
+            await self._adjust_workspaces()
             await self.sleep(ADJUST_SECONDS)
 
     async def _adjust_index(self) -> None:
@@ -78,36 +78,36 @@
                 await self.remove_dependency(self._index)
             self._index = None
         elif self._index is None:
-            self._index = self._watch(MEMBERS_OBJECT, self._on_index)
+            self._index = self._watch(WORKSPACES_OBJECT, self._on_index)
             await self.add_runtime_dependency(self._index)
 
-    async def _adjust_members(self) -> None:
+    async def _adjust_workspaces(self) -> None:
         wanted = self._wanted()
-        for member in self._watches.keys() - wanted:
-            await self.remove_dependency(self._watches.pop(member))
-        for member in sorted(wanted - self._watches.keys()):
-            watch = self._watch(f"configuration/{member}", self._taker(member))
-            self._watches[member] = watch
+        for workspace in self._watches.keys() - wanted:
+            await self.remove_dependency(self._watches.pop(workspace))
+        for workspace in sorted(wanted - self._watches.keys()):
+            watch = self._watch(f"configuration/{workspace}", self._taker(workspace))
+            self._watches[workspace] = watch
             await self.add_runtime_dependency(watch)
 
     def _wanted(self) -> set[str]:
         if self._index is None:
             return set()
-        return {member for member in self._listed if self._is_served(member)}
+        return {workspace for workspace in self._listed if self._is_served(workspace)}
 
-    def _is_served(self, member: str) -> bool:
-        known = self._table.member(member)
+    def _is_served(self, workspace: str) -> bool:
+        known = self._table.workspace(workspace)
         return known is None or any(zone.name == self._zone for zone in known.zones)
 
     def _watch(self, name: str, on_body: Callable[[bytes], None]) -> ObjectWatch:
         return ObjectWatch(self._store, name, on_body, self._rng)
 
-    def _taker(self, member: str) -> Callable[[bytes], None]:
-        return lambda body: self._on_body(member, body)
+    def _taker(self, workspace: str) -> Callable[[bytes], None]:
+        return lambda body: self._on_body(workspace, body)
 
     def _on_index(self, body: bytes) -> None:
-        match decode_members(body):
+        match decode_workspaces(body):
             case Malformed(reason=reason):
-                logger.error("member index malformed", extra={"reason": reason})
-            case members:
-                self._listed = members
+                logger.error("workspace index malformed", extra={"reason": reason})
+            case workspaces:
+                self._listed = workspaces
--- a/src/balsamway/configuration/token_index.py
+++ b/src/balsamway/configuration/token_index.py
@@ -1,4 +1,4 @@
-"""Finds members by the hashes of their callers' tokens."""
+"""Finds workspaces by the hashes of their callers' tokens."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from balsamway.configuration.member_configuration import MemberConfiguration
+    from balsamway.configuration.workspace_configuration import WorkspaceConfiguration
 
 
 def hash_token(token: str) -> str:
@@ -25,62 +25,64 @@
 
 
 class TokenIndex:
-    """The members by the hashes of their tokens.
+    """The workspaces by the hashes of their tokens.
 
-    A hash that two members have names neither, so that no caller reaches
-    the services of another member.
+    A hash that two workspaces have names neither, so that no caller reaches
+    the services of another workspace.
     """
 
     def __init__(self) -> None:
-        """Starts without members."""
+        """Starts without workspaces."""
         self._holders: dict[str, list[str]] = {}
         self._hashes: dict[str, tuple[str, ...]] = {}
 
-    def put(self, configuration: MemberConfiguration) -> None:
-        """Replaces the tokens of a member.
+    def put(self, configuration: WorkspaceConfiguration) -> None:
+        """Replaces the tokens of a workspace.
 
         Args:
-            configuration: The member's configuration.
+            configuration: The workspace's configuration.
         """
-        member = configuration.member
-        for token_hash in self._hashes.get(member, ()):
-            self._holders[token_hash].remove(member)
+        workspace = configuration.workspace
+        for token_hash in self._hashes.get(workspace, ()):
+            self._holders[token_hash].remove(workspace)
             if not self._holders[token_hash]:
                 del self._holders[token_hash]
         hashes = tuple(dict.fromkeys(configuration.token_hashes))
-        self._hashes[member] = hashes
+        self._hashes[workspace] = hashes
         for token_hash in hashes:
-            self._holders.setdefault(token_hash, []).append(member)
+            self._holders.setdefault(token_hash, []).append(workspace)
 
     def find(self, token: str) -> str | None:
-        """Finds the member of a token.
+        """Finds the workspace of a token.
 
         Args:
             token: The token as the caller sent it.
 
         Returns:
-            The member's name, or None where not exactly one has the token.
+            The workspace's name, or None where not exactly one has the token.
         """
         token_hash = hash_token(token)
         holders = self._holders.get(token_hash, ())
         if len(holders) != 1:
             return None
-        member = holders[0]
-        known = (h for h in self._hashes[member] if hmac.compare_digest(h, token_hash))
-        return member if next(known, None) else None
+        workspace = holders[0]
+        known = (
+            h for h in self._hashes[workspace] if hmac.compare_digest(h, token_hash)
+        )
+        return workspace if next(known, None) else None
 
-    def shared(self, configuration: MemberConfiguration) -> Iterable[str]:
-        """Names the other members that have a token of this one.
+    def shared(self, configuration: WorkspaceConfiguration) -> Iterable[str]:
+        """Names the other workspaces that have a token of this one.
 
         Args:
-            configuration: The member's configuration.
+            configuration: The workspace's configuration.
 
         Returns:
-            The members' names, in order.
+            The workspaces' names, in order.
         """
         found = {
             holder
             for token_hash in configuration.token_hashes
             for holder in self._holders.get(token_hash, ())
         }
-        return sorted(found - {configuration.member})
+        return sorted(found - {configuration.workspace})
--- a/src/balsamway/configuration/member_configuration.py
+++ b/src/balsamway/configuration/workspace_configuration.py
@@ -1,4 +1,4 @@
-"""The configuration of one member."""
+"""The configuration of one workspace."""
 
 from __future__ import annotations
 
@@ -10,10 +10,10 @@
 
 
 @dataclass(frozen=True, slots=True)
-class MemberConfiguration:
-    """All that the system is told of a member; one object in the store."""
+class WorkspaceConfiguration:
+    """All that the system is told of a workspace; one object in the store."""
 
-    member: str
+    workspace: str
     version: int
     """One more than the version it replaced; never goes back."""
     change_id: str
@@ -28,12 +28,12 @@
 
     @property
     def object_name(self) -> str:
-        """The name of the member's configuration in the store."""
-        return f"configuration/{self.member}"
+        """The name of the workspace's configuration in the store."""
+        return f"configuration/{self.workspace}"
 
     @property
     def zone_names(self) -> frozenset[str]:
-        """The availability zones where the member's hosts stand."""
+        """The availability zones where the workspace's hosts stand."""
         return frozenset(zone.name for zone in self.zones)
 
     def service(self, name: str) -> Service | None:
@@ -43,6 +43,6 @@
             name: The service's name.
 
         Returns:
-            The service, or None where the member has none of this name.
+            The service, or None where the workspace has none of this name.
         """
         return next((found for found in self.services if found.name == name), None)
--- a/src/balsamway/configuration/zone.py
+++ b/src/balsamway/configuration/zone.py
@@ -1,4 +1,4 @@
-"""An availability zone where a member's hosts stand."""
+"""An availability zone where a workspace's hosts stand."""
 
 from __future__ import annotations
 
--- a/src/balsamway/daemon/daemon.py
+++ b/src/balsamway/daemon/daemon.py
@@ -21,23 +21,23 @@
     GatewayMetrics,
 )
 from balsamway.gateway.connection_budget import ConnectionBudget
-from balsamway.gateway.server_pool import ServerPool
+from balsamway.gateway.target_pool import TargetPool
 from balsamway.membership.leadership_claim import LeadershipClaim
 from balsamway.membership.membership_service import MembershipService
-from balsamway.membership.server_prober import ServerProber
+from balsamway.membership.target_prober import TargetProber
 from balsamway.ownership.cluster import Cluster
 from balsamway.ownership.leadership_service import LeadershipService
 from balsamway.ownership.store_relay import RelayedStore
 from balsamway.ownership.view_keeper import ViewKeeper
 from balsamway.ownership.witness_service import WitnessService
 from balsamway.peers.stream_peers import StreamPeers
-from balsamway.servers.http_control import HttpControl
-from balsamway.servers.http_transport import HttpTransport
 from balsamway.slices import Witness
 from balsamway.store import Host, HostRole
 from balsamway.store.call_counts import CallCounts
 from balsamway.store.http_host_list import HttpHostList
 from balsamway.store.http_store import HttpStore
+from balsamway.targets.http_control import HttpControl
+from balsamway.targets.http_transport import HttpTransport
 
 if TYPE_CHECKING:
     from balsamway.settings import Seed, Settings
@@ -189,7 +189,7 @@
             self._rng,
         )
         self._membership.connect(self._peers)
-        self._prober = ServerProber(self._membership, self._probers_of)
+        self._prober = TargetProber(self._membership, self._probers_of)
         self._configurations = ConfigurationService(
             settings.host,
             settings.zone,
@@ -228,7 +228,7 @@
         settings = self._settings
         metrics = GatewayMetrics(self._registry)
         budget = ConnectionBudget(settings.host, self._membership, self._configurations)
-        pool = ServerPool(self._membership, budget, self._rng)
+        pool = TargetPool(self._membership, budget, self._rng)
         self._transport = HttpTransport(budget.limit, metrics.on_open)
         self._warmer = ConnectionWarmer(
             self._membership, self._configurations, self._transport, budget
@@ -255,20 +255,24 @@
             LeadershipClaim(led.shard, led.epoch) for led in self._leadership.led
         )
 
-    def _probers_of(self, server: Host) -> list[str]:
+    def _probers_of(self, target: Host) -> list[str]:
         # Leaders see by themselves which owners of keys are leaving.
-        member = self._configurations.member(server.member)
-        service = member.service(server.service) if member else None
-        if member is None or service is None or service.exclusive_keys:
+        workspace = self._configurations.workspace(target.workspace)
+        service = workspace.service(target.service) if workspace else None
+        if workspace is None or service is None or service.exclusive_keys:
             return []
-        zones = member.zone_names
+        zones = workspace.zone_names
         hosts = self._membership.entry_hosts()
         return [host.name for host in hosts if host.zone in zones]
 
     def _zones_worked_with(self) -> frozenset[str]:
         zone = self._settings.zone
-        members = self._configurations.members()
-        shared = [member.zone_names for member in members if zone in member.zone_names]
+        workspaces = self._configurations.workspaces()
+        shared = [
+            workspace.zone_names
+            for workspace in workspaces
+            if zone in workspace.zone_names
+        ]
         return frozenset().union(*shared)
 
     def _described_by_settings(self) -> Host:
--- a/src/balsamway/demo/_tokens.py
+++ b/src/balsamway/demo/_tokens.py
@@ -5,25 +5,25 @@
 import hashlib
 
 
-def token_of(member: str) -> str:
-    """Gives the token that a member's callers present.
+def token_of(workspace: str) -> str:
+    """Gives the token that a workspace's callers present.
 
     Args:
-        member: The member's name.
+        workspace: The workspace's name.
 
     Returns:
         The token; of use only inside a demonstration.
     """
-    return f"{member}-demonstration"
+    return f"{workspace}-demonstration"
 
 
-def token_hash(member: str) -> str:
-    """Gives the hash of a member's token, as configurations hold it.
+def token_hash(workspace: str) -> str:
+    """Gives the hash of a workspace's token, as configurations hold it.
 
     Args:
-        member: The member's name.
+        workspace: The workspace's name.
 
     Returns:
         SHA-256 in hexadecimal.
     """
-    return hashlib.sha256(token_of(member).encode()).hexdigest()
+    return hashlib.sha256(token_of(workspace).encode()).hexdigest()
--- a/src/balsamway/demo/board_table.py
+++ b/src/balsamway/demo/board_table.py
@@ -10,23 +10,23 @@
     from collections.abc import Iterable
 
     from balsamway.demo.demo_result import DemoResult
-    from balsamway.standins.member_summary import MemberSummary
+    from balsamway.standins.workspace_summary import WorkspaceSummary
 
 
-def member_table(result: DemoResult) -> Table:
-    """Makes the table of what each member got.
+def workspace_table(result: DemoResult) -> Table:
+    """Makes the table of what each workspace got.
 
     Args:
         result: What the demonstration found.
 
     Returns:
-        One column for each member.
+        One column for each workspace.
     """
-    table = Table(title="What each member got", title_justify="left")
+    table = Table(title="What each workspace got", title_justify="left")
     table.add_column("measure")
-    for name in result.members:
+    for name in result.workspaces:
         table.add_column(name, justify="right")
-    columns = [list(_cells(one)) for one in result.members.values()]
+    columns = [list(_cells(one)) for one in result.workspaces.values()]
     for rows in zip(*columns, strict=True):
         table.add_row(rows[0][0], *(value for _, value in rows))
     return table
@@ -49,7 +49,7 @@
     return table
 
 
-def _cells(one: MemberSummary) -> Iterable[tuple[str, str]]:
+def _cells(one: WorkspaceSummary) -> Iterable[tuple[str, str]]:
     yield "requests", f"{one.requests:,}"
     yield "answered in full", f"{one.answered:,}"
     yield "refused, not run", f"{one.refused_not_run:,}"
@@ -58,7 +58,7 @@
     yield "answered but not run", f"{one.lost_runs:,}"
     yield "wrong answers", f"{one.wrong_answers:,}"
     yield "keys with two owners", f"{one.owner_overlaps:,}"
-    yield "busiest server over the mean", f"{one.imbalance:.2f}"
+    yield "busiest target over the mean", f"{one.imbalance:.2f}"
     yield "share of keys that moved", f"{one.churn:.1%}"
     yield "longest time a key was unavailable", f"{one.unavailable_seconds:.2f} s"
     yield "median time to answer", f"{one.p50_ms:.1f} ms"
--- a/src/balsamway/demo/demo_result.py
+++ b/src/balsamway/demo/demo_result.py
@@ -8,21 +8,21 @@
 if TYPE_CHECKING:
     from balsamway.demo.event_report import EventReport
     from balsamway.standins.checker.violation import Violation
-    from balsamway.standins.member_summary import MemberSummary
+    from balsamway.standins.workspace_summary import WorkspaceSummary
 
 
 @dataclass(frozen=True, slots=True)
 class DemoResult:
-    """Each member's measures, and what did not hold that always must."""
+    """Each workspace's measures, and what did not hold that always must."""
 
-    members: dict[str, MemberSummary]
+    workspaces: dict[str, WorkspaceSummary]
     events: tuple[EventReport, ...]
     violations: tuple[Violation, ...]
 
     @property
     def document(self) -> dict[str, object]:
         """The result as the JSON line has it."""
-        summaries = list(self.members.values())
+        summaries = list(self.workspaces.values())
         counts: dict[str, object] = {
             name: sum(getattr(one, name) for one in summaries)
             for name in (
@@ -36,7 +36,7 @@
                 "owner_overlaps",
             )
         }
-        members = {
+        workspaces = {
             name: {
                 "imbalance": round(one.imbalance, 3),
                 "churn": round(one.churn, 4),
@@ -44,6 +44,6 @@
                 "p50_ms": round(one.p50_ms, 2),
                 "p99_ms": round(one.p99_ms, 2),
             }
-            for name, one in self.members.items()
+            for name, one in self.workspaces.items()
         }
-        return {**counts, "members": members}
+        return {**counts, "workspaces": workspaces}
--- a/src/balsamway/demo/demo_run.py
+++ b/src/balsamway/demo/demo_run.py
@@ -14,21 +14,21 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from balsamway.configuration import MemberConfiguration
+    from balsamway.configuration import WorkspaceConfiguration
 
 
 async def run_demo(
-    configurations: list[MemberConfiguration],
+    configurations: list[WorkspaceConfiguration],
     seed: int,
     requests_per_second: float,
     tell: Callable[[str], None],
 ) -> DemoResult:
-    """Runs the members' deployments through the events.
+    """Runs the workspaces' deployments through the events.
 
     Args:
-        configurations: What was generated for each member.
+        configurations: What was generated for each workspace.
         seed: Seeds every random choice.
-        requests_per_second: The load of each member.
+        requests_per_second: The load of each workspace.
         tell: Told of each step as it begins.
 
     Returns:
@@ -38,7 +38,7 @@
         NotReadyError: If the deployment did not come to serve in time.
     """
     deployment = Deployment(configurations, seed)
-    tell("starting the platform, servers and entry hosts")
+    tell("starting the platform, targets and entry hosts")
     await deployment.start()
     try:
         since = asyncio.get_running_loop().time()
@@ -46,10 +46,10 @@
         events = await scenario.run()
         tell("checking the journals")
         journal = deployment.journal()
-        servers: dict[str, int] = {}
-        for member in deployment.members:
-            servers |= member.server_counts
-        return DemoResult(summarize(journal, since, servers), events, check(journal))
+        targets: dict[str, int] = {}
+        for workspace in deployment.workspaces:
+            targets |= workspace.target_counts
+        return DemoResult(summarize(journal, since, targets), events, check(journal))
     finally:
         tell("stopping")
         await deployment.stop()
--- a/src/balsamway/demo/deployment.py
+++ b/src/balsamway/demo/deployment.py
@@ -1,4 +1,4 @@
-"""All members' deployments on one platform stand-in."""
+"""All workspaces' deployments on one platform stand-in."""
 
 from __future__ import annotations
 
@@ -11,7 +11,7 @@
 
 from balsamway.configuration.acceptance import Acceptance
 from balsamway.configuration.acceptance_result import Accepted
-from balsamway.demo.embedded_member import EmbeddedMember
+from balsamway.demo.embedded_workspace import EmbeddedWorkspace
 from balsamway.standins.journal import Journal, VersionSeen
 from balsamway.standins.platform import PlatformSettings, PlatformStandin
 from balsamway.store.http_store import HttpStore
@@ -19,7 +19,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from balsamway.configuration import MemberConfiguration
+    from balsamway.configuration import WorkspaceConfiguration
     from balsamway.daemon.daemon import Daemon
 
 ANY_ADDRESS = "127.0.0.1:0"
@@ -33,13 +33,13 @@
 
 
 class Deployment(mode.Service):
-    """A platform stand-in, and each member's hosts around it."""
+    """A platform stand-in, and each workspace's hosts around it."""
 
-    def __init__(self, configurations: list[MemberConfiguration], seed: int) -> None:
+    def __init__(self, configurations: list[WorkspaceConfiguration], seed: int) -> None:
         """Plans the deployment.
 
         Args:
-            configurations: What was generated for each member.
+            configurations: What was generated for each workspace.
             seed: Seeds every random choice.
         """
         super().__init__()
@@ -47,27 +47,27 @@
         self._seed = seed
         self._versions: list[VersionSeen] = []
         self.platform = PlatformStandin(PlatformSettings(ANY_ADDRESS))
-        self.members: list[EmbeddedMember] = []
+        self.workspaces: list[EmbeddedWorkspace] = []
 
     async def on_start(self) -> None:
         """Starts every process and waits until every key has an owner."""
         await self.add_runtime_dependency(self.platform)
-        self.members = [
-            EmbeddedMember(one, self.platform, self._seed) for one in self._planned
+        self.workspaces = [
+            EmbeddedWorkspace(one, self.platform, self._seed) for one in self._planned
         ]
-        for member in self.members:
-            await member.start()
-            await self.accept(member.configuration, 0)
-        for member in self.members:
-            in_force = functools.partial(member.in_force, 1)
-            await self.wait_for(in_force, f"{member.name}: version 1")
-            await self.wait_for(member.is_granted, f"{member.name}: grants")
+        for workspace in self.workspaces:
+            await workspace.start()
+            await self.accept(workspace.configuration, 0)
+        for workspace in self.workspaces:
+            in_force = functools.partial(workspace.in_force, 1)
+            await self.wait_for(in_force, f"{workspace.name}: version 1")
+            await self.wait_for(workspace.is_granted, f"{workspace.name}: grants")
 
     async def on_stop(self) -> None:
-        """Stops the members' hosts."""
-        await asyncio.gather(*(member.stop() for member in self.members))
+        """Stops the workspaces' hosts."""
+        await asyncio.gather(*(workspace.stop() for workspace in self.workspaces))
 
-    async def accept(self, configuration: MemberConfiguration, base: int) -> int:
+    async def accept(self, configuration: WorkspaceConfiguration, base: int) -> int:
         """Accepts a configuration as an operator would.
 
         Args:
@@ -121,21 +121,23 @@
     def journal(self) -> Journal:
         """Merges what every stand-in wrote down."""
         merged = Journal(versions=tuple(self._versions))
-        for member in self.members:
-            merged += member.journal()
+        for workspace in self.workspaces:
+            merged += workspace.journal()
         return merged
 
     @mode.Service.task
     async def _watch_versions(self) -> None:
         while not self.should_stop:
             now = asyncio.get_running_loop().time()
-            for member in self.members:
-                for daemon in member.daemons:
+            for workspace in self.workspaces:
+                for daemon in workspace.daemons:
                     self._note_versions(daemon, now)
             await self.sleep(VERSION_POLL_SECONDS)
 
     def _note_versions(self, daemon: Daemon, now: float) -> None:
-        for member, version in daemon.configurations.versions().items():
+        for workspace, version in daemon.configurations.versions().items():
             self._versions.append(
-                VersionSeen(daemon.host.name, daemon.incarnation, member, version, now)
+                VersionSeen(
+                    daemon.host.name, daemon.incarnation, workspace, version, now
+                )
             )
--- a/src/balsamway/demo/embedded_member.py
+++ b/src/balsamway/demo/embedded_workspace.py
@@ -1,4 +1,4 @@
-"""One member's entry hosts, servers and callers, in this process."""
+"""One workspace's entry hosts, targets and callers, in this process."""
 
 from __future__ import annotations
 
@@ -14,13 +14,13 @@
 from balsamway.standins.caller import CallerSettings, CallerStandin
 from balsamway.standins.caller.call_kind import CallKind
 from balsamway.standins.journal import Journal
-from balsamway.standins.server import ServerSettings, ServerStandin
-from balsamway.standins.server.run_times import RunTimes
+from balsamway.standins.target import TargetSettings, TargetStandin
+from balsamway.standins.target.run_times import RunTimes
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from balsamway.configuration import MemberConfiguration, Service, Zone
+    from balsamway.configuration import Service, WorkspaceConfiguration, Zone
     from balsamway.standins.platform import PlatformStandin
 
 ANY_ADDRESS = "127.0.0.1:0"
@@ -29,31 +29,34 @@
 RUN_SECONDS = 0.004
 
 
-class EmbeddedMember:
-    """Starts and stops the processes of one member."""
+class EmbeddedWorkspace:
+    """Starts and stops the processes of one workspace."""
 
     def __init__(
-        self, configuration: MemberConfiguration, platform: PlatformStandin, seed: int
+        self,
+        configuration: WorkspaceConfiguration,
+        platform: PlatformStandin,
+        seed: int,
     ) -> None:
-        """Plans the member's hosts.
+        """Plans the workspace's hosts.
 
         Args:
-            configuration: What was generated for the member.
+            configuration: What was generated for the workspace.
             platform: The platform stand-in that all hosts use.
             seed: Seeds every random choice.
         """
         self._platform = platform
         self._seed = seed
         self.configuration = dataclasses.replace(
-            configuration, token_hashes=(token_hash(configuration.member),)
+            configuration, token_hashes=(token_hash(configuration.workspace),)
         )
         self.daemons = [
             self._daemon(zone, number)
             for zone in configuration.zones
             for number in range(min(zone.entry_hosts, ENTRY_HOSTS_A_ZONE_AT_MOST))
         ]
-        self.servers = [
-            self._server(service, number)
+        self.targets = [
+            self._target(service, number)
             for service in configuration.services
             for number in range(service.instances)
         ]
@@ -61,38 +64,38 @@
 
     @property
     def name(self) -> str:
-        """The member's name."""
-        return self.configuration.member
+        """The workspace's name."""
+        return self.configuration.workspace
 
     @property
-    def server_counts(self) -> dict[str, int]:
-        """How many servers each `member/service` has."""
+    def target_counts(self) -> dict[str, int]:
+        """How many targets each `workspace/service` has."""
         return {
             f"{self.name}/{service.name}": service.instances
             for service in self.configuration.services
         }
 
     async def start(self) -> None:
-        """Starts the servers, lists all hosts and starts the daemons."""
-        for server in self.servers:
-            await server.start()
-            self._platform.put_host(server.host)
+        """Starts the targets, lists all hosts and starts the daemons."""
+        for target in self.targets:
+            await target.start()
+            self._platform.put_host(target.host)
         for daemon in self.daemons:
             await daemon.start()
             self._platform.put_host(daemon.host)
 
     async def stop(self) -> None:
-        """Stops the callers, the daemons and the servers, in this order."""
+        """Stops the callers, the daemons and the targets, in this order."""
         if self.caller is not None:
             await self.caller.stop()
         await asyncio.gather(*(daemon.stop() for daemon in self.daemons))
-        await asyncio.gather(*(server.stop() for server in self.servers))
+        await asyncio.gather(*(target.stop() for target in self.targets))
 
     def in_force(self, version: int) -> bool:
         """Tells whether every entry host has adopted a version.
 
         Args:
-            version: The version of the member's configuration.
+            version: The version of the workspace's configuration.
 
         Returns:
             True if it, or a later one, is in force at every entry host.
@@ -102,27 +105,27 @@
             for daemon in self.daemons
         )
 
-    def servers_of(self, service: str) -> list[ServerStandin]:
-        """Lists the servers of a service."""
-        return [one for one in self.servers if one.host.service == service]
+    def targets_of(self, service: str) -> list[TargetStandin]:
+        """Lists the targets of a service."""
+        return [one for one in self.targets if one.host.service == service]
 
     def exclusive_services(self) -> list[Service]:
         """Lists the services with exclusive keys."""
         return [one for one in self.configuration.services if one.exclusive_keys]
 
     def is_granted(self) -> bool:
-        """Tells whether servers hold every slice of the exclusive services."""
+        """Tells whether targets hold every slice of the exclusive services."""
         return all(
             any(daemon.leadership.leader(shard) for daemon in self.daemons)
             for shard in self._shards()
         ) and all(
-            server.journal.grants
+            target.journal.grants
             for service in self.exclusive_services()
-            for server in self.servers_of(service.name)
+            for target in self.targets_of(service.name)
         )
 
     async def call(self, requests_per_second: float) -> None:
-        """Starts the member's callers.
+        """Starts the workspace's callers.
 
         Args:
             requests_per_second: How many requests they send.
@@ -142,10 +145,10 @@
         await self.caller.start()
 
     def journal(self) -> Journal:
-        """Merges what the member's servers and callers wrote down."""
+        """Merges what the workspace's targets and callers wrote down."""
         merged = self.caller.journal if self.caller else Journal()
-        for server in self.servers:
-            merged += server.journal
+        for target in self.targets:
+            merged += target.journal
         return merged
 
     def _daemon(self, zone: Zone, number: int) -> Daemon:
@@ -155,13 +158,13 @@
             Settings(name, zone.name, listen, self._platform.url, seed=self._seed)
         )
 
-    def _server(self, service: Service, number: int) -> ServerStandin:
+    def _target(self, service: Service, number: int) -> TargetStandin:
         zones = self.configuration.zones
-        return ServerStandin(
-            ServerSettings(
-                name=f"{self.configuration.member}-{service.name}-{number + 1:02}",
+        return TargetStandin(
+            TargetSettings(
+                name=f"{self.configuration.workspace}-{service.name}-{number + 1:02}",
                 zone=zones[number % len(zones)].name,
-                member=self.configuration.member,
+                workspace=self.configuration.workspace,
                 service=service.name,
                 slots=service.slots,
                 connection_limit=service.connections,
--- a/src/balsamway/demo/questionnaires/__init__.py
+++ b/src/balsamway/demo/questionnaires/__init__.py
@@ -1,1 +1,1 @@
-"""The questionnaires of the members that a demonstration shows."""
+"""The questionnaires of the workspaces that a demonstration shows."""
--- a/src/balsamway/gateway/_caller_protocol.py
+++ b/src/balsamway/gateway/_caller_protocol.py
@@ -58,7 +58,7 @@
 
 def _verdict(status: int, error: BaseException | None) -> Verdict:
     if status == 500:
-        return MayHaveRun(Reason.SERVER_ERROR, "the gateway failed")
+        return MayHaveRun(Reason.TARGET_ERROR, "the gateway failed")
     if isinstance(error, LineTooLong) or _TOO_MANY_HEADERS in str(error):
         return NotRun(Reason.HEADERS_TOO_LARGE)
     return NotRun(Reason.BAD_REQUEST, "the request is not well-formed HTTP")
--- a/src/balsamway/gateway/admission.py
+++ b/src/balsamway/gateway/admission.py
@@ -1,4 +1,4 @@
-"""Admits requests to the servers of a group, and lets the others wait."""
+"""Admits requests to the targets of a group, and lets the others wait."""
 
 from __future__ import annotations
 
@@ -14,8 +14,8 @@
 
 if TYPE_CHECKING:
     from balsamway.gateway.attempt import Attempt
-    from balsamway.gateway.server_group import ServerGroup
-    from balsamway.gateway.server_state import ServerState
+    from balsamway.gateway.target_group import TargetGroup
+    from balsamway.gateway.target_state import TargetState
 
 WAITERS_AT_MOST = 1024
 RETRY_AFTER_AT_LEAST_SECONDS = 0.1
@@ -27,17 +27,17 @@
 
 
 class Admission:
-    """Admits requests to a group of servers by urgency, then by deadline.
+    """Admits requests to a group of targets by urgency, then by deadline.
 
     A request that cannot be answered by its deadline is refused at once, and
     so is the least urgent one of too many that wait.
     """
 
-    def __init__(self, group: ServerGroup) -> None:
+    def __init__(self, group: TargetGroup) -> None:
         """Makes the queue of a group, in which nothing waits.
 
         Args:
-            group: The servers.
+            group: The targets.
         """
         self._group = group
         self._waiters: list[Waiter] = []
@@ -48,14 +48,14 @@
         """How many requests wait."""
         return len(self._waiters)
 
-    def enter_now(self, attempt: Attempt) -> ServerState | None:
+    def enter_now(self, attempt: Attempt) -> TargetState | None:
         """Admits a request if it need not wait.
 
         Args:
             attempt: The attempt to admit.
 
         Returns:
-            The server, in which the attempt is counted until its `leave` is
+            The target, in which the attempt is counted until its `leave` is
             called; None where there is none with room.
         """
         if self._waiters:
@@ -67,8 +67,8 @@
 
     async def enter(
         self, attempt: Attempt, until: float = math.inf
-    ) -> ServerState | NotRun | StillWaiting:
-        """Waits for a server that has room.
+    ) -> TargetState | NotRun | StillWaiting:
+        """Waits for a target that has room.
 
         Args:
             attempt: The attempt to admit.
@@ -76,14 +76,14 @@
                 later than the request's deadline in any case.
 
         Returns:
-            The server, in which the attempt is counted until its `leave` is
+            The target, in which the attempt is counted until its `leave` is
             called; else why there is none.
         """
         state = self.enter_now(attempt)
         if state is not None:
             return state
         if self._group.is_empty:
-            return NotRun(Reason.NO_SERVER, retry_after_seconds=1.0)
+            return NotRun(Reason.NO_TARGET, retry_after_seconds=1.0)
         waiter = self._waiter(attempt)
         refused = self._refuse_on_arrival(waiter)
         if refused is not None:
@@ -139,7 +139,7 @@
 
     async def _wait(
         self, waiter: Waiter, until: float
-    ) -> ServerState | NotRun | StillWaiting:
+    ) -> TargetState | NotRun | StillWaiting:
         try:
             async with asyncio.timeout_at(min(until, waiter.deadline)):
                 return await waiter.admitted
@@ -161,13 +161,13 @@
         if place < len(self._waiters) and self._waiters[place] is waiter:
             del self._waiters[place]
 
-    def _give_back(self, admitted: ServerState | NotRun) -> None:
+    def _give_back(self, admitted: TargetState | NotRun) -> None:
         if not isinstance(admitted, NotRun):
             admitted.leave()
 
     def _overloaded(self, ahead: int) -> NotRun:
         return NotRun(
             Reason.OVERLOADED,
-            "no server can answer before the deadline",
+            "no target can answer before the deadline",
             max(RETRY_AFTER_AT_LEAST_SECONDS, self._expected_wait(ahead)),
         )
--- a/src/balsamway/gateway/answer.py
+++ b/src/balsamway/gateway/answer.py
@@ -10,7 +10,7 @@
 
 from balsamway.gateway.status import status_of
 from balsamway.outcome import Completed, MayHaveRun, NotRun
-from balsamway.servers import header_names
+from balsamway.targets import header_names
 
 if TYPE_CHECKING:
     from balsamway.outcome import Verdict
@@ -24,7 +24,7 @@
         request_id: The request's id.
 
     Returns:
-        The server's answer where there is one, else a body that names the
+        The target's answer where there is one, else a body that names the
         verdict and its reason.
     """
     match verdict:
--- a/src/balsamway/gateway/attempt.py
+++ b/src/balsamway/gateway/attempt.py
@@ -22,7 +22,7 @@
 
         Args:
             request: The request.
-            tried: The servers that the request was sent to, by any attempt.
+            tried: The targets that the request was sent to, by any attempt.
             hedge_budget: For a hedge, what it takes a token from when it is
                 sent.
         """
@@ -48,25 +48,25 @@
 
     @property
     def has_tried(self) -> bool:
-        """Whether the request was sent to any server before."""
+        """Whether the request was sent to any target before."""
         return bool(self._tried)
 
-    def was_tried(self, server: str) -> bool:
-        """Tells whether the request was sent to a server before.
+    def was_tried(self, target: str) -> bool:
+        """Tells whether the request was sent to a target before.
 
         Args:
-            server: The server's name.
+            target: The target's name.
 
         Returns:
             Whether any attempt of the request was sent to it.
         """
-        return server in self._tried
+        return target in self._tried
 
-    def begin(self, server: str) -> bool:
+    def begin(self, target: str) -> bool:
         """Marks the attempt as sent, if it is allowed.
 
         Args:
-            server: The server's name.
+            target: The target's name.
 
         Returns:
             False for a hedge that the budget does not allow.
@@ -74,5 +74,5 @@
         if self._hedge_budget is not None and not self._hedge_budget.withdraw():
             return False
         self._is_sent = True
-        self._tried.append(server)
+        self._tried.append(target)
         return True
--- a/src/balsamway/gateway/caller_listener.py
+++ b/src/balsamway/gateway/caller_listener.py
@@ -78,7 +78,7 @@
 
     async def on_start(self) -> None:
         """Starts to listen."""
-        server = CallerServer(
+        target = CallerServer(
             self._on_request,
             handler_cancellation=True,
             access_log=None,
@@ -87,7 +87,7 @@
             max_headers=self._limits.headers,
             lingering_time=LINGERING_SECONDS,
         )
-        runner = web.ServerRunner(server)
+        runner = web.ServerRunner(target)
         await runner.setup()
         ip, port = self._listen_address.rsplit(":", 1)
         self._site = web.TCPSite(runner, ip, int(port))
@@ -123,14 +123,14 @@
         head = read_head(http_request, self._configurations, self._limits)
         if isinstance(head, Refusal):
             return self._refuse(head)
-        refused = self._in_progress.enter(head.member.member)
+        refused = self._in_progress.enter(head.workspace.workspace)
         if refused is not None:
             return self._refuse(Refusal(refused, head.request_id))
         self._latest_deadline = max(self._latest_deadline, head.deadline)
         try:
             return await self._handle(http_request, head)
         finally:
-            self._in_progress.leave(head.member.member)
+            self._in_progress.leave(head.workspace.workspace)
 
     async def _handle(
         self, http_request: web.BaseRequest, head: RequestHead
@@ -139,7 +139,7 @@
         if isinstance(body, NotRun):
             return self._refuse(Refusal(body, head.request_id, closes=True))
         request = CallerRequest(
-            member=head.member,
+            workspace=head.workspace,
             service=head.service,
             kind=head.kind,
             request_id=head.request_id,
--- a/src/balsamway/gateway/caller_request.py
+++ b/src/balsamway/gateway/caller_request.py
@@ -6,14 +6,14 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from balsamway.configuration import MemberConfiguration, RequestKind, Service
+    from balsamway.configuration import RequestKind, Service, WorkspaceConfiguration
 
 
 @dataclass(frozen=True, slots=True)
 class CallerRequest:
     """A request as a caller made it, checked."""
 
-    member: MemberConfiguration
+    workspace: WorkspaceConfiguration
     service: Service
     kind: RequestKind
     request_id: str
@@ -26,5 +26,5 @@
 
     @property
     def labels(self) -> tuple[str, str, str]:
-        """The names of the member, the service and the kind."""
-        return self.member.member, self.service.name, self.kind.name
+        """The names of the workspace, the service and the kind."""
+        return self.workspace.workspace, self.service.name, self.kind.name
--- a/src/balsamway/gateway/chooser.py
+++ b/src/balsamway/gateway/chooser.py
@@ -1,4 +1,4 @@
-"""The interface that chooses a server for a request without an owner."""
+"""The interface that chooses a target for a request without an owner."""
 
 from __future__ import annotations
 
@@ -7,19 +7,19 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from balsamway.gateway.server_state import ServerState
+    from balsamway.gateway.target_state import TargetState
 
 
 class Chooser(Protocol):
-    """Chooses a server for a request without an owner."""
+    """Chooses a target for a request without an owner."""
 
-    def choose(self, candidates: Sequence[ServerState]) -> ServerState:
-        """Chooses one of the servers.
+    def choose(self, candidates: Sequence[TargetState]) -> TargetState:
+        """Chooses one of the targets.
 
         Args:
-            candidates: The servers that have room; at least one.
+            candidates: The targets that have room; at least one.
 
         Returns:
-            The server to send to.
+            The target to send to.
         """
         ...
--- a/src/balsamway/gateway/concurrency_limit.py
+++ b/src/balsamway/gateway/concurrency_limit.py
@@ -1,4 +1,4 @@
-"""How many requests a gateway has in flight to a server at once."""
+"""How many requests a gateway has in flight to a target at once."""
 
 from __future__ import annotations
 
@@ -14,9 +14,9 @@
 
 
 class ConcurrencyLimit:
-    """Grows while a server keeps up, and shrinks when it sheds or slows.
+    """Grows while a target keeps up, and shrinks when it sheds or slows.
 
-    The ceiling is this gateway's share of the server's connections.
+    The ceiling is this gateway's share of the target's connections.
     """
 
     def __init__(self, ceiling: int) -> None:
@@ -34,7 +34,7 @@
         """Sets the most that the limit may be.
 
         Args:
-            ceiling: The share of the server's connections.
+            ceiling: The share of the target's connections.
         """
         self._ceiling = ceiling
         self._value = min(self._value, ceiling)
@@ -63,7 +63,7 @@
             self._value = min(float(self._ceiling), grown)
 
     def on_shed(self, average: float, now: float) -> None:
-        """Counts a request that the server refused to take.
+        """Counts a request that the target refused to take.
 
         Args:
             average: The moving average of the latency, in seconds.
--- a/src/balsamway/gateway/connection_warmer.py
+++ b/src/balsamway/gateway/connection_warmer.py
@@ -1,4 +1,4 @@
-"""Keeps a connection open to each server, so that requests find one."""
+"""Keeps a connection open to each target, so that requests find one."""
 
 from __future__ import annotations
 
@@ -11,22 +11,22 @@
     from balsamway.configuration.configurations import Configurations
     from balsamway.gateway.connection_budget import ConnectionBudget
     from balsamway.membership.directory import Directory
-    from balsamway.servers.http_transport import HttpTransport
     from balsamway.store import Host
+    from balsamway.targets.http_transport import HttpTransport
 
 CHECK_SECONDS = 1.0
-"""How often servers that joined are looked for."""
+"""How often targets that joined are looked for."""
 WARM_SECONDS = 20.0
 """How often a connection is used, well within the time it is kept open."""
 RETRY_SECONDS = 5.0
-"""How long a server that did not answer is left alone."""
+"""How long a target that did not answer is left alone."""
 TIMEOUT_SECONDS = 1.0
 
 
 class ConnectionWarmer(mode.Service):
-    """Keeps a connection open to each server, so that requests find one.
+    """Keeps a connection open to each target, so that requests find one.
 
-    It asks for the server's health and does not use the answer.
+    It asks for the target's health and does not use the answer.
     """
 
     def __init__(
@@ -39,10 +39,10 @@
         """Makes a warmer that has opened nothing.
 
         Args:
-            directory: Which servers there are.
+            directory: Which targets there are.
             configurations: The configurations in force.
             transport: Holds the connections.
-            budget: Tells which servers this gateway may connect to.
+            budget: Tells which targets this gateway may connect to.
         """
         super().__init__()
         self._directory = directory
@@ -58,12 +58,12 @@
             await self.sleep(CHECK_SECONDS)
 
     def dump(self) -> dict[str, object]:
-        """Gives how many servers are kept warm, for the state dump."""
-        return {"servers": len(self._warm_at)}
+        """Gives how many targets are kept warm, for the state dump."""
+        return {"targets": len(self._warm_at)}
 
     def _due(self) -> list[Host]:
         now = asyncio.get_running_loop().time()
-        hosts = {host.address: host for host in self._servers()}
+        hosts = {host.address: host for host in self._targets()}
         self._warm_at = {
             address: at for address, at in self._warm_at.items() if address in hosts
         }
@@ -73,12 +73,12 @@
             if now >= self._warm_at.get(address, 0.0)
         ]
 
-    def _servers(self) -> list[Host]:
+    def _targets(self) -> list[Host]:
         return [
             host
-            for member in self._configurations.members()
-            for service in member.services
-            for host in self._directory.servers(member.member, service.name)
+            for workspace in self._configurations.workspaces()
+            for service in workspace.services
+            for host in self._directory.targets(workspace.workspace, service.name)
             if self._budget.limit(host)
         ]
 
--- a/src/balsamway/gateway/dispatcher.py
+++ b/src/balsamway/gateway/dispatcher.py
@@ -1,4 +1,4 @@
-"""Sends an admitted attempt to its server, and counts what became of it."""
+"""Sends an admitted attempt to its target, and counts what became of it."""
 
 from __future__ import annotations
 
@@ -6,27 +6,27 @@
 from typing import TYPE_CHECKING
 
 from balsamway.outcome import NotRun, Reason
-from balsamway.servers.request import ServerRequest
+from balsamway.targets.request import TargetRequest
 
 if TYPE_CHECKING:
     from balsamway.gateway.caller_request import CallerRequest
     from balsamway.gateway.metrics import GatewayMetrics
-    from balsamway.gateway.server_state import ServerState
+    from balsamway.gateway.target_state import TargetState
     from balsamway.outcome import Verdict
     from balsamway.ownership.route import Route
-    from balsamway.servers.transport import ServerTransport
+    from balsamway.targets.transport import TargetTransport
 
 
 class Dispatcher:
-    """Sends admitted attempts to servers, and counts what became of them."""
+    """Sends admitted attempts to targets, and counts what became of them."""
 
-    def __init__(self, transport: ServerTransport, metrics: GatewayMetrics) -> None:
+    def __init__(self, transport: TargetTransport, metrics: GatewayMetrics) -> None:
         self._transport = transport
         self._metrics = metrics
 
     async def send(
         self,
-        state: ServerState,
+        state: TargetState,
         request: CallerRequest,
         deadline: float,
         route: Route | None = None,
@@ -34,7 +34,7 @@
         """Sends an admitted attempt, and ends it.
 
         Args:
-            state: The server.
+            state: The target.
             request: The request.
             deadline: When the attempt must end, by the runtime's clock.
             route: The route of the key; None without exclusive keys.
@@ -54,17 +54,19 @@
         finally:
             state.leave()
 
-    def _observe(self, state: ServerState, verdict: Verdict, seconds: float) -> None:
+    def _observe(self, state: TargetState, verdict: Verdict, seconds: float) -> None:
         state.observe(verdict, seconds)
         host = state.host
-        self._metrics.on_attempt(host.member, host.service, host.name, verdict, seconds)
+        self._metrics.on_attempt(
+            host.workspace, host.service, host.name, verdict, seconds
+        )
 
 
 def _message(
     request: CallerRequest, timeout_seconds: float, route: Route | None
-) -> ServerRequest:
-    return ServerRequest(
-        member=request.member.member,
+) -> TargetRequest:
+    return TargetRequest(
+        workspace=request.workspace.workspace,
         service=request.service.name,
         kind=request.kind.name,
         request_id=request.request_id,
--- a/src/balsamway/gateway/exclusive_path.py
+++ b/src/balsamway/gateway/exclusive_path.py
@@ -1,4 +1,4 @@
-"""The path to the server that owns a key."""
+"""The path to the target that owns a key."""
 
 from __future__ import annotations
 
@@ -17,8 +17,8 @@
     from balsamway.gateway.caller_request import CallerRequest
     from balsamway.gateway.dispatcher import Dispatcher
     from balsamway.gateway.load_recorder import LoadRecorder
-    from balsamway.gateway.server_pool import ServerPool
-    from balsamway.gateway.server_state import ServerState
+    from balsamway.gateway.target_pool import TargetPool
+    from balsamway.gateway.target_state import TargetState
     from balsamway.outcome import Verdict
     from balsamway.ownership.route import Route
     from balsamway.ownership.routes import Routes
@@ -27,16 +27,16 @@
 """How long a request waits for an owner before its route is found anew."""
 
 _ROUTE_REFUSED = frozenset(
-    {Reason.WRONG_EPOCH, Reason.GRANT_LAPSED, Reason.SERVER_DRAINING}
+    {Reason.WRONG_EPOCH, Reason.GRANT_LAPSED, Reason.TARGET_DRAINING}
 )
 
 
 class ExclusivePath:
-    """The path to the server that owns a key."""
+    """The path to the target that owns a key."""
 
     def __init__(
         self,
-        pool: ServerPool,
+        pool: TargetPool,
         routes: Routes,
         dispatcher: Dispatcher,
         recorder: LoadRecorder,
@@ -87,12 +87,12 @@
             return verdict
 
     async def _send(
-        self, state: ServerState, attempt: Attempt, route: Route
+        self, state: TargetState, attempt: Attempt, route: Route
     ) -> Verdict:
         """Sends an admitted attempt, counted as in flight by its route.
 
-        What may still run at the server stays counted until its deadline, by
-        which the server has ended it.
+        What may still run at the target stays counted until its deadline, by
+        which the target has ended it.
         """
         request = attempt.request
         deadline = request.deadline
@@ -131,4 +131,4 @@
 
 def _shard_of(request: CallerRequest, position: int) -> ShardId:
     index = position * request.service.shards // POSITION_END
-    return ShardId(request.member.member, request.service.name, index)
+    return ShardId(request.workspace.workspace, request.service.name, index)
--- a/src/balsamway/gateway/gateway.py
+++ b/src/balsamway/gateway/gateway.py
@@ -1,4 +1,4 @@
-"""Takes requests to servers, each to one verdict."""
+"""Takes requests to targets, each to one verdict."""
 
 from __future__ import annotations
 
@@ -22,20 +22,20 @@
     from balsamway.gateway.chooser import Chooser
     from balsamway.gateway.load_recorder import LoadRecorder
     from balsamway.gateway.metrics import GatewayMetrics
-    from balsamway.gateway.server_pool import ServerPool
+    from balsamway.gateway.target_pool import TargetPool
     from balsamway.outcome import Verdict
     from balsamway.ownership.routes import Routes
-    from balsamway.servers.transport import ServerTransport
+    from balsamway.targets.transport import TargetTransport
 
 
 class Gateway:
-    """Takes requests to servers, each through its attempts to one verdict."""
+    """Takes requests to targets, each through its attempts to one verdict."""
 
     def __init__(
         self,
-        pool: ServerPool,
+        pool: TargetPool,
         routes: Routes,
-        transport: ServerTransport,
+        transport: TargetTransport,
         recorder: LoadRecorder,
         metrics: GatewayMetrics,
         zone: str,
@@ -45,14 +45,14 @@
         """Makes a gateway.
 
         Args:
-            pool: The servers, and what was seen of them.
+            pool: The targets, and what was seen of them.
             routes: Finds the owners of keys.
-            transport: Carries attempts to servers.
+            transport: Carries attempts to targets.
             recorder: Counts the load of slices.
             metrics: Counts requests and attempts.
             zone: The own availability zone.
             rng: Draws choices and back-off.
-            chooser: Chooses servers for requests without an owner; None for
+            chooser: Chooses targets for requests without an owner; None for
                 the better of two in the own zone.
         """
         dispatcher = Dispatcher(transport, metrics)
@@ -88,7 +88,7 @@
     def dump(self) -> dict[str, object]:
         """Gives the gateway's state for the state dump."""
         return {
-            "servers": self._pool.dump(),
+            "targets": self._pool.dump(),
             "retry_budgets": {
                 "/".join(name): budget.tokens for name, budget in self._budgets.items()
             },
@@ -114,7 +114,7 @@
         return sum(queue.waiting for queue in queues.values() if queue is not None)
 
     def _budget(self, request: CallerRequest) -> RetryBudget:
-        name = (request.member.member, request.service.name)
+        name = (request.workspace.workspace, request.service.name)
         budget = self._budgets.get(name)
         if budget is None:
             budget = RetryBudget()
--- a/src/balsamway/gateway/gateway_limits.py
+++ b/src/balsamway/gateway/gateway_limits.py
@@ -11,8 +11,8 @@
 
     requests: int = 2048
     """Requests in progress on the gateway."""
-    requests_per_member: int = 1024
-    """Requests in progress of one member."""
+    requests_per_workspace: int = 1024
+    """Requests in progress of one workspace."""
     header_bytes: int = 8190
     """The longest request line, or header with its name."""
     headers: int = 64
--- a/src/balsamway/gateway/in_progress.py
+++ b/src/balsamway/gateway/in_progress.py
@@ -19,7 +19,7 @@
     def __init__(self, limits: GatewayLimits) -> None:
         self._limits = limits
         self._total = 0
-        self._by_member: dict[str, int] = {}
+        self._by_workspace: dict[str, int] = {}
         self._empty = asyncio.Event()
         self._empty.set()
 
@@ -28,11 +28,11 @@
         """How many requests are in progress."""
         return self._total
 
-    def enter(self, member: str) -> NotRun | None:
+    def enter(self, workspace: str) -> NotRun | None:
         """Counts a request, unless there are too many.
 
         Args:
-            member: The member whose request it is.
+            workspace: The workspace whose request it is.
 
         Returns:
             None if the request was counted, else why not.
@@ -43,27 +43,27 @@
                 "the gateway has too many requests in progress",
                 RETRY_AFTER_SECONDS,
             )
-        count = self._by_member.get(member, 0)
-        if count >= self._limits.requests_per_member:
+        count = self._by_workspace.get(workspace, 0)
+        if count >= self._limits.requests_per_workspace:
             return NotRun(
                 Reason.TOO_MANY_REQUESTS,
-                "the member has too many requests in progress",
+                "the workspace has too many requests in progress",
                 RETRY_AFTER_SECONDS,
             )
-        self._by_member[member] = count + 1
+        self._by_workspace[workspace] = count + 1
         self._total += 1
         self._empty.clear()
         return None
 
-    def leave(self, member: str) -> None:
+    def leave(self, workspace: str) -> None:
         """Counts the end of a request.
 
         Args:
-            member: The member whose request it was.
+            workspace: The workspace whose request it was.
         """
-        self._by_member[member] -= 1
-        if not self._by_member[member]:
-            del self._by_member[member]
+        self._by_workspace[workspace] -= 1
+        if not self._by_workspace[workspace]:
+            del self._by_workspace[workspace]
         self._total -= 1
         if not self._total:
             self._empty.set()
@@ -82,4 +82,4 @@
 
     def dump(self) -> dict[str, object]:
         """Gives the counts for the state dump."""
-        return {"total": self._total, "by_member": dict(self._by_member)}
+        return {"total": self._total, "by_workspace": dict(self._by_workspace)}
--- a/src/balsamway/gateway/least_in_flight.py
+++ b/src/balsamway/gateway/least_in_flight.py
@@ -1,4 +1,4 @@
-"""Chooses the server with the fewest requests of this gateway."""
+"""Chooses the target with the fewest requests of this gateway."""
 
 from __future__ import annotations
 
@@ -8,23 +8,23 @@
     import random
     from collections.abc import Sequence
 
-    from balsamway.gateway.server_state import ServerState
+    from balsamway.gateway.target_state import TargetState
 
 
 class LeastInFlight:
-    """Chooses the server with the fewest requests; any one among equals."""
+    """Chooses the target with the fewest requests; any one among equals."""
 
     def __init__(self, rng: random.Random) -> None:
         self._rng = rng
 
-    def choose(self, candidates: Sequence[ServerState]) -> ServerState:
-        """Chooses a server with the fewest requests in flight.
+    def choose(self, candidates: Sequence[TargetState]) -> TargetState:
+        """Chooses a target with the fewest requests in flight.
 
         Args:
-            candidates: The servers that have room; at least one.
+            candidates: The targets that have room; at least one.
 
         Returns:
-            The server to send to.
+            The target to send to.
         """
         least = min(candidate.in_flight for candidate in candidates)
         return self._rng.choice(
--- a/src/balsamway/gateway/load_recorder.py
+++ b/src/balsamway/gateway/load_recorder.py
@@ -12,7 +12,7 @@
     """Counts the load of slices, as this gateway sees it."""
 
     def record(self, shard: ShardId, position: int, busy_seconds: float) -> None:
-        """Counts one attempt that a server answered.
+        """Counts one attempt that a target answered.
 
         Args:
             shard: The shard of the key.
--- a/src/balsamway/gateway/metrics.py
+++ b/src/balsamway/gateway/metrics.py
@@ -49,7 +49,7 @@
         Args:
             registry: The registry that the daemon shows.
         """
-        kind = ("member", "service", "kind")
+        kind = ("workspace", "service", "kind")
         self._requests = Counter(
             "balsamway_requests",
             "Requests that were answered, by verdict and reason",
@@ -65,14 +65,14 @@
         )
         self._attempts = Counter(
             "balsamway_attempts",
-            "Attempts sent to servers, by verdict and reason",
-            ("member", "service", "server", "verdict", "reason"),
+            "Attempts sent to targets, by verdict and reason",
+            ("workspace", "service", "server", "verdict", "reason"),
             registry=registry,
         )
         self._busy = Counter(
-            "balsamway_server_busy_seconds",
-            "The time that servers took for answers, as seen by this gateway",
-            ("member", "service", "server"),
+            "balsamway_target_busy_seconds",
+            "The time that targets took for answers, as seen by this gateway",
+            ("workspace", "service", "target"),
             registry=registry,
         )
         self._retries = Counter(
@@ -83,14 +83,14 @@
         )
         self._opened = Counter(
             "balsamway_connections_opened",
-            "Connections opened to servers",
+            "Connections opened to targets",
             registry=registry,
         )
         self._in_flight = Gauge(
-            "balsamway_in_flight", "Attempts in flight to servers", registry=registry
+            "balsamway_in_flight", "Attempts in flight to targets", registry=registry
         )
         self._waiting = Gauge(
-            "balsamway_waiting", "Requests that wait for a server", registry=registry
+            "balsamway_waiting", "Requests that wait for a target", registry=registry
         )
         self._refusals = Counter(
             "balsamway_refusals",
@@ -108,7 +108,7 @@
 
         Args:
             in_flight: Counts the attempts in flight.
-            waiting: Counts the requests that wait for a server.
+            waiting: Counts the requests that wait for a target.
         """
         self._in_flight.set_function(in_flight)
         self._waiting.set_function(waiting)
@@ -133,21 +133,26 @@
         histogram.observe(seconds)
 
     def on_attempt(
-        self, member: str, service: str, server: str, verdict: Verdict, seconds: float
+        self,
+        workspace: str,
+        service: str,
+        target: str,
+        verdict: Verdict,
+        seconds: float,
     ) -> None:
         """Counts an attempt that has ended.
 
         Args:
-            member: The member's name.
+            workspace: The workspace's name.
             service: The service's name.
-            server: The server's name.
+            target: The target's name.
             verdict: The verdict on the attempt.
             seconds: The time it took.
         """
         name, reason = _labels(verdict)
-        self._child(self._attempts, (member, service, server, name, reason)).inc()
+        self._child(self._attempts, (workspace, service, target, name, reason)).inc()
         if isinstance(verdict, Completed):
-            self._child(self._busy, (member, service, server)).inc(seconds)
+            self._child(self._busy, (workspace, service, target)).inc(seconds)
 
     def on_retry(self, request: CallerRequest) -> None:
         """Counts an attempt after the first.
@@ -174,7 +179,7 @@
         self._child(self._refusals, (reason,)).inc()
 
     def on_open(self) -> None:
-        """Counts a connection that was opened to a server."""
+        """Counts a connection that was opened to a target."""
         self._opened.inc()
 
     def _child(self, counter: Counter, labels: tuple[str, ...]) -> Counter:
--- a/src/balsamway/gateway/owner_group.py
+++ b/src/balsamway/gateway/owner_group.py
@@ -1,4 +1,4 @@
-"""The one server that owns a key, as a group."""
+"""The one target that owns a key, as a group."""
 
 from __future__ import annotations
 
@@ -6,13 +6,13 @@
 
 if TYPE_CHECKING:
     from balsamway.gateway.attempt import Attempt
-    from balsamway.gateway.server_state import ServerState
+    from balsamway.gateway.target_state import TargetState
 
 
 class OwnerGroup:
-    """The one server that owns a key, as a group."""
+    """The one target that owns a key, as a group."""
 
-    def __init__(self, state: ServerState) -> None:
+    def __init__(self, state: TargetState) -> None:
         self._state = state
 
     @property
@@ -22,21 +22,21 @@
 
     @property
     def rate(self) -> float:
-        """How many answers a second the server gives; 0 for unknown."""
+        """How many answers a second the target gives; 0 for unknown."""
         return self._state.rate
 
     @property
     def is_empty(self) -> bool:
-        """Whether this host may not connect to the server."""
+        """Whether this host may not connect to the target."""
         return self._state.limit.value < 1
 
-    def pick(self, attempt: Attempt) -> ServerState | None:
-        """Gives the server if it has room.
+    def pick(self, attempt: Attempt) -> TargetState | None:
+        """Gives the target if it has room.
 
         Args:
             attempt: The attempt.
 
         Returns:
-            The server, or None where it is full.
+            The target, or None where it is full.
         """
         return self._state if self._state.has_room else None
--- a/src/balsamway/gateway/random_choice.py
+++ b/src/balsamway/gateway/random_choice.py
@@ -1,4 +1,4 @@
-"""Chooses a server at random."""
+"""Chooses a target at random."""
 
 from __future__ import annotations
 
@@ -8,22 +8,22 @@
     import random
     from collections.abc import Sequence
 
-    from balsamway.gateway.server_state import ServerState
+    from balsamway.gateway.target_state import TargetState
 
 
 class RandomChoice:
-    """Chooses a server at random."""
+    """Chooses a target at random."""
 
     def __init__(self, rng: random.Random) -> None:
         self._rng = rng
 
-    def choose(self, candidates: Sequence[ServerState]) -> ServerState:
-        """Chooses any server.
+    def choose(self, candidates: Sequence[TargetState]) -> TargetState:
+        """Chooses any target.
 
         Args:
-            candidates: The servers that have room; at least one.
+            candidates: The targets that have room; at least one.
 
         Returns:
-            The server to send to.
+            The target to send to.
         """
         return self._rng.choice(candidates)
--- a/src/balsamway/gateway/request_head.py
+++ b/src/balsamway/gateway/request_head.py
@@ -10,12 +10,12 @@
 
 from balsamway.gateway.refusal import Refusal
 from balsamway.outcome import NotRun, Reason
-from balsamway.servers import header_names
+from balsamway.targets import header_names
 
 if TYPE_CHECKING:
     from aiohttp import web
 
-    from balsamway.configuration import MemberConfiguration, RequestKind, Service
+    from balsamway.configuration import RequestKind, Service, WorkspaceConfiguration
     from balsamway.configuration.configurations import Configurations
     from balsamway.gateway.gateway_limits import GatewayLimits
 
@@ -31,7 +31,7 @@
 class RequestHead:
     """What the head of a caller's request says, checked."""
 
-    member: MemberConfiguration
+    workspace: WorkspaceConfiguration
     service: Service
     kind: RequestKind
     request_id: str
@@ -62,10 +62,10 @@
     if path is None:
         detail = "the path must be /v1/SERVICE/KIND"
         return _refuse(Reason.UNKNOWN_SERVICE, detail, request_id)
-    member = _member(request, configurations)
-    if isinstance(member, NotRun):
-        return Refusal(member, request_id)
-    service = member.service(path[1])
+    workspace = _workspace(request, configurations)
+    if isinstance(workspace, NotRun):
+        return Refusal(workspace, request_id)
+    service = workspace.service(path[1])
     if service is None:
         return _refuse(Reason.UNKNOWN_SERVICE, "", request_id)
     kind = service.kind(path[2])
@@ -81,7 +81,9 @@
     if not _CONTENT_TYPE.fullmatch(content_type):
         return _refuse(Reason.BAD_REQUEST, "the content type is malformed", request_id)
     deadline = asyncio.get_running_loop().time() + timeout
-    return RequestHead(member, service, kind, request_id, key, deadline, content_type)
+    return RequestHead(
+        workspace, service, kind, request_id, key, deadline, content_type
+    )
 
 
 def request_id_of(request: web.BaseRequest) -> str:
@@ -111,19 +113,19 @@
     return found if _REQUEST_ID.fullmatch(found) else None
 
 
-def _member(
+def _workspace(
     request: web.BaseRequest, configurations: Configurations
-) -> MemberConfiguration | NotRun:
+) -> WorkspaceConfiguration | NotRun:
     found = request.headers.get(header_names.AUTHORIZATION, "")
     if not found.startswith(_BEARER):
         return NotRun(Reason.UNAUTHORIZED, "a bearer token is required")
     token = found.removeprefix(_BEARER)
     if not token.isascii() or not token.isprintable():
         return NotRun(Reason.UNAUTHORIZED, "the token is malformed")
-    member = configurations.member_of_token(token)
-    if member is not None:
-        return member
-    if not configurations.members():
+    workspace = configurations.workspace_of_token(token)
+    if workspace is not None:
+        return workspace
+    if not configurations.workspaces():
         return NotRun(Reason.NO_CONFIGURATION, retry_after_seconds=1.0)
     return NotRun(Reason.UNAUTHORIZED, "the token is not known")
 
--- a/src/balsamway/gateway/request_run.py
+++ b/src/balsamway/gateway/request_run.py
@@ -25,8 +25,8 @@
     {
         Reason.CONNECT_FAILED,
         Reason.GRANT_LAPSED,
-        Reason.SERVER_DRAINING,
-        Reason.SERVER_SHED,
+        Reason.TARGET_DRAINING,
+        Reason.TARGET_SHED,
         Reason.VIEW_LAPSED,
         Reason.WRONG_EPOCH,
     }
--- a/src/balsamway/gateway/round_robin.py
+++ b/src/balsamway/gateway/round_robin.py
@@ -1,4 +1,4 @@
-"""Chooses each server in turn."""
+"""Chooses each target in turn."""
 
 from __future__ import annotations
 
@@ -8,22 +8,22 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from balsamway.gateway.server_state import ServerState
+    from balsamway.gateway.target_state import TargetState
 
 
 class RoundRobin:
-    """Chooses each server in turn."""
+    """Chooses each target in turn."""
 
     def __init__(self) -> None:
         self._turns = itertools.count()
 
-    def choose(self, candidates: Sequence[ServerState]) -> ServerState:
-        """Chooses the next server.
+    def choose(self, candidates: Sequence[TargetState]) -> TargetState:
+        """Chooses the next target.
 
         Args:
-            candidates: The servers that have room; at least one.
+            candidates: The targets that have room; at least one.
 
         Returns:
-            The server to send to.
+            The target to send to.
         """
         return candidates[next(self._turns) % len(candidates)]
--- a/src/balsamway/gateway/shared_path.py
+++ b/src/balsamway/gateway/shared_path.py
@@ -1,12 +1,12 @@
-"""The path to any server of a service without exclusive keys."""
+"""The path to any target of a service without exclusive keys."""
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
 from balsamway.gateway.admission import Admission, StillWaiting
-from balsamway.gateway.server_state import ServerState
 from balsamway.gateway.service_group import ServiceGroup
+from balsamway.gateway.target_state import TargetState
 from balsamway.outcome import NotRun, Reason
 
 if TYPE_CHECKING:
@@ -14,15 +14,15 @@
     from balsamway.gateway.caller_request import CallerRequest
     from balsamway.gateway.chooser import Chooser
     from balsamway.gateway.dispatcher import Dispatcher
-    from balsamway.gateway.server_pool import ServerPool
+    from balsamway.gateway.target_pool import TargetPool
     from balsamway.outcome import Verdict
 
 
 class SharedPath:
-    """The path to any server of a service without exclusive keys."""
+    """The path to any target of a service without exclusive keys."""
 
     def __init__(
-        self, pool: ServerPool, chooser: Chooser, dispatcher: Dispatcher
+        self, pool: TargetPool, chooser: Chooser, dispatcher: Dispatcher
     ) -> None:
         self._pool = pool
         self._chooser = chooser
@@ -30,7 +30,7 @@
         self._admissions: dict[tuple[str, str], Admission] = {}
 
     async def attempt(self, attempt: Attempt) -> Verdict:
-        """Makes one attempt at the best server, one not tried if possible.
+        """Makes one attempt at the best target, one not tried if possible.
 
         Args:
             attempt: The attempt.
@@ -41,7 +41,7 @@
         request = attempt.request
         admission = self._admission(request)
         state = await self._enter(admission, attempt)
-        if not isinstance(state, ServerState):
+        if not isinstance(state, TargetState):
             return state
         state.admission = admission
         if not attempt.begin(state.name):
@@ -58,17 +58,17 @@
 
     async def _enter(
         self, admission: Admission, attempt: Attempt
-    ) -> ServerState | NotRun:
+    ) -> TargetState | NotRun:
         if attempt.is_hedge:
             state = admission.enter_now(attempt)
-            return state or NotRun(Reason.NO_SERVER, "no other server has room")
+            return state or NotRun(Reason.NO_TARGET, "no other target has room")
         admitted = await admission.enter(attempt)
         if isinstance(admitted, StillWaiting):
             return NotRun(Reason.DEADLINE_EXCEEDED)
         return admitted
 
     def _admission(self, request: CallerRequest) -> Admission:
-        name = (request.member.member, request.service.name)
+        name = (request.workspace.workspace, request.service.name)
         admission = self._admissions.get(name)
         if admission is None:
             group = ServiceGroup(lambda: self._pool.candidates(*name), self._chooser)
--- a/src/balsamway/gateway/status.py
+++ b/src/balsamway/gateway/status.py
@@ -28,7 +28,7 @@
         verdict: The verdict on the request.
 
     Returns:
-        The server's own status for a completed request; else 400 to 504.
+        The target's own status for a completed request; else 400 to 504.
     """
     match verdict:
         case Completed(status=status):
--- a/src/balsamway/gateway/server_group.py
+++ b/src/balsamway/gateway/target_group.py
@@ -1,4 +1,4 @@
-"""The interface to the servers that one queue of requests waits for."""
+"""The interface to the targets that one queue of requests waits for."""
 
 from __future__ import annotations
 
@@ -6,11 +6,11 @@
 
 if TYPE_CHECKING:
     from balsamway.gateway.attempt import Attempt
-    from balsamway.gateway.server_state import ServerState
+    from balsamway.gateway.target_state import TargetState
 
 
-class ServerGroup(Protocol):
-    """The servers that one queue of requests waits for."""
+class TargetGroup(Protocol):
+    """The targets that one queue of requests waits for."""
 
     @property
     def expected_latency(self) -> float:
@@ -19,21 +19,21 @@
 
     @property
     def rate(self) -> float:
-        """How many answers a second the servers give; 0 for unknown."""
+        """How many answers a second the targets give; 0 for unknown."""
         ...
 
     @property
     def is_empty(self) -> bool:
-        """Whether there is no server to wait for."""
+        """Whether there is no target to wait for."""
         ...
 
-    def pick(self, attempt: Attempt) -> ServerState | None:
-        """Picks a server that has room for an attempt.
+    def pick(self, attempt: Attempt) -> TargetState | None:
+        """Picks a target that has room for an attempt.
 
         Args:
             attempt: The attempt.
 
         Returns:
-            The server, or None where each is full.
+            The target, or None where each is full.
         """
         ...
--- a/src/balsamway/gateway/server_pool.py
+++ b/src/balsamway/gateway/target_pool.py
@@ -1,4 +1,4 @@
-"""What this gateway has seen of the servers that it may use."""
+"""What this gateway has seen of the targets that it may use."""
 
 from __future__ import annotations
 
@@ -8,7 +8,7 @@
 
 from balsamway.gateway.admission import Admission
 from balsamway.gateway.owner_group import OwnerGroup
-from balsamway.gateway.server_state import ServerState
+from balsamway.gateway.target_state import TargetState
 from balsamway.store import HostState
 
 if TYPE_CHECKING:
@@ -23,13 +23,13 @@
 """How often the shares of connections are worked out anew."""
 
 
-class ServerPool:
-    """What this gateway has seen of the servers that it may use."""
+class TargetPool:
+    """What this gateway has seen of the targets that it may use."""
 
     def __init__(
         self, directory: Directory, budget: ConnectionBudget, rng: random.Random
     ) -> None:
-        """Makes a pool that knows no server yet.
+        """Makes a pool that knows no target yet.
 
         Args:
             directory: Which hosts there are.
@@ -39,22 +39,22 @@
         self._directory = directory
         self._budget = budget
         self._rng = rng
-        self._states: dict[str, ServerState] = {}
+        self._states: dict[str, TargetState] = {}
         self._hosts: dict[tuple[str, str], tuple[Host, ...]] = {}
-        self._candidates: dict[tuple[str, str], tuple[ServerState, ...]] = {}
+        self._candidates: dict[tuple[str, str], tuple[TargetState, ...]] = {}
         self._refresh_at = 0.0
 
-    def owner(self, name: str) -> tuple[ServerState, Admission] | None:
-        """Gives what was seen of a server that owns keys, and its queue.
+    def owner(self, name: str) -> tuple[TargetState, Admission] | None:
+        """Gives what was seen of a target that owns keys, and its queue.
 
         Args:
-            name: The server's name.
+            name: The target's name.
 
         Returns:
-            The state and the queue, or None for a server that is not listed.
+            The state and the queue, or None for a target that is not listed.
         """
         self._refresh_if_due()
-        host = self._directory.server(name)
+        host = self._directory.target(name)
         if host is None:
             return None
         state = self._states.get(name)
@@ -64,30 +64,30 @@
             state.admission = Admission(OwnerGroup(state))
         return state, state.admission
 
-    def candidates(self, member: str, service: str) -> Sequence[ServerState]:
-        """Lists the servers that a request without an owner may go to.
+    def candidates(self, workspace: str, service: str) -> Sequence[TargetState]:
+        """Lists the targets that a request without an owner may go to.
 
         Args:
-            member: The member's name.
+            workspace: The workspace's name.
             service: The service's name.
 
         Returns:
-            The live servers that this gateway may connect to; leaving ones
+            The live targets that this gateway may connect to; leaving ones
             get no new work. The same object while nothing changes.
         """
         self._refresh_if_due()
-        key = (member, service)
-        hosts = self._directory.servers(member, service)
+        key = (workspace, service)
+        hosts = self._directory.targets(workspace, service)
         if hosts != self._hosts.get(key):
             self._list(key, hosts)
         return self._candidates[key]
 
-    def states(self) -> tuple[ServerState, ...]:
-        """Lists what was seen of every server, in the order of their names."""
+    def states(self) -> tuple[TargetState, ...]:
+        """Lists what was seen of every target, in the order of their names."""
         return tuple(self._states[name] for name in sorted(self._states))
 
     def dump(self) -> list[dict[str, object]]:
-        """Gives the state of each server for the state dump."""
+        """Gives the state of each target for the state dump."""
         return [state.dump() for state in self.states()]
 
     def _refresh_if_due(self) -> None:
@@ -97,7 +97,7 @@
         self._refresh_at = now + REFRESH_SECONDS
         for state in self.states():
             state.limit.set_ceiling(self._budget.limit(state.host))
-            if not state.in_flight and self._directory.server(state.name) is None:
+            if not state.in_flight and self._directory.target(state.name) is None:
                 del self._states[state.name]
         for key, hosts in self._hosts.items():
             self._list(key, hosts)
@@ -114,12 +114,12 @@
         if candidates != self._candidates.get(key):
             self._candidates[key] = candidates
 
-    def _update(self, host: Host, joined_at: float) -> ServerState:
+    def _update(self, host: Host, joined_at: float) -> TargetState:
         state = self._states.get(host.name)
         if state is not None and state.host.address == host.address:
             state.host = host
             return state
         ceiling = self._budget.limit(host)
-        state = ServerState(host, ceiling, joined_at, self._rng)
+        state = TargetState(host, ceiling, joined_at, self._rng)
         self._states[host.name] = state
         return state
--- a/src/balsamway/gateway/server_state.py
+++ b/src/balsamway/gateway/target_state.py
@@ -1,4 +1,4 @@
-"""What this gateway has seen of one server."""
+"""What this gateway has seen of one target."""
 
 from __future__ import annotations
 
@@ -18,7 +18,7 @@
 LATENCY_WEIGHT = 0.1
 """The weight of the newest answer in the average latency."""
 RAMP_SECONDS = 5.0
-"""How long a server that joined is given less than its share."""
+"""How long a target that joined is given less than its share."""
 RAMP_START = 0.1
 PAUSE_LATENCIES = 0.5
 """The first pause after a refusal, in latencies."""
@@ -28,25 +28,25 @@
 FAILURES_TO_EJECT = 3
 
 
-class ServerState:
-    """What this gateway has seen of one server; it outweighs reports."""
+class TargetState:
+    """What this gateway has seen of one target; it outweighs reports."""
 
     def __init__(
         self, host: Host, ceiling: int, joined_at: float, rng: random.Random
     ) -> None:
-        """Makes the state of a server that nothing was sent to.
+        """Makes the state of a target that nothing was sent to.
 
         Args:
-            host: The server.
-            ceiling: This gateway's share of the server's connections.
-            joined_at: When the server joined, by the runtime's clock; minus
+            host: The target.
+            ceiling: This gateway's share of the target's connections.
+            joined_at: When the target joined, by the runtime's clock; minus
                 infinity for one that was there before this gateway.
             rng: Draws the length of pauses.
         """
         self.host = host
         self.limit = ConcurrencyLimit(ceiling)
         self.admission: Admission | None = None
-        """The queue that waits for this server, once there is one."""
+        """The queue that waits for this target, once there is one."""
         self.ejected_until = 0.0
         self.ejections = 0
         self._rng = rng
@@ -61,7 +61,7 @@
 
     @property
     def name(self) -> str:
-        """The server's name."""
+        """The target's name."""
         return self.host.name
 
     @property
@@ -71,7 +71,7 @@
 
     @property
     def in_flight(self) -> int:
-        """How many requests of this gateway the server has."""
+        """How many requests of this gateway the target has."""
         return self._in_flight
 
     @property
@@ -103,7 +103,7 @@
             self.admission.admit()
 
     def ramp(self, now: float) -> float:
-        """Tells what part of its share a server is given.
+        """Tells what part of its share a target is given.
 
         Args:
             now: The runtime's clock.
@@ -124,7 +124,7 @@
         match verdict:
             case Completed():
                 self._observe_answer(seconds, now)
-            case NotRun(reason=Reason.SERVER_SHED):
+            case NotRun(reason=Reason.TARGET_SHED):
                 self._observe_shed(now)
             case NotRun(reason=Reason.CONNECT_FAILED) as failed:
                 self._observe_failure(failed.reason)
@@ -135,7 +135,7 @@
                 self._last_reason = reason
 
     def eject(self, until: float) -> None:
-        """Leaves the server out for a while, after which it joins anew.
+        """Leaves the target out for a while, after which it joins anew.
 
         Args:
             until: When it joins, by the runtime's clock.
@@ -149,7 +149,7 @@
     def dump(self) -> dict[str, object]:
         """Gives the state for the state dump."""
         return {
-            "server": self.name,
+            "target": self.name,
             "zone": self.host.zone,
             "state": self.host.state,
             "latency_seconds": self._latency,
@@ -174,7 +174,7 @@
         self.limit.on_answer(seconds, self._latency, self._in_flight, now)
 
     def _observe_shed(self, now: float) -> None:
-        self._last_reason = Reason.SERVER_SHED
+        self._last_reason = Reason.TARGET_SHED
         self.limit.on_shed(self._latency, now)
         self._pause()
 
--- a/src/balsamway/gateway/waiter.py
+++ b/src/balsamway/gateway/waiter.py
@@ -1,4 +1,4 @@
-"""A request that waits for a server."""
+"""A request that waits for a target."""
 
 from __future__ import annotations
 
@@ -9,13 +9,13 @@
     import asyncio
 
     from balsamway.gateway.attempt import Attempt
-    from balsamway.gateway.server_state import ServerState
+    from balsamway.gateway.target_state import TargetState
     from balsamway.outcome import NotRun
 
 
 @dataclass(frozen=True, slots=True, order=True)
 class Waiter:
-    """A request that waits for a server, ordered by who goes first."""
+    """A request that waits for a target, ordered by who goes first."""
 
     patience: int
     """The urgency, negated."""
@@ -23,5 +23,5 @@
     number: int
     """The order of arrival."""
     attempt: Attempt = field(compare=False)
-    admitted: asyncio.Future[ServerState | NotRun] = field(compare=False)
-    """The server that it may be sent to, or why it never will be."""
+    admitted: asyncio.Future[TargetState | NotRun] = field(compare=False)
+    """The target that it may be sent to, or why it never will be."""
--- a/src/balsamway/gateway/zone_first.py
+++ b/src/balsamway/gateway/zone_first.py
@@ -1,4 +1,4 @@
-"""Chooses a server of the own zone if there is one."""
+"""Chooses a target of the own zone if there is one."""
 
 from __future__ import annotations
 
@@ -8,30 +8,30 @@
     from collections.abc import Sequence
 
     from balsamway.gateway.chooser import Chooser
-    from balsamway.gateway.server_state import ServerState
+    from balsamway.gateway.target_state import TargetState
 
 
 class ZoneFirst:
-    """Chooses a server of the own zone if there is one with room."""
+    """Chooses a target of the own zone if there is one with room."""
 
     def __init__(self, zone: str, chooser: Chooser) -> None:
         """Makes the chooser of a gateway.
 
         Args:
             zone: The gateway's own availability zone.
-            chooser: Chooses within the servers that are left.
+            chooser: Chooses within the targets that are left.
         """
         self._zone = zone
         self._chooser = chooser
 
-    def choose(self, candidates: Sequence[ServerState]) -> ServerState:
-        """Chooses a server in the own zone, else any.
+    def choose(self, candidates: Sequence[TargetState]) -> TargetState:
+        """Chooses a target in the own zone, else any.
 
         Args:
-            candidates: The servers that have room; at least one.
+            candidates: The targets that have room; at least one.
 
         Returns:
-            The server to send to.
+            The target to send to.
         """
         near = [state for state in candidates if state.host.zone == self._zone]
         return self._chooser.choose(near or candidates)
--- a/src/balsamway/membership/__init__.py
+++ b/src/balsamway/membership/__init__.py
@@ -1,1 +1,1 @@
-"""Which entry hosts and servers are there: live, leaving or lost."""
+"""Which entry hosts and targets are there: live, leaving or lost."""
--- a/src/balsamway/membership/directory.py
+++ b/src/balsamway/membership/directory.py
@@ -12,20 +12,20 @@
 class Directory(Protocol):
     """Which hosts there are, by the host list and by what peers said."""
 
-    def servers(self, member: str, service: str) -> tuple[Host, ...]:
-        """Lists the servers of a service, leaving ones included.
+    def targets(self, workspace: str, service: str) -> tuple[Host, ...]:
+        """Lists the targets of a service, leaving ones included.
 
         Args:
-            member: The member's name.
+            workspace: The workspace's name.
             service: The service's name.
 
         Returns:
-            The servers in the order of their names.
+            The targets in the order of their names.
         """
         ...
 
-    def server(self, name: str) -> Host | None:
-        """Finds a server by name, also one that left the list lately."""
+    def target(self, name: str) -> Host | None:
+        """Finds a target by name, also one that left the list lately."""
         ...
 
     def entry_hosts(self) -> tuple[Host, ...]:
@@ -40,6 +40,6 @@
         """Names the entry host that claims the highest epoch of a shard."""
         ...
 
-    def mark_leaving(self, server: str) -> None:
-        """Records that a server said itself that it is leaving."""
+    def mark_leaving(self, target: str) -> None:
+        """Records that a target said itself that it is leaving."""
         ...
--- a/src/balsamway/membership/heartbeat.py
+++ b/src/balsamway/membership/heartbeat.py
@@ -17,6 +17,6 @@
     host: Host
     incarnation: int
     leads: tuple[LeadershipClaim, ...]
-    leaving_servers: tuple[str, ...]
-    """Servers that said themselves that they are leaving."""
+    leaving_targets: tuple[str, ...]
+    """Targets that said themselves that they are leaving."""
     stopping: bool = False
--- a/src/balsamway/membership/membership_service.py
+++ b/src/balsamway/membership/membership_service.py
@@ -12,7 +12,7 @@
 from balsamway.membership.hosts_answer import HostsAnswer
 from balsamway.membership.hosts_query import HostsQuery
 from balsamway.membership.peer_state import PeerState
-from balsamway.membership.server_table import ServerTable
+from balsamway.membership.target_table import TargetTable
 from balsamway.slices.witness import Witness
 from balsamway.store import Host, HostRole, HostState, Unavailable
 
@@ -66,7 +66,7 @@
         self._listed: dict[str, Host] = {}
         self._listed_at: float | None = None
         self._states: dict[str, PeerState] = {}
-        self._servers = ServerTable()
+        self._targets = TargetTable()
         self._entry_hosts: tuple[Host, ...] | None = None
         self._stopping = False
         self._peers: Peers | None = None
@@ -123,17 +123,17 @@
         self._host = host
         self._entry_hosts = None
 
-    def servers(self, member: str, service: str) -> tuple[Host, ...]:
-        """Lists the servers of a service; see `Directory`."""
-        return self._servers.of_service(member, service, now())
+    def targets(self, workspace: str, service: str) -> tuple[Host, ...]:
+        """Lists the targets of a service; see `Directory`."""
+        return self._targets.of_service(workspace, service, now())
 
-    def server(self, name: str) -> Host | None:
-        """Finds a server by name; see `Directory`."""
-        return self._servers.find(name, now())
+    def target(self, name: str) -> Host | None:
+        """Finds a target by name; see `Directory`."""
+        return self._targets.find(name, now())
 
-    def all_servers(self) -> tuple[Host, ...]:
-        """Lists the servers of every service, in the order of their names."""
-        return self._servers.all(now())
+    def all_targets(self) -> tuple[Host, ...]:
+        """Lists the targets of every service, in the order of their names."""
+        return self._targets.all(now())
 
     def entry_hosts(self) -> tuple[Host, ...]:
         """Lists the entry hosts; see `Directory`."""
@@ -169,9 +169,9 @@
         )
         return max(claims)[1] if claims else None
 
-    def mark_leaving(self, server: str) -> None:
-        """Records that a server is leaving; see `Directory`."""
-        self._servers.mark_leaving(server, now())
+    def mark_leaving(self, target: str) -> None:
+        """Records that a target is leaving; see `Directory`."""
+        self._targets.mark_leaving(target, now())
 
     def address_of(self, name: str) -> str | None:
         """Gives the address of an entry host's peer listener.
@@ -205,7 +205,7 @@
                 }
                 for name, state in sorted(self._states.items())
             },
-            "servers": self._servers.dump(moment),
+            "targets": self._targets.dump(moment),
         }
 
     @mode.Service.task
@@ -250,8 +250,8 @@
         self._listed = {host.name: host for host in hosts}
         self._listed_at = moment - age_seconds
         self._entry_hosts = None
-        servers = [host for host in hosts if host.role is HostRole.SERVER]
-        self._servers.adopt(tuple(servers), moment)
+        targets = [host for host in hosts if host.role is HostRole.TARGET]
+        self._targets.adopt(tuple(targets), moment)
 
     def _listed_entry_hosts(self) -> dict[str, Host]:
         return {
@@ -276,7 +276,7 @@
             self._host,
             self._incarnation,
             self._leads(),
-            self._servers.seen_leaving(now()),
+            self._targets.seen_leaving(now()),
             self._stopping,
         )
         zones = self._zones()
@@ -299,8 +299,8 @@
         if known is None or known.heartbeat.host != beat.host:
             self._entry_hosts = None
         self._states[sender] = PeerState(beat, moment)
-        for server in beat.leaving_servers:
-            self._servers.hear_leaving(server, moment)
+        for target in beat.leaving_targets:
+            self._targets.hear_leaving(target, moment)
 
     async def _on_hosts_query(self, sender: str, query: HostsQuery) -> HostsAnswer:
         return HostsAnswer(tuple(self._listed.values()), min(self._list_age(), 1e9))
--- a/src/balsamway/membership/server_health.py
+++ b/src/balsamway/membership/target_health.py
@@ -1,4 +1,4 @@
-"""What a server says of itself."""
+"""What a target says of itself."""
 
 from __future__ import annotations
 
@@ -6,8 +6,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class ServerHealth:
-    """A server's own report; it lags and misleads."""
+class TargetHealth:
+    """A target's own report; it lags and misleads."""
 
     state: str
     load: float = 0.0
--- a/src/balsamway/membership/server_prober.py
+++ b/src/balsamway/membership/target_prober.py
@@ -1,4 +1,4 @@
-"""Asks servers whether they are leaving, ahead of the lagging host list."""
+"""Asks targets whether they are leaving, ahead of the lagging host list."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
 import mode
 import msgspec
 
-from balsamway.membership.server_health import ServerHealth
+from balsamway.membership.target_health import TargetHealth
 from balsamway.rendezvous import weight
 
 if TYPE_CHECKING:
@@ -19,7 +19,7 @@
     from balsamway.membership.membership_service import MembershipService
     from balsamway.store import Host
 
-PROBERS_OF_A_SERVER = 2
+PROBERS_OF_A_TARGET = 2
 PROBE_SECONDS = 1.0
 PROBE_TIMEOUT_SECONDS = 0.8
 
@@ -28,12 +28,12 @@
 ProbersOf: TypeAlias = "Callable[[Host], Collection[str]]"
 
 
-class ServerProber(mode.Service):
-    """Probes the servers that fall to this host among the entry hosts.
+class TargetProber(mode.Service):
+    """Probes the targets that fall to this host among the entry hosts.
 
-    Two entry hosts probe each server, whatever their number. The choice goes
+    Two entry hosts probe each target, whatever their number. The choice goes
     by the list and not by who was heard from lately, so that hosts that are
-    too busy to hear each other do not probe more. What a server says of its
+    too busy to hear each other do not probe more. What a target says of its
     load is not used.
     """
 
@@ -41,8 +41,8 @@
         """Prepares the prober.
 
         Args:
-            membership: Told of each server that says it is leaving.
-            probers_of: Lists the entry hosts that may probe a server.
+            membership: Told of each target that says it is leaving.
+            probers_of: Lists the entry hosts that may probe a target.
         """
         super().__init__()
         self._membership = membership
@@ -65,26 +65,26 @@
     async def _probe_all(self) -> None:
         while not self.should_stop:
             mine = [
-                server
-                for server in self._membership.all_servers()
-                if self._falls_to_this_host(server)
+                target
+                for target in self._membership.all_targets()
+                if self._falls_to_this_host(target)
             ]
-            await asyncio.gather(*(self._probe(server) for server in mine))
+            await asyncio.gather(*(self._probe(target) for target in mine))
             await self.sleep(PROBE_SECONDS)
 
-    def _falls_to_this_host(self, server: Host) -> bool:
-        hosts = self._probers_of(server)
-        ranked = sorted(hosts, key=lambda host: weight(server.name, host))
-        return self._membership.host.name in ranked[:PROBERS_OF_A_SERVER]
+    def _falls_to_this_host(self, target: Host) -> bool:
+        hosts = self._probers_of(target)
+        ranked = sorted(hosts, key=lambda host: weight(target.name, host))
+        return self._membership.host.name in ranked[:PROBERS_OF_A_TARGET]
 
-    async def _probe(self, server: Host) -> None:
+    async def _probe(self, target: Host) -> None:
         if self._session is None:
             return
         try:
-            async with self._session.get(f"http://{server.address}/health") as answer:
-                health = msgspec.json.decode(await answer.read(), type=ServerHealth)
+            async with self._session.get(f"http://{target.address}/health") as answer:
+                health = msgspec.json.decode(await answer.read(), type=TargetHealth)
         except (aiohttp.ClientError, TimeoutError, OSError, msgspec.MsgspecError):
-            logger.debug("server gave no health", extra={"server": server.name})
+            logger.debug("target gave no health", extra={"target": target.name})
             return
         if health.state == "draining":
-            self._membership.mark_leaving(server.name)
+            self._membership.mark_leaving(target.name)
--- a/src/balsamway/membership/member_directory.py
+++ b/src/balsamway/membership/workspace_directory.py
@@ -1,4 +1,4 @@
-"""The directory, narrowed to the entry hosts of one member."""
+"""The directory, narrowed to the entry hosts of one workspace."""
 
 from __future__ import annotations
 
@@ -12,10 +12,10 @@
     from balsamway.store import Host
 
 
-class MemberDirectory:
-    """Implements `Directory`; names only entry hosts in a member's zones.
+class WorkspaceDirectory:
+    """Implements `Directory`; names only entry hosts in a workspace's zones.
 
-    Leaders and witnesses of a member's shards stand where its hosts stand.
+    Leaders and witnesses of a workspace's shards stand where its hosts stand.
     """
 
     def __init__(
@@ -25,28 +25,28 @@
 
         Args:
             directory: The directory of all hosts.
-            zones: Gives the member's availability zones.
+            zones: Gives the workspace's availability zones.
         """
         self._directory = directory
         self._zones = zones
 
-    def servers(self, member: str, service: str) -> tuple[Host, ...]:
-        """Lists the servers of a service; see `Directory`."""
-        return self._directory.servers(member, service)
+    def targets(self, workspace: str, service: str) -> tuple[Host, ...]:
+        """Lists the targets of a service; see `Directory`."""
+        return self._directory.targets(workspace, service)
 
-    def server(self, name: str) -> Host | None:
-        """Finds a server by name; see `Directory`."""
-        return self._directory.server(name)
+    def target(self, name: str) -> Host | None:
+        """Finds a target by name; see `Directory`."""
+        return self._directory.target(name)
 
     def entry_hosts(self) -> tuple[Host, ...]:
-        """Lists the entry hosts in the member's zones."""
+        """Lists the entry hosts in the workspace's zones."""
         zones = self._zones()
         return tuple(
             host for host in self._directory.entry_hosts() if host.zone in zones
         )
 
     def live_witnesses(self) -> tuple[Witness, ...]:
-        """Lists the daemons heard from lately in the member's zones."""
+        """Lists the daemons heard from lately in the workspace's zones."""
         names = {host.name for host in self.entry_hosts()}
         return tuple(
             one for one in self._directory.live_witnesses() if one.host in names
@@ -56,6 +56,6 @@
         """Names the leader of a shard; see `Directory`."""
         return self._directory.leader_of(shard)
 
-    def mark_leaving(self, server: str) -> None:
-        """Records that a server is leaving; see `Directory`."""
-        self._directory.mark_leaving(server)
+    def mark_leaving(self, target: str) -> None:
+        """Records that a target is leaving; see `Directory`."""
+        self._directory.mark_leaving(target)
--- a/src/balsamway/observe/__init__.py
+++ b/src/balsamway/observe/__init__.py
@@ -1,1 +1,1 @@
-"""Metrics, logs, the state dump and the reports of members."""
+"""Metrics, logs, the state dump and the reports of workspaces."""
--- a/src/balsamway/observe/experiments/arrival.py
+++ b/src/balsamway/observe/experiments/arrival.py
@@ -13,5 +13,5 @@
     """Seconds from the start."""
     position: int
     service_seconds: float
-    """How long a server's slot works on it."""
+    """How long a target's slot works on it."""
     gateway: int
--- a/src/balsamway/observe/experiments/choosers.py
+++ b/src/balsamway/observe/experiments/choosers.py
@@ -1,4 +1,4 @@
-"""Choosing a server where any will do."""
+"""Choosing a target where any will do."""
 
 from __future__ import annotations
 
@@ -42,7 +42,7 @@
 
 
 def run_choosers(seed: int) -> ExperimentResult:
-    """Compares choosers with one slow server and one cold start.
+    """Compares choosers with one slow target and one cold start.
 
     Args:
         seed: The seed of the arrivals.
@@ -50,9 +50,9 @@
     Returns:
         The measures of each chooser.
     """
-    setup = FleetSetup((FleetPhase(8.0, 0.7),), seed, slowness=2.0, cold_server=5)
+    setup = FleetSetup((FleetPhase(8.0, 0.7),), seed, slowness=2.0, cold_target=5)
     rows = tuple(_row(name, setup) for name in POLICIES)
-    title = "8 servers, one slow and one cold, 12 gateways, 70% load"
+    title = "8 targets, one slow and one cold, 12 gateways, 70% load"
     return ExperimentResult("choosers", title, seed, COLUMNS, rows)
 
 
@@ -63,7 +63,7 @@
         return run
 
     run = run_on_paused_clock(work())
-    busy = {server: each.busy_seconds for server, each in run.servers.items()}
+    busy = {target: each.busy_seconds for target, each in run.targets.items()}
     done = sum(each.completed for each in run.outcomes)
     return Row(
         name,
--- a/src/balsamway/observe/experiments/fleet_run.py
+++ b/src/balsamway/observe/experiments/fleet_run.py
@@ -13,9 +13,9 @@
 from balsamway.gateway import Gateway, GatewayMetrics
 from balsamway.gateway.caller_request import CallerRequest
 from balsamway.gateway.connection_budget import ConnectionBudget
-from balsamway.gateway.server_pool import ServerPool
-from balsamway.observe.experiments.fleet_server import FleetServer
+from balsamway.gateway.target_pool import TargetPool
 from balsamway.observe.experiments.fleet_surroundings import KINDS, FleetSurroundings
+from balsamway.observe.experiments.fleet_target import FleetTarget
 from balsamway.observe.experiments.fleet_transport import FleetTransport
 from balsamway.outcome import Completed, NotRun, Reason
 from balsamway.ownership.route import NoRoute
@@ -48,19 +48,19 @@
 
     phases: tuple[FleetPhase, ...]
     seed: int
-    servers: int = 8
+    targets: int = 8
     gateways: int = 12
     slowness: float = 1.0
-    """Of the first server."""
-    cold_server: int | None = None
-    """The server that is cold for the first seconds."""
+    """Of the first target."""
+    cold_target: int | None = None
+    """The target that is cold for the first seconds."""
     cold_seconds: float = 5.0
     cold_slowness: float = 4.0
 
     @property
     def capacity(self) -> float:
         """Requests a second that all slots can run at usual speed."""
-        return self.servers * SLOTS / SERVICE_SECONDS
+        return self.targets * SLOTS / SERVICE_SECONDS
 
 
 @dataclass(frozen=True, slots=True)
@@ -106,15 +106,15 @@
         """Prepares a run inside a running event loop.
 
         Args:
-            setup: The load and the servers.
+            setup: The load and the targets.
             chooser: Makes the chooser of a gateway from its zone; None for the
                 gateway's own.
         """
         self._setup = setup
-        self._surroundings = FleetSurroundings(setup.servers, setup.gateways)
-        self.servers = {
-            host.name: FleetServer(SLOTS, 1.0 if index else setup.slowness)
-            for index, host in enumerate(self._surroundings.servers("", ""))
+        self._surroundings = FleetSurroundings(setup.targets, setup.gateways)
+        self.targets = {
+            host.name: FleetTarget(SLOTS, 1.0 if index else setup.slowness)
+            for index, host in enumerate(self._surroundings.targets("", ""))
         }
         self.transports: list[FleetTransport] = []
         self.outcomes: list[FleetOutcome] = []
@@ -126,8 +126,8 @@
 
     async def run(self) -> None:
         """Carries all requests and waits for the last."""
-        if self._setup.cold_server is not None:
-            cold = list(self.servers.values())[self._setup.cold_server]
+        if self._setup.cold_target is not None:
+            cold = list(self.targets.values())[self._setup.cold_target]
             cold.chill(self._setup.cold_seconds, self._setup.cold_slowness)
         loop = asyncio.get_running_loop()
         at = loop.time()
@@ -161,7 +161,7 @@
         self.outcomes.append(FleetOutcome(now, kind.name, completed, seconds, false))
 
     def _has_run(self, request_id: str) -> bool:
-        return any(request_id in server.ran for server in self.servers.values())
+        return any(request_id in target.ran for target in self.targets.values())
 
     def _gateway(
         self,
@@ -170,12 +170,12 @@
         zone: str,
         chooser: Callable[[str, random.Random], Chooser | None],
     ) -> Gateway:
-        transport = FleetTransport(self.servers)
+        transport = FleetTransport(self.targets)
         self.transports.append(transport)
         budget = ConnectionBudget(name, self._surroundings, self._surroundings)
         rng = random.Random(self._setup.seed * 1000 + index)
         return Gateway(
-            ServerPool(self._surroundings, budget, rng),
+            TargetPool(self._surroundings, budget, rng),
             NoRoutes(),
             transport,
             NoLoad(),
--- a/src/balsamway/observe/experiments/fleet_surroundings.py
+++ b/src/balsamway/observe/experiments/fleet_surroundings.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 from balsamway.configuration import (
-    MemberConfiguration,
     RequestKind,
     Service,
     Urgency,
+    WorkspaceConfiguration,
     Zone,
 )
 from balsamway.slices import ShardId, Witness
@@ -22,43 +22,43 @@
 
 
 class FleetSurroundings:
-    """A directory and the configurations of one member, neither changing."""
+    """A directory and one workspace's configuration, neither changing."""
 
-    def __init__(self, servers: int, gateways: int) -> None:
+    def __init__(self, targets: int, gateways: int) -> None:
         """Lists the hosts.
 
         Args:
-            servers: How many servers there are.
+            targets: How many targets there are.
             gateways: How many entry hosts there are.
         """
         zones = tuple(Zone(f"zone-{index}", "region", 3) for index in range(ZONES))
-        self.service = Service("orders", False, KINDS, 3, 110, servers)
-        self.configuration = MemberConfiguration(
-            "member", 1, "change", zones, (self.service,), ()
+        self.service = Service("orders", False, KINDS, 3, 110, targets)
+        self.configuration = WorkspaceConfiguration(
+            "workspace", 1, "change", zones, (self.service,), ()
         )
         self._entry_hosts = tuple(
             Host(f"gateway-{index:02}", HostRole.ENTRY, f"zone-{index % ZONES}", "")
             for index in range(gateways)
         )
-        self._servers = tuple(
+        self._targets = tuple(
             Host(
                 f"server-{index:02}",
-                HostRole.SERVER,
+                HostRole.TARGET,
                 f"zone-{index % ZONES}",
                 f"server-{index:02}",
-                "member",
+                "workspace",
                 "orders",
             )
-            for index in range(servers)
+            for index in range(targets)
         )
 
-    def servers(self, member: str, service: str) -> tuple[Host, ...]:
-        """Lists the servers."""
-        return self._servers
+    def targets(self, workspace: str, service: str) -> tuple[Host, ...]:
+        """Lists the targets."""
+        return self._targets
 
-    def server(self, name: str) -> Host | None:
-        """Finds a server by name."""
-        return next((host for host in self._servers if host.name == name), None)
+    def target(self, name: str) -> Host | None:
+        """Finds a target by name."""
+        return next((host for host in self._targets if host.name == name), None)
 
     def entry_hosts(self) -> tuple[Host, ...]:
         """Lists the entry hosts."""
@@ -72,17 +72,17 @@
         """Knows no leader."""
         return None
 
-    def mark_leaving(self, server: str) -> None:
+    def mark_leaving(self, target: str) -> None:
         """Takes no notice."""
 
-    def member(self, name: str) -> MemberConfiguration | None:
+    def workspace(self, name: str) -> WorkspaceConfiguration | None:
         """Gives the one configuration."""
-        return self.configuration if name == self.configuration.member else None
+        return self.configuration if name == self.configuration.workspace else None
 
-    def members(self) -> tuple[MemberConfiguration, ...]:
+    def workspaces(self) -> tuple[WorkspaceConfiguration, ...]:
         """Lists the one configuration."""
         return (self.configuration,)
 
-    def member_of_token(self, token: str) -> MemberConfiguration | None:
+    def workspace_of_token(self, token: str) -> WorkspaceConfiguration | None:
         """Knows no token."""
         return None
--- a/src/balsamway/observe/experiments/fleet_server.py
+++ b/src/balsamway/observe/experiments/fleet_target.py
@@ -1,4 +1,4 @@
-"""A server with slots, a bounded queue and a cold start."""
+"""A target with slots, a bounded queue and a cold start."""
 
 from __future__ import annotations
 
@@ -7,11 +7,11 @@
 QUEUE_AT_MOST = 32
 
 
-class FleetServer:
+class FleetTarget:
     """Runs requests on the runtime's clock, a few at a time."""
 
     def __init__(self, slots: int, slowness: float = 1.0) -> None:
-        """Creates an idle server.
+        """Creates an idle target.
 
         Args:
             slots: How many requests it runs at once.
@@ -46,7 +46,7 @@
 
         Args:
             request_id: The request.
-            nominal_seconds: What it takes on a warm server of usual speed.
+            nominal_seconds: What it takes on a warm target of usual speed.
         """
         self._waiting += 1
         try:
--- a/src/balsamway/observe/experiments/keyed_run.py
+++ b/src/balsamway/observe/experiments/keyed_run.py
@@ -13,9 +13,9 @@
     PlacementInput,
 )
 from balsamway.observe.experiments.keyed_trace import WINDOW_SECONDS, KeyedTrace, Moved
-from balsamway.observe.experiments.server_event import ServerChange, ServerEvent
 from balsamway.observe.experiments.shard_table import ShardTable
-from balsamway.observe.experiments.slot_server import SlotServer
+from balsamway.observe.experiments.slot_target import SlotTarget
+from balsamway.observe.experiments.target_event import TargetChange, TargetEvent
 from balsamway.slices import POSITION_END, ShardId
 
 if TYPE_CHECKING:
@@ -25,7 +25,7 @@
     from balsamway.observe.experiments.keyed_workload import KeyedWorkload
     from balsamway.observe.measures import Imbalance
 
-SHARD = ShardId("member", "service")
+SHARD = ShardId("workspace", "service")
 
 HOLD_SECONDS = 0.02
 """How long requests wait while their slice is handed over."""
@@ -39,11 +39,11 @@
     seconds: int
     seed: int
     weights: Weights
-    servers: int = 12
+    targets: int = 12
     zones: int = 4
     slots: int = 3
     slices: int = 256
-    events: tuple[ServerEvent, ...] = ()
+    events: tuple[TargetEvent, ...] = ()
 
 
 class KeyedRun:
@@ -53,7 +53,7 @@
         """Prepares a run.
 
         Args:
-            setup: The workload and the servers.
+            setup: The workload and the targets.
             planner: The policy.
         """
         self.trace = KeyedTrace()
@@ -65,11 +65,11 @@
         self._recorders = [LoadRecorder() for _ in range(setup.workload.gateways)]
         self._candidates = {
             name: Candidate(name, f"zone-{index % setup.zones}")
-            for index, name in enumerate(_names(setup.servers))
+            for index, name in enumerate(_names(setup.targets))
         }
-        self._servers = {name: SlotServer(setup.slots) for name in self._candidates}
+        self._targets = {name: SlotTarget(setup.slots) for name in self._candidates}
         self.owned_share: dict[str, float] = {}
-        """The share of the key space that a server had when it changed."""
+        """The share of the key space that a target had when it changed."""
         self._failed: set[str] = set()
         self._held_until: dict[int, float] = {}
 
@@ -83,7 +83,7 @@
         arrivals = self._setup.workload.seconds(self._setup.seed, self._setup.seconds)
         steady = set(self._candidates)
         for second, requests in enumerate(arrivals):
-            self._change_servers(second)
+            self._change_targets(second)
             for request in requests:
                 self._carry(request)
             self._report()
@@ -101,7 +101,7 @@
             self.trace.on_refused(request.at)
             return
         start = max(request.at, self._held_until.get(entry.range.start, 0.0))
-        end = self._servers[entry.owner].serve(start, request.service_seconds)
+        end = self._targets[entry.owner].serve(start, request.service_seconds)
         self._recorders[request.gateway].record(SHARD, request.position, end - start)
         self.trace.on_run(
             entry.owner,
@@ -146,29 +146,29 @@
             traffic_share = by_range[entry.range] / total
             self.trace.on_moved(Moved(now, key_share, traffic_share))
 
-    def _change_servers(self, second: int) -> None:
+    def _change_targets(self, second: int) -> None:
         for event in self._setup.events:
             if event.at == second:
                 self._change(event)
 
-    def _change(self, event: ServerEvent) -> None:
+    def _change(self, event: TargetEvent) -> None:
         owned = sum(
             entry.range.size
             for entry in self._table.entries
-            if entry.owner == event.server
+            if entry.owner == event.target
         )
-        self.owned_share.setdefault(event.server, owned / POSITION_END)
-        if event.change is ServerChange.FAILS:
-            self._failed.add(event.server)
+        self.owned_share.setdefault(event.target, owned / POSITION_END)
+        if event.change is TargetChange.FAILS:
+            self._failed.add(event.target)
             return
         state = CandidateState(event.change.value)
-        if event.server in self._candidates:
-            known = self._candidates[event.server]
-            self._candidates[event.server] = replace(known, state=state)
+        if event.target in self._candidates:
+            known = self._candidates[event.target]
+            self._candidates[event.target] = replace(known, state=state)
             return
         zone = f"zone-{len(self._candidates) % self._setup.zones}"
-        self._candidates[event.server] = Candidate(event.server, zone, state)
-        self._servers[event.server] = SlotServer(self._setup.slots)
+        self._candidates[event.target] = Candidate(event.target, zone, state)
+        self._targets[event.target] = SlotTarget(self._setup.slots)
 
     def _live(self) -> set[str]:
         return {
