--- a/src/balsamway/observe/experiments/keyed_trace.py
+++ b/src/balsamway/observe/experiments/keyed_trace.py
@@ -38,12 +38,12 @@
         self._owners: dict[int, str] = {}
 
     def on_run(
-        self, server: str, position: int, at: float, service: float, latency: float
+        self, target: str, position: int, at: float, service: float, latency: float
     ) -> None:
-        """Counts a request that a server ran.
+        """Counts a request that a target ran.
 
         Args:
-            server: The server.
+            target: The target.
             position: The key's position.
             at: When it arrived.
             service: The time that it kept a slot busy.
@@ -51,10 +51,10 @@
         """
         window = int(at) // WINDOW_SECONDS
         busy = self._busy[window]
-        busy[server] = busy.get(server, 0.0) + service
+        busy[target] = busy.get(target, 0.0) + service
         keys = self._keys[window]
         keys[position] = keys.get(position, 0.0) + service
-        self._owners[position] = server
+        self._owners[position] = target
         self.requests += 1
         self.latencies.record_value(round(latency * MICROSECONDS))
 
@@ -100,17 +100,17 @@
         """Gives a percentile of the latencies, in milliseconds."""
         return self.latencies.get_value_at_percentile(percentile) / 1000.0
 
-    def close_window(self, window: int, servers: list[str]) -> Imbalance:
+    def close_window(self, window: int, targets: list[str]) -> Imbalance:
         """Measures the imbalance of a window, and forgets its keys.
 
         Args:
             window: The window's number.
-            servers: The servers that were live all through it.
+            targets: The targets that were live all through it.
 
         Returns:
-            The imbalance over these servers.
+            The imbalance over these targets.
         """
-        busy = {name: self._busy[window].get(name, 0.0) for name in servers}
+        busy = {name: self._busy[window].get(name, 0.0) for name in targets}
         heaviest: dict[str, float] = {}
         for position, load in self._keys.pop(window, {}).items():
             owner = self._owners[position]
--- a/src/balsamway/observe/experiments/leaves.py
+++ b/src/balsamway/observe/experiments/leaves.py
@@ -1,15 +1,15 @@
-"""A server leaves as planned."""
+"""A target leaves as planned."""
 
 from __future__ import annotations
 
 from balsamway.observe.experiments.result import ExperimentResult
-from balsamway.observe.experiments.server_event import ServerChange, ServerEvent
 from balsamway.observe.experiments.steady import (
     EVENT_SECOND,
     MOVEMENT_COLUMNS,
     movement_goals,
     run_policies,
 )
+from balsamway.observe.experiments.target_event import TargetChange, TargetEvent
 
 LEAVING = "server-004"
 
@@ -23,13 +23,13 @@
     Returns:
         The measures of each policy.
     """
-    events = (ServerEvent(EVENT_SECOND, LEAVING, ServerChange.LEAVING),)
+    events = (TargetEvent(EVENT_SECOND, LEAVING, TargetChange.LEAVING),)
     rows = tuple(
         each.row(each.run.owned_share[LEAVING]) for each in run_policies(seed, events)
     )
     return ExperimentResult(
         "leaves",
-        "One of twelve servers leaves",
+        "One of twelve targets leaves",
         seed,
         MOVEMENT_COLUMNS,
         rows,
--- a/src/balsamway/observe/experiments/overload.py
+++ b/src/balsamway/observe/experiments/overload.py
@@ -1,4 +1,4 @@
-"""More requests than the servers can run, and the time after."""
+"""More requests than the targets can run, and the time after."""
 
 from __future__ import annotations
 
--- a/src/balsamway/observe/experiments/slot_server.py
+++ b/src/balsamway/observe/experiments/slot_target.py
@@ -1,15 +1,15 @@
-"""A server with a few slots and a queue."""
+"""A target with a few slots and a queue."""
 
 from __future__ import annotations
 
 import heapq
 
 
-class SlotServer:
+class SlotTarget:
     """Runs requests in order of arrival, a few at a time."""
 
     def __init__(self, slots: int = 3) -> None:
-        """Creates an idle server.
+        """Creates an idle target.
 
         Args:
             slots: How many requests it runs at once.
--- a/src/balsamway/observe/experiments/static_planner.py
+++ b/src/balsamway/observe/experiments/static_planner.py
@@ -11,7 +11,7 @@
 
 
 class StaticPlanner:
-    """Gives slice number i to server i modulo the number of servers."""
+    """Gives slice number i to target i modulo the number of targets."""
 
     def plan(self, state: PlacementInput) -> Plan:
         """Plans the moves that the arithmetic demands.
--- a/src/balsamway/observe/experiments/steady.py
+++ b/src/balsamway/observe/experiments/steady.py
@@ -1,4 +1,4 @@
-"""What the experiments with joining and leaving servers have in common."""
+"""What the experiments with joining and leaving targets have in common."""
 
 from __future__ import annotations
 
@@ -9,8 +9,8 @@
 from balsamway.observe.experiments.keyed_run import KeyedRun, KeyedSetup
 from balsamway.observe.experiments.keyed_workload import KeyedWorkload
 from balsamway.observe.experiments.result import Goal, Row
-from balsamway.observe.experiments.server_event import ServerEvent
 from balsamway.observe.experiments.static_planner import StaticPlanner
+from balsamway.observe.experiments.target_event import TargetEvent
 
 STEADY = KeyedWorkload(requests_a_second=1200.0, hot_share=0.0)
 """Keys of unequal popularity, none of which is hot."""
@@ -84,14 +84,14 @@
 
 
 def run_policies(
-    seed: int, events: tuple[ServerEvent, ...], servers: int = 12
+    seed: int, events: tuple[TargetEvent, ...], targets: int = 12
 ) -> list[PolicyRun]:
     """Runs static hashing and the planner through the same events.
 
     Args:
         seed: The seed of the arrivals.
-        events: What happens to servers.
-        servers: How many servers there are at first.
+        events: What happens to targets.
+        targets: How many targets there are at first.
 
     Returns:
         The finished runs; the last two are the planner's.
@@ -104,7 +104,7 @@
     runs = []
     for name, planner, weights in policies:
         setup = KeyedSetup(
-            STEADY, SECONDS, seed, weights, servers=servers, events=events
+            STEADY, SECONDS, seed, weights, targets=targets, events=events
         )
         run = KeyedRun(setup, planner)
         run.run()
--- a/src/balsamway/observe/experiments/server_event.py
+++ b/src/balsamway/observe/experiments/target_event.py
@@ -1,4 +1,4 @@
-"""Something that happens to a server during an experiment."""
+"""Something that happens to a target during an experiment."""
 
 from __future__ import annotations
 
@@ -6,8 +6,8 @@
 from enum import StrEnum
 
 
-class ServerChange(StrEnum):
-    """What happens to a server."""
+class TargetChange(StrEnum):
+    """What happens to a target."""
 
     WARMING = "warming"
     LIVE = "live"
@@ -19,10 +19,10 @@
 
 
 @dataclass(frozen=True, slots=True)
-class ServerEvent:
-    """A change of one server."""
+class TargetEvent:
+    """A change of one target."""
 
     at: int
     """The second before which it happens."""
-    server: str
-    change: ServerChange
+    target: str
+    change: TargetChange
--- a/src/balsamway/observe/measures/__init__.py
+++ b/src/balsamway/observe/measures/__init__.py
@@ -1,4 +1,4 @@
-"""The measures that members are shown: imbalance, churn, unavailable time."""
+"""What workspaces are shown: imbalance, churn, unavailable time."""
 
 from balsamway.observe.measures.churn import Churn
 from balsamway.observe.measures.cost import Cost
--- a/src/balsamway/observe/measures/cost.py
+++ b/src/balsamway/observe/measures/cost.py
@@ -11,7 +11,7 @@
 
     entry_hosts: int
     in_flight: float
-    """Attempts in flight to servers at the moment."""
+    """Attempts in flight to targets at the moment."""
     connections_opened: float
     platform_calls: float
     """Calls to the platform, each watch that was waited for included."""
--- a/src/balsamway/observe/measures/imbalance.py
+++ b/src/balsamway/observe/measures/imbalance.py
@@ -1,4 +1,4 @@
-"""How unevenly servers were busy."""
+"""How unevenly targets were busy."""
 
 from __future__ import annotations
 
@@ -12,7 +12,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Imbalance:
-    """The spread of busy time over servers; 1 and 0 where it is even."""
+    """The spread of busy time over targets; 1 and 0 where it is even."""
 
     maximum_over_mean: float
     coefficient_of_variation: float
@@ -26,13 +26,13 @@
         """Measures busy times.
 
         Args:
-            busy_seconds: The busy time of each server.
-            heaviest_keys: The busy time of each server's heaviest key. A
-                server whose key alone exceeds an even share is left out, as
+            busy_seconds: The busy time of each target.
+            heaviest_keys: The busy time of each target's heaviest key. A
+                target whose key alone exceeds an even share is left out, as
                 no placement can relieve it.
 
         Returns:
-            The imbalance of the servers that are not left out.
+            The imbalance of the targets that are not left out.
         """
         kept = _not_bound(busy_seconds, heaviest_keys or {})
         mean = statistics.fmean(kept) if kept else 0.0
--- a/src/balsamway/observe/report/__init__.py
+++ b/src/balsamway/observe/report/__init__.py
@@ -1,6 +1,6 @@
-"""What a member is shown of balance, unavailable requests and cost."""
+"""What a workspace is shown of balance, unavailable requests and cost."""
 
-from balsamway.observe.report.member_report import MemberReport, ServiceReport
 from balsamway.observe.report.metrics_reader import build_report
+from balsamway.observe.report.workspace_report import ServiceReport, WorkspaceReport
 
-__all__ = ["MemberReport", "ServiceReport", "build_report"]
+__all__ = ["ServiceReport", "WorkspaceReport", "build_report"]
--- a/src/balsamway/observe/report/metrics_reader.py
+++ b/src/balsamway/observe/report/metrics_reader.py
@@ -1,4 +1,4 @@
-"""Makes a member's report from the daemons' metrics."""
+"""Makes a workspace's report from the daemons' metrics."""
 
 from __future__ import annotations
 
@@ -8,11 +8,11 @@
 from prometheus_client.parser import text_string_to_metric_families
 
 from balsamway.observe.measures import Cost, Imbalance
-from balsamway.observe.report.member_report import (
-    MemberReport,
+from balsamway.observe.report.workspace_report import (
     RefusedRequests,
-    ServerBusy,
     ServiceReport,
+    TargetBusy,
+    WorkspaceReport,
 )
 
 if TYPE_CHECKING:
@@ -24,23 +24,23 @@
 
 
 def build_report(
-    member: str, pages: Mapping[str, str], unreached: tuple[str, ...]
-) -> MemberReport:
+    workspace: str, pages: Mapping[str, str], unreached: tuple[str, ...]
+) -> WorkspaceReport:
     """Adds up the metrics of all entry hosts.
 
     Args:
-        member: The member's name.
+        workspace: The workspace's name.
         pages: The metrics of each host that answered, as Prometheus text.
         unreached: The hosts that did not answer.
 
     Returns:
-        The report; without services where the member is not known.
+        The report; without services where the workspace is not known.
     """
     samples = [sample for page in pages.values() for sample in _samples(page)]
-    own = [sample for sample in samples if sample.labels.get("member") == member]
+    own = [sample for sample in samples if sample.labels.get("workspace") == workspace]
     names = sorted({sample.labels["service"] for sample in own if _is_request(sample)})
-    return MemberReport(
-        member,
+    return WorkspaceReport(
+        workspace,
         len(pages) + len(unreached),
         unreached,
         tuple(_service(name, own) for name in names),
@@ -61,7 +61,7 @@
     own = [sample for sample in samples if sample.labels.get("service") == name]
     requests = [sample for sample in own if _is_request(sample)]
     completed = [each for each in requests if each.labels["verdict"] == COMPLETED]
-    busy = _sums(own, "balsamway_server_busy_seconds_total", "server")
+    busy = _sums(own, "balsamway_target_busy_seconds_total", "target")
     refused = _sums(
         [each for each in requests if each.labels["verdict"] != COMPLETED],
         "balsamway_requests_total",
@@ -73,7 +73,7 @@
         sum(each.value for each in completed),
         _mean_seconds(own),
         Imbalance.of(busy),
-        tuple(ServerBusy(server, busy[server]) for server in sorted(busy)),
+        tuple(TargetBusy(target, busy[target]) for target in sorted(busy)),
         tuple(RefusedRequests(reason, refused[reason]) for reason in sorted(refused)),
     )
 
--- a/src/balsamway/observe/report/presentation.py
+++ b/src/balsamway/observe/report/presentation.py
@@ -1,4 +1,4 @@
-"""Shows a member's report as text and as one page of HTML."""
+"""Shows a workspace's report as text and as one page of HTML."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
 from rich.table import Table
 
 if TYPE_CHECKING:
-    from balsamway.observe.report.member_report import MemberReport, ServiceReport
+    from balsamway.observe.report.workspace_report import ServiceReport, WorkspaceReport
 
 HEADINGS = (
     "service",
@@ -24,7 +24,7 @@
 NOT_COUNTED = "Changes of owner are not counted by the daemons; see their state."
 
 
-def report_table(report: MemberReport) -> Table:
+def report_table(report: WorkspaceReport) -> Table:
     """Lays a report out as a table.
 
     Args:
@@ -33,14 +33,14 @@
     Returns:
         A row for each service, with the cost below.
     """
-    table = Table(*HEADINGS, title=f"member {report.member}")
+    table = Table(*HEADINGS, title=f"workspace {report.workspace}")
     for service in report.services:
         table.add_row(*_cells(service))
     table.caption = "\n".join(_notes(report))
     return table
 
 
-def report_page(report: MemberReport) -> str:
+def report_page(report: WorkspaceReport) -> str:
     """Makes a page of HTML that needs nothing else.
 
     Args:
@@ -58,7 +58,7 @@
     )
     notes = "".join(f"<p>{html.escape(note)}</p>" for note in _notes(report))
     pictures = "".join(_picture(service) for service in report.services)
-    title = html.escape(f"Member {report.member}")
+    title = html.escape(f"Workspace {report.workspace}")
     return (
         f'<!doctype html><html lang="en"><head><meta charset="utf-8">'
         f"<title>{title}</title><style>body{{font-family:sans-serif}}"
@@ -79,10 +79,10 @@
     )
 
 
-def _notes(report: MemberReport) -> list[str]:
+def _notes(report: WorkspaceReport) -> list[str]:
     notes = [
-        f"{report.cost.entry_hosts} entry hosts, shared by all members; "
-        f"{report.cost.connections_opened:.0f} connections opened to servers and "
+        f"{report.cost.entry_hosts} entry hosts, shared by all workspaces; "
+        f"{report.cost.connections_opened:.0f} connections opened to targets and "
         f"{report.cost.platform_calls:.0f} calls to the platform since the start.",
         NOT_COUNTED,
     ]
@@ -100,9 +100,9 @@
 def _picture(service: ServiceReport) -> str:
     figure = Figure(figsize=(7.0, 3.0), layout="constrained")
     axes = figure.add_subplot()
-    axes.set_title(f"{service.service}: busy seconds by server")
-    names = [each.server for each in service.servers]
-    axes.barh(names, [each.busy_seconds for each in service.servers])
+    axes.set_title(f"{service.service}: busy seconds by target")
+    names = [each.target for each in service.targets]
+    axes.barh(names, [each.busy_seconds for each in service.targets])
     drawn = io.StringIO()
     figure.savefig(drawn, format="svg", metadata={"Date": None})
     text = drawn.getvalue()
--- a/src/balsamway/observe/report/member_report.py
+++ b/src/balsamway/observe/report/workspace_report.py
@@ -1,4 +1,4 @@
-"""The report of one member, in plain numbers."""
+"""The report of one workspace, in plain numbers."""
 
 from __future__ import annotations
 
@@ -8,10 +8,10 @@
 
 
 @dataclass(frozen=True, slots=True)
-class ServerBusy:
-    """The busy time of one server, as the gateways saw it."""
+class TargetBusy:
+    """The busy time of one target, as the gateways saw it."""
 
-    server: str
+    target: str
     busy_seconds: float
 
 
@@ -33,7 +33,7 @@
     mean_seconds: float
     """The mean time to an answer."""
     imbalance: Imbalance
-    servers: tuple[ServerBusy, ...]
+    targets: tuple[TargetBusy, ...]
     refused: tuple[RefusedRequests, ...]
 
     @property
@@ -43,12 +43,12 @@
 
 
 @dataclass(frozen=True, slots=True)
-class MemberReport:
-    """The measures of one member since the daemons started."""
+class WorkspaceReport:
+    """The measures of one workspace since the daemons started."""
 
-    member: str
+    workspace: str
     hosts_asked: int
     hosts_unreached: tuple[str, ...]
     services: tuple[ServiceReport, ...]
     cost: Cost
-    """Of the whole system, which all members share."""
+    """Of the whole system, which all workspaces share."""
--- a/src/balsamway/outcome/verdict.py
+++ b/src/balsamway/outcome/verdict.py
@@ -13,7 +13,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Completed:
-    """The server ran the request and its whole answer was received."""
+    """The target ran the request and its whole answer was received."""
 
     status: int
     headers: Mapping[str, str]
--- a/src/balsamway/ownership/__init__.py
+++ b/src/balsamway/ownership/__init__.py
@@ -1,1 +1,1 @@
-"""Leadership of shards, grants to servers, handover and recovery."""
+"""Leadership of shards, grants to targets, handover and recovery."""
--- a/src/balsamway/ownership/cluster.py
+++ b/src/balsamway/ownership/cluster.py
@@ -10,10 +10,10 @@
 
     from balsamway.membership.directory import Directory
     from balsamway.peers.peers import Peers
-    from balsamway.servers.control import ServerControl
     from balsamway.settings import Timing
     from balsamway.slices import Witness
     from balsamway.store import Store
+    from balsamway.targets.control import TargetControl
 
 
 @dataclass(frozen=True, slots=True)
@@ -23,7 +23,7 @@
     me: Witness
     store: Store
     peers: Peers
-    control: ServerControl
+    control: TargetControl
     directory: Directory
     timing: Timing
     rng: random.Random
--- a/src/balsamway/ownership/grant_keeper.py
+++ b/src/balsamway/ownership/grant_keeper.py
@@ -1,4 +1,4 @@
-"""Renews the grant of one server."""
+"""Renews the grant of one target."""
 
 from __future__ import annotations
 
@@ -8,14 +8,14 @@
 from typing import TYPE_CHECKING
 
 from balsamway.clock import now
-from balsamway.servers.orders import (
+from balsamway.targets.orders import (
     GrantedRange,
     GrantOrder,
     OrderLost,
     OrderRefused,
     ReleaseOrder,
-    ServerState,
     SurveyOrder,
+    TargetState,
 )
 
 if TYPE_CHECKING:
@@ -24,9 +24,9 @@
     from balsamway.ownership.authority import Authority
     from balsamway.ownership.cluster import Cluster
     from balsamway.ownership.shard_state import ShardState
-    from balsamway.servers.orders import OrderResult
     from balsamway.slices import KeyRange, SliceEntry
     from balsamway.store import Host
+    from balsamway.targets.orders import OrderResult
 
 logger = logging.getLogger(__name__)
 
@@ -36,16 +36,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Reading:
-    """A server's clock, and when its reading was received."""
+    """A target's clock, and when its reading was received."""
 
     clock: float
     received_at: float
 
 
 class GrantKeeper:
-    """Keeps one server's grant alive, and knows when it has surely lapsed.
+    """Keeps one target's grant alive, and knows when it has surely lapsed.
 
-    A grant ends at a time of the server's own clock: the last reading of it
+    A grant ends at a time of the target's own clock: the last reading of it
     plus the grant's duration, so that no delay on the way lengthens it. The
     lapse counts from when that reading was received.
 
@@ -53,9 +53,9 @@
         cluster: This host and its surroundings.
         state: The leader's memory.
         authority: The leader's authority.
-        server: The server.
+        target: The target.
         held_until: Until when grants of earlier leaders may run.
-        on_change: Called when what the server holds has changed.
+        on_change: Called when what the target holds has changed.
     """
 
     def __init__(
@@ -63,7 +63,7 @@
         cluster: Cluster,
         state: ShardState,
         authority: Authority,
-        server: Host,
+        target: Host,
         held_until: float,
         on_change: Callable[[], None],
     ) -> None:
@@ -77,33 +77,33 @@
         self._kicked = asyncio.Event()
         self._stray_until = 0.0
         self._silent = False
-        self.server = server
+        self.target = target
         self.held_until = held_until
-        """When every grant that the server was sent has lapsed."""
+        """When every grant that the target was sent has lapsed."""
         self.confirmed: frozenset[GrantedRange] = frozenset()
-        """The ranges that the server last said it holds."""
+        """The ranges that the target last said it holds."""
         self.checks: bool | None = None
-        """Whether the server refuses older epochs; None while unknown."""
+        """Whether the target refuses older epochs; None while unknown."""
         self.leaving = False
 
     @property
     def name(self) -> str:
-        """The server's name."""
-        return self.server.name
+        """The target's name."""
+        return self.target.name
 
     @property
     def answers(self) -> bool:
-        """Whether the server answered the last order it was sent."""
+        """Whether the target answered the last order it was sent."""
         return self._reading is not None and not self._silent
 
     @property
     def lapsed(self) -> bool:
-        """Whether nothing that the server was granted can still run."""
+        """Whether nothing that the target was granted can still run."""
         return now() >= self.held_until
 
     @property
     def lost(self) -> bool:
-        """Whether the server is silent and its grant has lapsed."""
+        """Whether the target is silent and its grant has lapsed."""
         return self.lapsed and not self.answers
 
     @property
@@ -112,7 +112,7 @@
         return self._stray_until
 
     def holds(self, entry: SliceEntry) -> bool:
-        """Tells whether the server said that it holds a slice by its epoch.
+        """Tells whether the target said that it holds a slice by its epoch.
 
         Args:
             entry: The slice.
@@ -145,23 +145,23 @@
                 pause = min(pause, RETRY_PAUSE_SECONDS)
             await self._pause(pause)
 
-    async def survey(self) -> ServerState | None:
-        """Announces the leader's epoch and asks what the server holds.
+    async def survey(self) -> TargetState | None:
+        """Announces the leader's epoch and asks what the target holds.
 
         Returns:
-            What the server answered; None where it did not accept or answer.
+            What the target answered; None where it did not accept or answer.
         """
         async with self._lock:
             return await self._survey()
 
     async def release(self, ranges: Iterable[KeyRange]) -> bool:
-        """Takes ranges from the server; they are withheld from its grants.
+        """Takes ranges from the target; they are withheld from its grants.
 
         Args:
             ranges: The ranges, not granted to it again.
 
         Returns:
-            Whether the server answered that it holds them no more.
+            Whether the target answered that it holds them no more.
         """
         async with self._lock:
             if not self._authority.holds:
@@ -173,7 +173,7 @@
                 self._next_generation(),
             )
             result = await self._cluster.control.release(
-                self.server, order, ORDER_TIMEOUT_SECONDS
+                self.target, order, ORDER_TIMEOUT_SECONDS
             )
             return self._note(result) is not None
 
@@ -204,7 +204,7 @@
             self._next_generation(),
         )
         result = await self._cluster.control.grant(
-            self.server, order, ORDER_TIMEOUT_SECONDS
+            self.target, order, ORDER_TIMEOUT_SECONDS
         )
         if self._note(result) is None and ranges:
             self._stray_until = max(self._stray_until, lapse)
@@ -215,13 +215,13 @@
         age = now() - self._reading.received_at
         return age < 2 * self._cluster.timing.renewal
 
-    async def _survey(self) -> ServerState | None:
+    async def _survey(self) -> TargetState | None:
         if not self._authority.holds:
             return None
         record = self._state.record
         order = SurveyOrder(record.shard, record.leader_epoch)
         result = await self._cluster.control.survey(
-            self.server, order, ORDER_TIMEOUT_SECONDS
+            self.target, order, ORDER_TIMEOUT_SECONDS
         )
         return self._note(result)
 
@@ -229,9 +229,9 @@
         self._generation += 1
         return self._generation
 
-    def _note(self, result: OrderResult) -> ServerState | None:
+    def _note(self, result: OrderResult) -> TargetState | None:
         match result:
-            case ServerState():
+            case TargetState():
                 self._note_state(result)
                 return result
             case OrderRefused(leader_epoch=epoch):
@@ -240,7 +240,7 @@
                 self._note_silence(reason)
         return None
 
-    def _note_state(self, answer: ServerState) -> None:
+    def _note_state(self, answer: TargetState) -> None:
         held = answer.ranges if answer.valid_until > answer.clock else ()
         changed = self.confirmed != frozenset(held) or self.checks != answer.checks
         self._reading = Reading(answer.clock, now())
@@ -257,15 +257,15 @@
         if epoch <= self._state.record.leader_epoch:
             return
         logger.info(
-            "server knows a higher leader epoch",
-            extra={"server": self.name, "epoch": epoch},
+            "target knows a higher leader epoch",
+            extra={"target": self.name, "epoch": epoch},
         )
         self._authority.end()
 
     def _note_silence(self, reason: str) -> None:
         if not self._silent:
             logger.info(
-                "server does not answer",
-                extra={"server": self.name, "reason": reason},
+                "target does not answer",
+                extra={"target": self.name, "reason": reason},
             )
         self._silent = True
--- a/src/balsamway/ownership/handover.py
+++ b/src/balsamway/ownership/handover.py
@@ -1,4 +1,4 @@
-"""Moves slices from server to server."""
+"""Moves slices from target to target."""
 
 from __future__ import annotations
 
@@ -24,7 +24,7 @@
 INTENT_TIMEOUT_SECONDS = 0.6
 COMMIT_TIMEOUT_SECONDS = 0.6
 HOLD_NOTICE_SECONDS = 0.5
-"""How long gateways have to finish what they sent to a checking server."""
+"""How long gateways have to finish what they sent to a checking target."""
 RELEASE_PAUSE_SECONDS = 0.05
 
 
@@ -146,7 +146,7 @@
                 break
             await asyncio.sleep(RELEASE_PAUSE_SECONDS)
         if keeper.checks is not True:
-            # An order that was not answered may still reach the server, which
+            # An order that was not answered may still reach the target, which
             # does not tell that it is older than the release.
             await asyncio.sleep(max(0.0, min(lapse, keeper.stray_until) - now()))
 
@@ -196,7 +196,7 @@
 
     Returns:
         The slice; a next owner that was the standby leaves that to the
-        server that owned the slice.
+        target that owned the slice.
     """
     standby = entry.owner if entry.standby == to else entry.standby
     return replace(entry, owner=to, epoch=epoch, standby=standby, moving_to="")
--- a/src/balsamway/ownership/leadership_service.py
+++ b/src/balsamway/ownership/leadership_service.py
@@ -11,8 +11,8 @@
 import mode
 
 from balsamway.clock import now
-from balsamway.membership.member_directory import MemberDirectory
-from balsamway.membership.member_zones import MemberZones
+from balsamway.membership.workspace_directory import WorkspaceDirectory
+from balsamway.membership.workspace_zones import WorkspaceZones
 from balsamway.ownership.claim import Claim, Claimed
 from balsamway.ownership.follower import Follower
 from balsamway.ownership.messages import (
@@ -28,7 +28,7 @@
 
 if TYPE_CHECKING:
     from balsamway.balance import Planner
-    from balsamway.configuration import MemberConfiguration, Service, Weights
+    from balsamway.configuration import Service, Weights, WorkspaceConfiguration
     from balsamway.configuration.configurations import Configurations
     from balsamway.ownership.cluster import Cluster
     from balsamway.ownership.load_source import LoadSource
@@ -37,7 +37,7 @@
 
 CONFIGURATION_CHECK_SECONDS = 0.5
 STAND_DOWN_SECONDS = 5.0
-"""How long a host that reached no server leaves a shard to others."""
+"""How long a host that reached no target leaves a shard to others."""
 FIRST_ROSTER_SECONDS = 3.0
 """How long the first claim of a shard waits for a full roster."""
 FIRST_ROSTER_PAUSE_SECONDS = 0.1
@@ -135,22 +135,22 @@
     def _wanted(self) -> list[tuple[ShardId, Service]]:
         zone = self._cluster.zones[self._cluster.me.host]
         return [
-            (ShardId(member.member, service.name, index), service)
-            for member in self._configurations.members()
-            if zone in member.zone_names
-            for service in member.services
+            (ShardId(workspace.workspace, service.name, index), service)
+            for workspace in self._configurations.workspaces()
+            if zone in workspace.zone_names
+            for service in workspace.services
             if service.exclusive_keys
             for index in range(service.shards)
         ]
 
     async def _run_shard(self, shard: ShardId, service: Service) -> None:
-        cluster = self._member_cluster(shard.member)
+        cluster = self._workspace_cluster(shard.workspace)
         follower = Follower(cluster, shard)
         claim = Claim(cluster, shard, service.slices)
         while not self.should_stop:
             found = await follower.wait_until_claimable()
             if found.record is None:
-                await self._wait_for_witnesses(cluster, shard.member)
+                await self._wait_for_witnesses(cluster, shard.workspace)
             result = await claim.attempt(found)
             match result:
                 case Claimed():
@@ -162,10 +162,10 @@
                     )
                     await self.sleep(self._cluster.rng.random() * 0.1)
 
-    async def _wait_for_witnesses(self, cluster: Cluster, member: str) -> None:
+    async def _wait_for_witnesses(self, cluster: Cluster, workspace: str) -> None:
         # Entry hosts that start together know of each other a moment later;
         # a first roster of one host would tie the shard to it.
-        configuration = self._configurations.member(member)
+        configuration = self._configurations.workspace(workspace)
         zones = configuration.zones if configuration is not None else ()
         planned = sum(zone.entry_hosts for zone in zones)
         wanted = min(planned, ROSTER_SIZE)
@@ -176,10 +176,10 @@
             await self.sleep(FIRST_ROSTER_PAUSE_SECONDS)
 
     async def _lead(self, shard: ShardId, claimed: Claimed) -> None:
-        member = self._configurations.member(shard.member)
-        if member is None:
+        workspace = self._configurations.workspace(shard.workspace)
+        if workspace is None:
             return
-        leader = self._new_leader(shard, claimed, member)
+        leader = self._new_leader(shard, claimed, workspace)
         self._leaders[shard] = leader
         try:
             await leader.start()
@@ -191,25 +191,25 @@
             await self.sleep(STAND_DOWN_SECONDS)
 
     def _new_leader(
-        self, shard: ShardId, claimed: Claimed, member: MemberConfiguration
+        self, shard: ShardId, claimed: Claimed, workspace: WorkspaceConfiguration
     ) -> ShardLeader:
         planner = self._planner_factory(shard)
-        cluster = self._member_cluster(shard.member)
+        cluster = self._workspace_cluster(shard.workspace)
         return ShardLeader(
             cluster,
             claimed,
             planner,
             self._loads,
-            lambda: self._weights_of(member),
+            lambda: self._weights_of(workspace),
         )
 
-    def _weights_of(self, member: MemberConfiguration) -> Weights:
-        found = self._configurations.member(member.member)
-        return (found or member).weights
+    def _weights_of(self, workspace: WorkspaceConfiguration) -> Weights:
+        found = self._configurations.workspace(workspace.workspace)
+        return (found or workspace).weights
 
-    def _member_cluster(self, member: str) -> Cluster:
-        zones = MemberZones(self._configurations, member)
-        directory = MemberDirectory(self._cluster.directory, zones.current)
+    def _workspace_cluster(self, workspace: str) -> Cluster:
+        zones = WorkspaceZones(self._configurations, workspace)
+        directory = WorkspaceDirectory(self._cluster.directory, zones.current)
         return replace(self._cluster, directory=directory)
 
     async def _on_reach_request(
--- a/src/balsamway/ownership/leaving.py
+++ b/src/balsamway/ownership/leaving.py
@@ -1,4 +1,4 @@
-"""Empties servers that are leaving."""
+"""Empties targets that are leaving."""
 
 from __future__ import annotations
 
@@ -14,7 +14,7 @@
 
 
 class Leaving:
-    """Moves everything off leaving servers at once.
+    """Moves everything off leaving targets at once.
 
     Args:
         context: The leader's parts.
@@ -26,18 +26,18 @@
         self._handover = handover
 
     def note_listed(self) -> None:
-        """Takes over from the host list which servers are leaving."""
+        """Takes over from the host list which targets are leaving."""
         shard = self._context.state.record.shard
         directory = self._context.cluster.directory
-        for host in directory.servers(shard.member, shard.service):
+        for host in directory.targets(shard.workspace, shard.service):
             keeper = self._context.keepers.get(host.name)
             if keeper is not None and host.state is HostState.LEAVING:
                 keeper.leaving = True
 
     async def empty(self) -> None:
-        """Moves the slices of all leaving servers in one batch.
+        """Moves the slices of all leaving targets in one batch.
 
-        A server leaves whether or not the store can be written.
+        A target leaves whether or not the store can be written.
         """
         moves = [
             Move(entry.range, target)
@@ -49,8 +49,8 @@
         if self._context.writer.failing:
             await self._handover.move_provisionally(moves)
 
-    def _is_leaving(self, server: str) -> bool:
-        keeper = self._context.keepers.get(server)
+    def _is_leaving(self, target: str) -> bool:
+        keeper = self._context.keepers.get(target)
         return keeper is not None and keeper.leaving and not keeper.lost
 
     def _target(self, entry: SliceEntry) -> str:
--- a/src/balsamway/ownership/loss.py
+++ b/src/balsamway/ownership/loss.py
@@ -1,4 +1,4 @@
-"""Gives the slices of lost servers to their standbys."""
+"""Gives the slices of lost targets to their standbys."""
 
 from __future__ import annotations
 
@@ -21,11 +21,11 @@
 
 
 class Loss:
-    """Activates standbys once the grants of a lost server have lapsed.
+    """Activates standbys once the grants of a lost target have lapsed.
 
     Where the store cannot be written, the standby is activated by an epoch
     of the block that this leader's epoch reserves; the assignment is
-    provisional until the store holds it. A server that is lost together with
+    provisional until the store holds it. A target that is lost together with
     its standby is replaced by the one with the least of the key space.
 
     Args:
@@ -37,22 +37,22 @@
         self._state = context.state
 
     async def replace_lost(self) -> None:
-        """Gives away what lost servers owned."""
+        """Gives away what lost targets owned."""
         owners = {one.owner for one in self._state.record.slices if one.owner}
         lost = [self._replace(one) for one in sorted(owners) if self._is_lost(one)]
         await asyncio.gather(*lost)
 
-    def _is_lost(self, server: str) -> bool:
-        # A server that no host list names was granted nothing by this leader.
-        keeper = self._context.keepers.get(server)
+    def _is_lost(self, target: str) -> bool:
+        # A target that no host list names was granted nothing by this leader.
+        keeper = self._context.keepers.get(target)
         return keeper is None or keeper.lost
 
-    async def _replace(self, server: str) -> None:
-        if not self._is_lost(server):
+    async def _replace(self, target: str) -> None:
+        if not self._is_lost(target):
             return
         free = [
             one
-            for one in self._state.owned_by(server)
+            for one in self._state.owned_by(target)
             if not self._state.is_blocked(one.range)
         ]
         targets = {one.range: self._target(one) for one in free}
@@ -61,10 +61,10 @@
         if not ranges:
             return
         # Nothing is awaited since the lapse was seen, so no grant of these
-        # slices can be under way to the server.
+        # slices can be under way to the target.
         self._state.withhold(ranges)
         try:
-            await self._fence(server)
+            await self._fence(target)
             await self._activate({one: targets[one] for one in ranges})
         finally:
             self._state.resume(ranges)
@@ -76,8 +76,8 @@
             return entry.standby
         return self._context.least_loaded(lambda name: name == entry.owner)
 
-    async def _fence(self, server: str) -> None:
-        keeper = self._context.keepers.get(server)
+    async def _fence(self, target: str) -> None:
+        keeper = self._context.keepers.get(target)
         if keeper is None or keeper.checks is not True:
             await self._context.views.fence()
 
--- a/src/balsamway/ownership/messages/key_load.py
+++ b/src/balsamway/ownership/messages/key_load.py
@@ -15,4 +15,4 @@
     position: int
     requests: float
     busy_seconds: float
-    """The servers' time that its requests took."""
+    """The targets' time that its requests took."""
--- a/src/balsamway/ownership/messages/reach_answer.py
+++ b/src/balsamway/ownership/messages/reach_answer.py
@@ -1,4 +1,4 @@
-"""How many servers a peer reaches."""
+"""How many targets a peer reaches."""
 
 from __future__ import annotations
 
@@ -10,6 +10,6 @@
 @message("reach-answer")
 @dataclass(frozen=True, slots=True)
 class ReachAnswer:
-    """How many of the servers that were named answered the peer."""
+    """How many of the targets that were named answered the peer."""
 
     reached: int
--- a/src/balsamway/ownership/messages/reach_request.py
+++ b/src/balsamway/ownership/messages/reach_request.py
@@ -1,4 +1,4 @@
-"""A leader asks a peer whether it reaches servers."""
+"""A leader asks a peer whether it reaches targets."""
 
 from __future__ import annotations
 
@@ -11,8 +11,8 @@
 @message("reach-request")
 @dataclass(frozen=True, slots=True)
 class ReachRequest:
-    """A leader that reaches no server asks a peer whether it reaches any."""
+    """A leader that reaches no target asks a peer whether it reaches any."""
 
     shard: ShardId
     epoch: int
-    servers: tuple[str, ...]
+    targets: tuple[str, ...]
--- a/src/balsamway/ownership/messages/view_notice.py
+++ b/src/balsamway/ownership/messages/view_notice.py
@@ -20,4 +20,4 @@
     view: ShardView
     fence: bool = False
     """Whether to answer only when no request by an older view is in flight to
-    a server that lost a slice by this view."""
+    a target that lost a slice by this view."""
--- a/src/balsamway/ownership/placement.py
+++ b/src/balsamway/ownership/placement.py
@@ -29,7 +29,7 @@
         handover: Makes the moves.
         planner: Decides.
         loads: The loads that gateways reported; None where nothing reports.
-        weights: Gives what the member weighs now.
+        weights: Gives what the workspace weighs now.
     """
 
     def __init__(
@@ -72,7 +72,7 @@
 
     def _candidates(self) -> tuple[Candidate, ...]:
         return tuple(
-            Candidate(name, keeper.server.zone, self._candidate_state(name))
+            Candidate(name, keeper.target.zone, self._candidate_state(name))
             for name, keeper in sorted(self._context.keepers.items())
         )
 
--- a/src/balsamway/ownership/recovery.py
+++ b/src/balsamway/ownership/recovery.py
@@ -1,4 +1,4 @@
-"""Finds out what servers hold when a new leader takes over."""
+"""Finds out what targets hold when a new leader takes over."""
 
 from __future__ import annotations
 
@@ -23,7 +23,7 @@
     """Takes over the grants of earlier leaders.
 
     No slice is granted before every earlier grant must have lapsed, but for
-    one: a server that says it holds a slice, unexpired, is the only one that
+    one: a target that says it holds a slice, unexpired, is the only one that
     can, and is granted it again at once. It is also recorded as the owner if
     the record names another, as after a standby was activated while the
     store was down.
@@ -51,10 +51,10 @@
             self._state.block(entry.range, self._lapse)
 
     async def survey(self, keeper: GrantKeeper) -> None:
-        """Asks a server what it holds, until it answers or that has lapsed.
+        """Asks a target what it holds, until it answers or that has lapsed.
 
         Args:
-            keeper: The keeper of a server that may hold an earlier grant.
+            keeper: The keeper of a target that may hold an earlier grant.
         """
         while await keeper.survey() is None:
             if now() >= self._lapse:
@@ -74,7 +74,7 @@
             if covers and one.epoch > entry.epoch:
                 logger.info(
                     "owner found that the store does not name",
-                    extra={"server": keeper.name, "epoch": one.epoch},
+                    extra={"target": keeper.name, "epoch": one.epoch},
                 )
                 return replace(entry, owner=keeper.name, epoch=one.epoch, moving_to="")
         return None
--- a/src/balsamway/ownership/routes.py
+++ b/src/balsamway/ownership/routes.py
@@ -42,7 +42,7 @@
         ...
 
     def refused(self, route: Route) -> None:
-        """Tells that a server refused a route, so that the view is renewed.
+        """Tells that a target refused a route, so that the view is renewed.
 
         Args:
             route: The route that was refused.
--- a/src/balsamway/ownership/shard_context.py
+++ b/src/balsamway/ownership/shard_context.py
@@ -24,29 +24,29 @@
     authority: Authority
     writer: RecordWriter
     keepers: dict[str, GrantKeeper]
-    """By the name of the server."""
+    """By the name of the target."""
     views: ViewServer
 
-    def usable(self, server: str) -> bool:
-        """Tells whether a server may be given slices.
+    def usable(self, target: str) -> bool:
+        """Tells whether a target may be given slices.
 
         Args:
-            server: The server's name.
+            target: The target's name.
 
         Returns:
             True if it answers and is not leaving.
         """
-        keeper = self.keepers.get(server)
+        keeper = self.keepers.get(target)
         return keeper is not None and keeper.answers and not keeper.leaving
 
     def least_loaded(self, skip: Callable[[str], bool]) -> str:
-        """Finds the usable server with the least of the key space.
+        """Finds the usable target with the least of the key space.
 
         Args:
-            skip: Tells which servers not to take.
+            skip: Tells which targets not to take.
 
         Returns:
-            The server's name; empty where there is none.
+            The target's name; empty where there is none.
         """
         sizes = {name: 0 for name in self.keepers if self.usable(name)}
         for entry in self.state.record.slices:
--- a/src/balsamway/ownership/shard_leader.py
+++ b/src/balsamway/ownership/shard_leader.py
@@ -38,12 +38,12 @@
 logger = logging.getLogger(__name__)
 
 SURVEY_WAIT_SECONDS = 0.15
-"""How long views wait for servers that do not answer a new leader."""
-SERVER_LIST_SECONDS = 0.2
+"""How long views wait for targets that do not answer a new leader."""
+TARGET_LIST_SECONDS = 0.2
 LOSS_CHECK_SECONDS = 0.05
 LEAVING_CHECK_SECONDS = 0.1
 SILENCE_SECONDS = 0.4
-"""How long no server answers before peers are asked for their reach."""
+"""How long no target answers before peers are asked for their reach."""
 PLAN_SECONDS = 1.0
 ROSTER_CHECK_SECONDS = 0.5
 FLUSH_CHECK_SECONDS = 0.2
@@ -58,7 +58,7 @@
         claimed: The claim that was won.
         planner: Decides on placement.
         loads: The loads that gateways reported; None where nothing reports.
-        weights: Gives what the member weighs now.
+        weights: Gives what the workspace weighs now.
     """
 
     def __init__(
@@ -101,7 +101,7 @@
         self.lapsed = asyncio.Event()
         """Set once authority has lapsed; nothing is done after that."""
         self.stood_down = False
-        """Whether the leader gave up, as it reaches no server."""
+        """Whether the leader gave up, as it reaches no target."""
 
     @property
     def context(self) -> ShardContext:
@@ -150,7 +150,7 @@
         """Describes the leader for the state dump.
 
         Returns:
-            Its epoch, authority, witnesses, servers and slices.
+            Its epoch, authority, witnesses, targets and slices.
         """
         record = self._state.record
         return {
@@ -159,7 +159,7 @@
             "roster": [one.host for one in record.roster],
             "version": record.version,
             "ahead_of_store": self._state.ahead,
-            "servers": {
+            "targets": {
                 name: {
                     "answers": keeper.answers,
                     "leaving": keeper.leaving,
@@ -183,7 +183,7 @@
         )
         self.add_future(self._promises.keep())
         surveys = [
-            self.add_future(self._take_over(keeper)) for keeper in self._add_servers()
+            self.add_future(self._take_over(keeper)) for keeper in self._add_targets()
         ]
         if surveys:
             await asyncio.wait(surveys, timeout=SURVEY_WAIT_SECONDS)
@@ -207,13 +207,13 @@
         await self._context.views.push_changes()
 
     @mode.Service.task
-    async def _watch_server_list(self) -> None:
+    async def _watch_target_list(self) -> None:
         await self._recovered.wait()
         while not self.should_stop and not self._authority.ended:
-            for keeper in self._add_servers():
+            for keeper in self._add_targets():
                 self.add_future(self._take_over(keeper))
             self._leaving.note_listed()
-            await self.sleep(SERVER_LIST_SECONDS)
+            await self.sleep(TARGET_LIST_SECONDS)
 
     @mode.Service.task
     async def _watch_losses(self) -> None:
@@ -247,7 +247,7 @@
 
     @mode.Service.task
     async def _watch_silence(self) -> None:
-        """Stands down where none of several servers answers but to a peer."""
+        """Stands down where none of several targets answers but to a peer."""
         await self._recovered.wait()
         heard_at = now()
         while not self.should_stop and not self._authority.ended:
@@ -261,11 +261,11 @@
 
     async def _stand_down_if_cut_off(self) -> None:
         shard = self._state.record.shard
-        servers = sorted(self._keepers)
-        if not await peer_reaches(self._cluster, shard, self.epoch, servers):
+        targets = sorted(self._keepers)
+        if not await peer_reaches(self._cluster, shard, self.epoch, targets):
             return
         logger.info(
-            "leadership given up, only peers reach servers",
+            "leadership given up, only peers reach targets",
             extra={"shard": str(shard)},
         )
         self.stood_down = True
@@ -282,34 +282,34 @@
                 self._context.views.refresh()
             await self.sleep(FLUSH_CHECK_SECONDS)
 
-    def _add_servers(self) -> list[GrantKeeper]:
+    def _add_targets(self) -> list[GrantKeeper]:
         added = []
-        for server in self._known_servers():
-            if server.name in self._keepers:
-                self._keepers[server.name].server = server
+        for target in self._known_targets():
+            if target.name in self._keepers:
+                self._keepers[target.name].target = target
                 continue
             keeper = GrantKeeper(
                 self._cluster,
                 self._state,
                 self._authority,
-                server,
+                target,
                 self._earlier_until,
                 self._context.views.refresh,
             )
-            self._keepers[server.name] = keeper
+            self._keepers[target.name] = keeper
             added.append(keeper)
         return added
 
-    def _known_servers(self) -> list[Host]:
+    def _known_targets(self) -> list[Host]:
         directory = self._cluster.directory
         shard = self._state.record.shard
         found = {
-            one.name: one for one in directory.servers(shard.member, shard.service)
+            one.name: one for one in directory.targets(shard.workspace, shard.service)
         }
         for entry in self._state.record.slices:
             for name in (entry.owner, entry.standby, entry.moving_to):
                 if name and name not in found:
-                    host = directory.server(name)
+                    host = directory.target(name)
                     if host is not None:
                         found[name] = host
         return list(found.values())
--- a/src/balsamway/ownership/shard_state.py
+++ b/src/balsamway/ownership/shard_state.py
@@ -57,22 +57,22 @@
                 return entry
         return None
 
-    def owned_by(self, server: str) -> list[SliceEntry]:
-        """Lists the slices that are assigned to a server."""
-        return [one for one in self.record.slices if one.owner == server]
+    def owned_by(self, target: str) -> list[SliceEntry]:
+        """Lists the slices that are assigned to a target."""
+        return [one for one in self.record.slices if one.owner == target]
 
-    def grantable(self, server: str) -> tuple[SliceEntry, ...]:
-        """Lists the slices that a server may be granted now.
+    def grantable(self, target: str) -> tuple[SliceEntry, ...]:
+        """Lists the slices that a target may be granted now.
 
         Args:
-            server: The server's name.
+            target: The target's name.
 
         Returns:
-            The slices assigned to it that no other server may still hold.
+            The slices assigned to it that no other target may still hold.
         """
         return tuple(
             one
-            for one in self.owned_by(server)
+            for one in self.owned_by(target)
             if one.range not in self._withheld and not self.is_blocked(one.range)
         )
 
--- a/src/balsamway/ownership/view_cache.py
+++ b/src/balsamway/ownership/view_cache.py
@@ -129,7 +129,7 @@
 
     @property
     def drained(self) -> bool:
-        """Whether nothing is in flight to a server that lost the slice."""
+        """Whether nothing is in flight to a target that lost the slice."""
         return all(
             all(self._names(one, owner, epoch) for one in self._map.overlapping(range_))
             for range_, owner, epoch in self._in_flight
--- a/src/balsamway/ownership/view_keeper.py
+++ b/src/balsamway/ownership/view_keeper.py
@@ -104,7 +104,7 @@
             cache.end(route)
 
     def refused(self, route: Route) -> None:
-        """Tells that a server refused a route, so that the view is renewed.
+        """Tells that a target refused a route, so that the view is renewed.
 
         Args:
             route: The route that was refused.
--- a/src/balsamway/ownership/view_server.py
+++ b/src/balsamway/ownership/view_server.py
@@ -34,7 +34,7 @@
         cluster: This host and its surroundings.
         state: The leader's memory.
         authority: The leader's authority.
-        keepers: The keepers of the servers, by name.
+        keepers: The keepers of the targets, by name.
         earlier_until: When every view that earlier leaders gave has ended.
     """
 
@@ -75,7 +75,7 @@
         return dict(self._ends)
 
     def open(self) -> None:
-        """Begins to answer, once it is known what servers hold."""
+        """Begins to answer, once it is known what targets hold."""
         self._open = True
         self.refresh()
 
--- a/src/balsamway/rendezvous.py
+++ b/src/balsamway/rendezvous.py
@@ -9,7 +9,7 @@
     """Weighs a candidate for a subject.
 
     Args:
-        subject: What is to be given away, like a shard or a server.
+        subject: What is to be given away, like a shard or a target.
         candidate: Who might take it, by name.
 
     Returns:
--- a/src/balsamway/servers/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""What the system says to servers."""
--- a/src/balsamway/settings.py
+++ b/src/balsamway/settings.py
@@ -30,7 +30,7 @@
     """Durations that the daemons of a deployment must agree on, in seconds."""
 
     grant: float = 2.4
-    """How long a grant lasts from the server's clock reading."""
+    """How long a grant lasts from the target's clock reading."""
     renewal: float = 0.4
     """How often grants, promises and views are renewed."""
     promise: float = 1.2
--- a/src/balsamway/slices/shard_id.py
+++ b/src/balsamway/slices/shard_id.py
@@ -9,12 +9,12 @@
 class ShardId:
     """One part of the key space of a service with exclusive keys."""
 
-    member: str
+    workspace: str
     service: str
     index: int = 0
 
     def __str__(self) -> str:
-        return f"{self.member}/{self.service}/{self.index}"
+        return f"{self.workspace}/{self.service}/{self.index}"
 
     @property
     def object_name(self) -> str:
@@ -34,5 +34,5 @@
         Raises:
             ValueError: If the text is not three parts with slashes between.
         """
-        member, service, index = text.split("/")
-        return cls(member, service, int(index))
+        workspace, service, index = text.split("/")
+        return cls(workspace, service, int(index))
--- a/src/balsamway/slices/shard_view.py
+++ b/src/balsamway/slices/shard_view.py
@@ -14,7 +14,7 @@
 
     range: KeyRange
     owner: str
-    """The server that holds the grant; empty while nobody does."""
+    """The target that holds the grant; empty while nobody does."""
     epoch: int
     """The fencing token to send with each request."""
     held: bool = False
--- a/src/balsamway/slices/slice_entry.py
+++ b/src/balsamway/slices/slice_entry.py
@@ -13,10 +13,10 @@
 
     range: KeyRange
     owner: str
-    """The server that owns the slice; empty before the first assignment."""
+    """The target that owns the slice; empty before the first assignment."""
     epoch: int
     """The fencing token of the grant; grows at every change of owner."""
     standby: str = ""
-    """The server that takes over if the owner is lost; empty for none."""
+    """The target that takes over if the owner is lost; empty for none."""
     moving_to: str = ""
-    """The server the slice is being moved to; empty for none."""
+    """The target the slice is being moved to; empty for none."""
--- a/src/balsamway/standins/caller/caller_settings.py
+++ b/src/balsamway/standins/caller/caller_settings.py
@@ -11,7 +11,7 @@
 class CallerSettings:
     """What the caller stand-in is told at its start."""
 
-    member: str
+    workspace: str
     token: str
     gateways: tuple[str, ...]
     """The callers' addresses of entry hosts, as `ip:port`."""
--- a/src/balsamway/standins/caller/caller_standin.py
+++ b/src/balsamway/standins/caller/caller_standin.py
@@ -12,7 +12,7 @@
 
 from balsamway.standins.caller.zipf_keys import ZipfKeys
 from balsamway.standins.journal import AnswerCheck, Journal, Told, ToldVerdict
-from balsamway.standins.server.journal_file import JournalFile
+from balsamway.standins.target.journal_file import JournalFile
 
 if TYPE_CHECKING:
     from balsamway.standins.caller.call_kind import CallKind
@@ -115,7 +115,7 @@
         self._sent += 1
         kinds = self._settings.kinds
         kind = self._rng.choices(kinds, [kind.share for kind in kinds])[0]
-        request_id = f"{self._settings.member}-{self._settings.seed}-{self._sent}"
+        request_id = f"{self._settings.workspace}-{self._settings.seed}-{self._sent}"
         gateway = self._rng.choice(self._settings.gateways)
         key = self._keys.draw(kind.service)
         call = asyncio.ensure_future(self._call(gateway, kind, key, request_id))
@@ -128,7 +128,7 @@
         start = asyncio.get_running_loop().time()
         verdict, reason, status, check = await self._ask(gateway, kind, key, request_id)
         told = Told(
-            member=self._settings.member,
+            workspace=self._settings.workspace,
             service=kind.service,
             kind=kind.kind,
             request_id=request_id,
@@ -196,7 +196,7 @@
         return AnswerCheck.TRUNCATED
     if fields.get("request_id") != request_id:
         return AnswerCheck.SWAPPED
-    # Servers without exclusive keys are not told the key.
+    # Targets without exclusive keys are not told the key.
     if fields.get("key") not in (key, ""):
         return AnswerCheck.SWAPPED
     return AnswerCheck.WHOLE
--- a/src/balsamway/standins/checker/cut_off_run.py
+++ b/src/balsamway/standins/checker/cut_off_run.py
@@ -12,7 +12,7 @@
 
 
 def cut_off_run(journal: Journal) -> list[Violation]:
-    """Finds runs that were cut off on a server that was asked to leave.
+    """Finds runs that were cut off on a target that was asked to leave.
 
     Args:
         journal: The journal to check.
@@ -20,15 +20,15 @@
     Returns:
         One violation for each such run.
     """
-    asked = {stop.server: stop.time for stop in journal.stops}
+    asked = {stop.target: stop.time for stop in journal.stops}
     return [
         _violation(run)
         for run in journal.runs
         if run.outcome is RunOutcome.CUT_OFF
-        and run.end >= asked.get(run.server, float("inf"))
+        and run.end >= asked.get(run.target, float("inf"))
     ]
 
 
 def _violation(run: Run) -> Violation:
-    detail = f"{run.request_id} was cut off by the planned stop of {run.server}"
+    detail = f"{run.request_id} was cut off by the planned stop of {run.target}"
     return Violation(Invariant.STOP_GRACEFUL, detail, run.end)
--- a/src/balsamway/standins/checker/duplicate_run.py
+++ b/src/balsamway/standins/checker/duplicate_run.py
@@ -24,16 +24,16 @@
     runs: dict[tuple[str, str], list[Run]] = defaultdict(list)
     for run in journal.runs:
         if run.outcome is RunOutcome.APPLIED:
-            runs[(run.member, run.request_id)].append(run)
+            runs[(run.workspace, run.request_id)].append(run)
     return [
         _violation(again)
         for told in journal.told
         if not told.idempotent
-        and len(again := runs.get((told.member, told.request_id), [])) > 1
+        and len(again := runs.get((told.workspace, told.request_id), [])) > 1
     ]
 
 
 def _violation(runs: list[Run]) -> Violation:
-    servers = ", ".join(run.server for run in runs)
-    detail = f"{runs[0].request_id} ran {len(runs)} times, on {servers}"
+    targets = ", ".join(run.target for run in runs)
+    detail = f"{runs[0].request_id} ran {len(runs)} times, on {targets}"
     return Violation(Invariant.RUN_AT_MOST_ONCE, detail, runs[-1].end)
--- a/src/balsamway/standins/checker/false_refusal.py
+++ b/src/balsamway/standins/checker/false_refusal.py
@@ -21,14 +21,15 @@
         One violation for each such request.
     """
     ran = {
-        (run.member, run.request_id)
+        (run.workspace, run.request_id)
         for run in journal.runs
         if run.outcome is RunOutcome.APPLIED
     }
     return [
         _violation(told)
         for told in journal.told
-        if told.verdict is ToldVerdict.NOT_RUN and (told.member, told.request_id) in ran
+        if told.verdict is ToldVerdict.NOT_RUN
+        and (told.workspace, told.request_id) in ran
     ]
 
 
--- a/src/balsamway/standins/checker/late_admission.py
+++ b/src/balsamway/standins/checker/late_admission.py
@@ -1,4 +1,4 @@
-"""Finds work that a leaving server was still given."""
+"""Finds work that a leaving target was still given."""
 
 from __future__ import annotations
 
@@ -14,7 +14,7 @@
 
 
 def late_admission(journal: Journal) -> list[Violation]:
-    """Finds requests that a server admitted long after it began to leave.
+    """Finds requests that a target admitted long after it began to leave.
 
     Args:
         journal: The journal to check.
@@ -22,17 +22,17 @@
     Returns:
         One violation for each such request.
     """
-    asked = {stop.server: stop.time for stop in journal.stops}
+    asked = {stop.target: stop.time for stop in journal.stops}
     return [
-        _violation(run, asked[run.server])
+        _violation(run, asked[run.target])
         for run in journal.runs
-        if run.server in asked
+        if run.target in asked
         and run.outcome is not RunOutcome.REFUSED
-        and run.admitted > asked[run.server] + LEAVING_LIMIT_SECONDS
+        and run.admitted > asked[run.target] + LEAVING_LIMIT_SECONDS
     ]
 
 
 def _violation(run: Run, asked: float) -> Violation:
     seconds = run.admitted - asked
-    detail = f"{run.request_id} admitted {seconds:.3f} s after {run.server} left"
+    detail = f"{run.request_id} admitted {seconds:.3f} s after {run.target} left"
     return Violation(Invariant.LEAVING_IDLE, detail, run.admitted)
--- a/src/balsamway/standins/checker/lost_run.py
+++ b/src/balsamway/standins/checker/lost_run.py
@@ -1,4 +1,4 @@
-"""Finds completed answers to requests that no server ran."""
+"""Finds completed answers to requests that no target ran."""
 
 from __future__ import annotations
 
@@ -21,7 +21,7 @@
         One violation for each such request.
     """
     ran = {
-        (run.member, run.request_id)
+        (run.workspace, run.request_id)
         for run in journal.runs
         if run.outcome is RunOutcome.APPLIED
     }
@@ -29,7 +29,7 @@
         _violation(told)
         for told in journal.told
         if told.verdict is ToldVerdict.COMPLETED
-        and (told.member, told.request_id) not in ran
+        and (told.workspace, told.request_id) not in ran
     ]
 
 
--- a/src/balsamway/standins/checker/owner_overlap.py
+++ b/src/balsamway/standins/checker/owner_overlap.py
@@ -1,4 +1,4 @@
-"""Finds positions that two servers held at once."""
+"""Finds positions that two targets held at once."""
 
 from __future__ import annotations
 
@@ -14,7 +14,7 @@
 
 
 def owner_overlap(journal: Journal) -> list[Violation]:
-    """Finds grants of two servers that share positions and time.
+    """Finds grants of two targets that share positions and time.
 
     Args:
         journal: The journal to check.
@@ -47,12 +47,12 @@
 
 
 def _clash(one: GrantHeld, other: GrantHeld) -> bool:
-    return one.server != other.server and one.range.overlaps(other.range)
+    return one.target != other.target and one.range.overlaps(other.range)
 
 
 def _violation(earlier: GrantHeld, later: GrantHeld) -> Violation:
     seconds = min(earlier.end, later.end) - later.start
-    one = f"{earlier.server} (epoch {earlier.epoch})"
-    other = f"{later.server} (epoch {later.epoch})"
+    one = f"{earlier.target} (epoch {earlier.epoch})"
+    other = f"{later.target} (epoch {later.epoch})"
     detail = f"{one} and {other} both held a part of {later.shard} for {seconds:.6f} s"
     return Violation(Invariant.SOLE_OWNER, detail, later.start)
--- a/src/balsamway/standins/checker/run_ownership.py
+++ b/src/balsamway/standins/checker/run_ownership.py
@@ -1,4 +1,4 @@
-"""Finds runs on a server while another server held their key."""
+"""Finds runs on a target while another target held their key."""
 
 from __future__ import annotations
 
@@ -13,7 +13,7 @@
 
 
 def run_ownership(journal: Journal) -> list[Violation]:
-    """Finds applied runs that fell into another server's grant.
+    """Finds applied runs that fell into another target's grant.
 
     Args:
         journal: The journal to check.
@@ -34,11 +34,11 @@
 
 
 def _clash(run: Run, held: GrantHeld) -> bool:
-    if run.server == held.server or run.position not in held.range:
+    if run.target == held.target or run.position not in held.range:
         return False
     return held.start < run.end and run.start < held.end
 
 
 def _violation(run: Run, held: GrantHeld) -> Violation:
-    detail = f"{run.request_id} ran on {run.server} while {held.server} held its key"
+    detail = f"{run.request_id} ran on {run.target} while {held.target} held its key"
     return Violation(Invariant.RUN_UNDER_OWNERSHIP, detail, run.end)
--- a/src/balsamway/standins/checker/version_back.py
+++ b/src/balsamway/standins/checker/version_back.py
@@ -22,7 +22,7 @@
     highest: dict[tuple[str, int, str], int] = {}
     found = []
     for seen in sorted(journal.versions, key=lambda seen: seen.time):
-        key = (seen.host, seen.incarnation, seen.member)
+        key = (seen.host, seen.incarnation, seen.workspace)
         before = highest.get(key, seen.version)
         if seen.version < before:
             found.append(_violation(seen, before))
@@ -31,6 +31,6 @@
 
 
 def _violation(seen: VersionSeen, before: int) -> Violation:
-    step = f"from version {before} of {seen.member} to {seen.version}"
+    step = f"from version {before} of {seen.workspace} to {seen.version}"
     detail = f"{seen.host} went back {step}"
     return Violation(Invariant.VERSION_GROWS, detail, seen.time)
--- a/src/balsamway/standins/checker/violation.py
+++ b/src/balsamway/standins/checker/violation.py
@@ -10,9 +10,9 @@
     """What must always hold."""
 
     SOLE_OWNER = "sole-owner"
-    """No position is held by two servers at once."""
+    """No position is held by two targets at once."""
     RUN_UNDER_OWNERSHIP = "run-under-ownership"
-    """No request runs on a server while another holds its key."""
+    """No request runs on a target while another holds its key."""
     ASSIGNMENT_KEPT = "assignment-kept"
     """An assignment told to be in effect is replaced by later ones only."""
     RUN_AT_MOST_ONCE = "run-at-most-once"
@@ -26,7 +26,7 @@
     ANSWER_WHOLE = "answer-whole"
     """An answer is whole and belongs to its request."""
     LEAVING_IDLE = "leaving-idle"
-    """A leaving server gets no new work after a few seconds."""
+    """A leaving target gets no new work after a few seconds."""
     STOP_GRACEFUL = "stop-graceful"
     """A planned stop cuts off no run."""
 
--- a/src/balsamway/standins/journal/answer_check.py
+++ b/src/balsamway/standins/journal/answer_check.py
@@ -9,7 +9,7 @@
     """Whether an answer is whole and belongs to its request."""
 
     NONE = "none"
-    """There was no answer of a server to check."""
+    """There was no answer of a target to check."""
     WHOLE = "whole"
     TRUNCATED = "truncated"
     SWAPPED = "swapped"
--- a/src/balsamway/standins/journal/assignment_told.py
+++ b/src/balsamway/standins/journal/assignment_told.py
@@ -9,7 +9,7 @@
 
 @dataclass(frozen=True, slots=True)
 class AssignmentTold:
-    """A leader told that a server owns a range, as recorded in the store."""
+    """A leader told that a target owns a range, as recorded in the store."""
 
     shard: str
     range: KeyRange
--- a/src/balsamway/standins/journal/grant_held.py
+++ b/src/balsamway/standins/journal/grant_held.py
@@ -1,4 +1,4 @@
-"""A time during which a server held a range."""
+"""A time during which a target held a range."""
 
 from __future__ import annotations
 
@@ -9,12 +9,12 @@
 
 @dataclass(frozen=True, slots=True)
 class GrantHeld:
-    """A server held a range of a shard from `start` up to `end`.
+    """A target held a range of a shard from `start` up to `end`.
 
-    Times are of the runtime's clock, whatever the server's own clock says.
+    Times are of the runtime's clock, whatever the target's own clock says.
     """
 
-    server: str
+    target: str
     shard: str
     range: KeyRange
     epoch: int
--- a/src/balsamway/standins/journal/run.py
+++ b/src/balsamway/standins/journal/run.py
@@ -1,4 +1,4 @@
-"""One run of a request on a server."""
+"""One run of a request on a target."""
 
 from __future__ import annotations
 
@@ -7,7 +7,7 @@
 
 
 class RunOutcome(StrEnum):
-    """What became of a request that a server admitted."""
+    """What became of a request that a target admitted."""
 
     APPLIED = "applied"
     """The request ran and its effect was applied."""
@@ -16,15 +16,15 @@
     CANCELLED = "cancelled"
     """The caller's side cancelled the request before its effect."""
     CUT_OFF = "cut-off"
-    """The server stopped before the request was through."""
+    """The target stopped before the request was through."""
 
 
 @dataclass(frozen=True, slots=True)
 class Run:
-    """One request at one server, from its admission to its outcome."""
+    """One request at one target, from its admission to its outcome."""
 
-    server: str
-    member: str
+    target: str
+    workspace: str
     service: str
     kind: str
     request_id: str
@@ -39,4 +39,4 @@
     end: float
     outcome: RunOutcome
     counter: int = 0
-    """How many runs the key then had on the server, this one included."""
+    """How many runs the key then had on the target, this one included."""
--- a/src/balsamway/standins/journal/stop_asked.py
+++ b/src/balsamway/standins/journal/stop_asked.py
@@ -1,4 +1,4 @@
-"""A planned stop of a server."""
+"""A planned stop of a target."""
 
 from __future__ import annotations
 
@@ -7,7 +7,7 @@
 
 @dataclass(frozen=True, slots=True)
 class StopAsked:
-    """A server was asked to leave."""
+    """A target was asked to leave."""
 
-    server: str
+    target: str
     time: float
--- a/src/balsamway/standins/journal/told.py
+++ b/src/balsamway/standins/journal/told.py
@@ -24,7 +24,7 @@
 class Told:
     """One request as its caller saw it."""
 
-    member: str
+    workspace: str
     service: str
     kind: str
     request_id: str
--- a/src/balsamway/standins/journal/version_seen.py
+++ b/src/balsamway/standins/journal/version_seen.py
@@ -7,10 +7,10 @@
 
 @dataclass(frozen=True, slots=True)
 class VersionSeen:
-    """A host had this version of a member's configuration in force."""
+    """A host had this version of a workspace's configuration in force."""
 
     host: str
     incarnation: int
-    member: str
+    workspace: str
     version: int
     time: float
--- a/src/balsamway/standins/main.py
+++ b/src/balsamway/standins/main.py
@@ -14,7 +14,7 @@
 from balsamway.standins.caller import CallerSettings, CallerStandin
 from balsamway.standins.http_standin import HttpStandin
 from balsamway.standins.platform import PlatformSettings, PlatformStandin
-from balsamway.standins.server import ServerSettings, ServerStandin
+from balsamway.standins.target import TargetSettings, TargetStandin
 
 if TYPE_CHECKING:
     import mode
@@ -28,7 +28,7 @@
     """Creates the stand-in that a command line asks for.
 
     Args:
-        role: `platform`, `server` or `caller`.
+        role: `platform`, `target` or `caller`.
         settings: The settings file.
 
     Returns:
@@ -40,11 +40,11 @@
     match role:
         case "platform":
             return PlatformStandin(read_settings(settings, PlatformSettings))
-        case "server":
-            return ServerStandin(read_settings(settings, ServerSettings))
+        case "target":
+            return TargetStandin(read_settings(settings, TargetSettings))
         case "caller":
             return CallerStandin(read_settings(settings, CallerSettings))
-    raise SettingsError(f"unknown stand-in {role}: platform, server or caller")
+    raise SettingsError(f"unknown stand-in {role}: platform, target or caller")
 
 
 def main(arguments: list[str]) -> int:
@@ -58,7 +58,7 @@
     """
     if len(arguments) != 2 or _SETTINGS.value is None:
         print(
-            "usage: balsamway-standin platform|server|caller --settings FILE",
+            "usage: balsamway-standin platform|target|caller --settings FILE",
             file=sys.stderr,
         )
         return EXIT_USAGE
--- a/src/balsamway/standins/summary.py
+++ b/src/balsamway/standins/summary.py
@@ -1,4 +1,4 @@
-"""Computes the measures of members from the journals."""
+"""Computes the measures of workspaces from the journals."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
 from balsamway.slices import POSITION_END
 from balsamway.standins.checker import Invariant, check
 from balsamway.standins.journal import Journal, RunOutcome, ToldVerdict
-from balsamway.standins.member_summary import MemberSummary
+from balsamway.standins.workspace_summary import WorkspaceSummary
 
 if TYPE_CHECKING:
     from balsamway.standins.journal import GrantHeld, Told
@@ -20,46 +20,48 @@
 
 
 def summarize(
-    journal: Journal, since: float = 0.0, servers: dict[str, int] | None = None
-) -> dict[str, MemberSummary]:
-    """Computes each member's measures.
+    journal: Journal, since: float = 0.0, targets: dict[str, int] | None = None
+) -> dict[str, WorkspaceSummary]:
+    """Computes each workspace's measures.
 
     Args:
         journal: The merged journal.
         since: The end of the start-up, by the runtime's clock; first grants
             before it are no churn.
-        servers: How many servers each `member/service` has, for those that
+        targets: How many targets each `workspace/service` has, for those that
             ran nothing; None to count those that ran something.
 
     Returns:
-        The measures by the members' names.
+        The measures by the workspaces' names.
     """
-    members = sorted({told.member for told in journal.told})
+    workspaces = sorted({told.workspace for told in journal.told})
     return {
-        member: _summarize_member(_of_member(journal, member), since, servers or {})
-        for member in members
+        workspace: _summarize_workspace(
+            _of_workspace(journal, workspace), since, targets or {}
+        )
+        for workspace in workspaces
     }
 
 
-def _of_member(journal: Journal, member: str) -> Journal:
+def _of_workspace(journal: Journal, workspace: str) -> Journal:
     return Journal(
         grants=tuple(
-            held for held in journal.grants if held.shard.startswith(f"{member}/")
+            held for held in journal.grants if held.shard.startswith(f"{workspace}/")
         ),
-        runs=tuple(run for run in journal.runs if run.member == member),
-        told=tuple(told for told in journal.told if told.member == member),
+        runs=tuple(run for run in journal.runs if run.workspace == workspace),
+        told=tuple(told for told in journal.told if told.workspace == workspace),
     )
 
 
-def _summarize_member(
-    journal: Journal, since: float, servers: dict[str, int]
-) -> MemberSummary:
+def _summarize_workspace(
+    journal: Journal, since: float, targets: dict[str, int]
+) -> WorkspaceSummary:
     found = [violation.invariant for violation in check(journal)]
     verdicts = [told.verdict for told in journal.told]
     p50, p99 = _percentiles_ms(journal.told)
     uncertain = (ToldVerdict.MAY_HAVE_RUN, ToldVerdict.NO_ANSWER)
     refused = (ToldVerdict.NOT_RUN, ToldVerdict.UNREACHED)
-    return MemberSummary(
+    return WorkspaceSummary(
         requests=len(verdicts),
         answered=verdicts.count(ToldVerdict.COMPLETED),
         refused_not_run=sum(verdict in refused for verdict in verdicts),
@@ -68,7 +70,7 @@
         lost_runs=found.count(Invariant.ANSWER_FROM_RUN),
         wrong_answers=found.count(Invariant.ANSWER_WHOLE),
         owner_overlaps=found.count(Invariant.SOLE_OWNER),
-        imbalance=_imbalance(journal, servers),
+        imbalance=_imbalance(journal, targets),
         churn=_churn(journal.grants, since),
         unavailable_seconds=_unavailable_seconds(journal.told),
         p50_ms=p50,
@@ -86,15 +88,15 @@
     )
 
 
-def _imbalance(journal: Journal, servers: dict[str, int]) -> float:
+def _imbalance(journal: Journal, targets: dict[str, int]) -> float:
     busy: dict[str, dict[str, float]] = defaultdict(lambda: defaultdict(float))
     for run in journal.runs:
         if run.outcome is RunOutcome.APPLIED:
-            service = f"{run.member}/{run.service}"
-            busy[service][run.server] += run.end - run.start
+            service = f"{run.workspace}/{run.service}"
+            busy[service][run.target] += run.end - run.start
     worst = 0.0
     for service, times in busy.items():
-        count = max(servers.get(service, 0), len(times))
+        count = max(targets.get(service, 0), len(times))
         mean = sum(times.values()) / count
         worst = max(worst, max(times.values()) / mean if mean else 0.0)
     return worst
@@ -115,7 +117,7 @@
         if held.start < since:
             continue
         before = _last_owners(grants[:number], held)
-        moved += sum(size for server, size in before if server != held.server)
+        moved += sum(size for target, size in before if target != held.target)
     return moved
 
 
@@ -129,7 +131,7 @@
             if low >= high:
                 left.append((start, end))
                 continue
-            found.append((past.server, high - low))
+            found.append((past.target, high - low))
             left += [gap for gap in ((start, low), (high, end)) if gap[0] < gap[1]]
         gaps = left
         if not gaps:
--- a/src/balsamway/standins/server/attempt.py
+++ b/src/balsamway/standins/target/attempt.py
@@ -1,4 +1,4 @@
-"""One attempt of a request, as a server received it."""
+"""One attempt of a request, as a target received it."""
 
 from __future__ import annotations
 
@@ -17,9 +17,9 @@
 
 @dataclass(frozen=True, slots=True, eq=False)
 class Attempt:
-    """What a server was sent of a request."""
+    """What a target was sent of a request."""
 
-    member: str
+    workspace: str
     service: str
     kind: str
     request_id: str
@@ -60,7 +60,7 @@
     try:
         shard = headers.get("Balsamway-Shard")
         return Attempt(
-            member=headers["Balsamway-Member"],
+            workspace=headers["Balsamway-Workspace"],
             service=path["service"],
             kind=path["kind"],
             request_id=headers["Balsamway-Request-Id"],
--- a/src/balsamway/standins/server/attempt_result.py
+++ b/src/balsamway/standins/target/attempt_result.py
@@ -1,4 +1,4 @@
-"""What became of an attempt at a server."""
+"""What became of an attempt at a target."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
     """The request ran and its effect was applied."""
 
     counter: int
-    """How many runs the key then had on this server."""
+    """How many runs the key then had on this target."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/balsamway/standins/server/grant_journal.py
+++ b/src/balsamway/standins/target/grant_journal.py
@@ -1,4 +1,4 @@
-"""Writes down the times during which a server held ranges."""
+"""Writes down the times during which a target held ranges."""
 
 from __future__ import annotations
 
@@ -9,9 +9,9 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from balsamway.servers.orders import GrantedRange
     from balsamway.slices import ShardId
-    from balsamway.standins.server.shard_grant import ShardGrant
+    from balsamway.standins.target.shard_grant import ShardGrant
+    from balsamway.targets.orders import GrantedRange
 
 
 class GrantJournal:
@@ -19,22 +19,22 @@
 
     def __init__(
         self,
-        server: str,
+        target: str,
         clock_offset: float,
         closed: Callable[[GrantHeld], None],
     ) -> None:
-        self._server = server
+        self._target = target
         self._clock_offset = clock_offset
         self._closed = closed
         self._open: dict[tuple[ShardId, GrantedRange], tuple[float, float]] = {}
 
     def update(self, shard: ShardId, held: ShardGrant, clock: float) -> None:
-        """Records what a server holds of a shard from now on.
+        """Records what a target holds of a shard from now on.
 
         Args:
             shard: The shard.
             held: What it holds.
-            clock: The server's clock, in seconds.
+            clock: The target's clock, in seconds.
         """
         now = clock - self._clock_offset
         until = held.valid_until - self._clock_offset
@@ -60,5 +60,5 @@
     ) -> GrantHeld:
         shard, granted = key
         return GrantHeld(
-            self._server, str(shard), granted.range, granted.epoch, start, end
+            self._target, str(shard), granted.range, granted.epoch, start, end
         )
--- a/src/balsamway/standins/server/grant_table.py
+++ b/src/balsamway/standins/target/grant_table.py
@@ -1,22 +1,22 @@
-"""The grants that a server stand-in holds."""
+"""The grants that a target stand-in holds."""
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
-from balsamway.servers.orders import GrantedRange, OrderRefused, ServerState
 from balsamway.slices import KeyRange, ShardId
-from balsamway.standins.server.shard_grant import ShardGrant
+from balsamway.standins.target.shard_grant import ShardGrant
+from balsamway.targets.orders import GrantedRange, OrderRefused, TargetState
 
 if TYPE_CHECKING:
-    from balsamway.servers.orders import GrantOrder, ReleaseOrder, SurveyOrder
-    from balsamway.standins.server.grant_journal import GrantJournal
+    from balsamway.standins.target.grant_journal import GrantJournal
+    from balsamway.targets.orders import GrantOrder, ReleaseOrder, SurveyOrder
 
 
 class GrantTable:
-    """Accepts orders by the rules of servers that check, or any order.
+    """Accepts orders by the rules of targets that check, or any order.
 
-    All times are of the server's own clock.
+    All times are of the target's own clock.
     """
 
     def __init__(self, checks: bool, journal: GrantJournal) -> None:
@@ -24,12 +24,12 @@
         self._journal = journal
         self._grants: dict[ShardId, ShardGrant] = {}
 
-    def grant(self, order: GrantOrder, clock: float) -> ServerState | OrderRefused:
+    def grant(self, order: GrantOrder, clock: float) -> TargetState | OrderRefused:
         """Accepts or refuses a grant.
 
         Args:
             order: The grant.
-            clock: The server's clock, in seconds.
+            clock: The target's clock, in seconds.
 
         Returns:
             The state after the grant, or the refusal.
@@ -44,12 +44,12 @@
         self._journal.update(order.shard, held, clock)
         return self._state(held, clock)
 
-    def release(self, order: ReleaseOrder, clock: float) -> ServerState | OrderRefused:
-        """Takes ranges from the server, at once.
+    def release(self, order: ReleaseOrder, clock: float) -> TargetState | OrderRefused:
+        """Takes ranges from the target, at once.
 
         Args:
             order: The release.
-            clock: The server's clock, in seconds.
+            clock: The target's clock, in seconds.
 
         Returns:
             The state after the release, or the refusal.
@@ -64,12 +64,12 @@
         self._journal.update(order.shard, held, clock)
         return self._state(held, clock)
 
-    def survey(self, order: SurveyOrder, clock: float) -> ServerState | OrderRefused:
-        """Tells what the server holds of a shard.
+    def survey(self, order: SurveyOrder, clock: float) -> TargetState | OrderRefused:
+        """Tells what the target holds of a shard.
 
         Args:
             order: The survey.
-            clock: The server's clock, in seconds.
+            clock: The target's clock, in seconds.
 
         Returns:
             The state, or the refusal of an older epoch.
@@ -82,12 +82,12 @@
             held.generation = -1
         return self._state(held, clock)
 
-    def state(self, shard: ShardId, clock: float) -> ServerState:
-        """Tells what the server holds of a shard.
+    def state(self, shard: ShardId, clock: float) -> TargetState:
+        """Tells what the target holds of a shard.
 
         Args:
             shard: The shard.
-            clock: The server's clock, in seconds.
+            clock: The target's clock, in seconds.
 
         Returns:
             The state.
@@ -101,7 +101,7 @@
             shard: The shard of the request's key.
             position: The position of the key.
             epoch: The fencing token of the request.
-            clock: The server's clock, in seconds.
+            clock: The target's clock, in seconds.
 
         Returns:
             True if an unexpired grant of this epoch covers the key.
@@ -119,7 +119,7 @@
 
         Args:
             shard: The shard of the request's key.
-            clock: The server's clock, in seconds.
+            clock: The target's clock, in seconds.
 
         Returns:
             `grant-lapsed` or `wrong-epoch`.
@@ -138,7 +138,7 @@
         """Tells whether every grant was released or has lapsed.
 
         Args:
-            clock: The server's clock, in seconds.
+            clock: The target's clock, in seconds.
 
         Returns:
             True if nothing is held any more.
@@ -155,8 +155,8 @@
             return leader_epoch < held.leader_epoch
         return generation < held.generation
 
-    def _state(self, held: ShardGrant, clock: float) -> ServerState:
-        return ServerState(clock, self._checks, held.ranges, held.valid_until)
+    def _state(self, held: ShardGrant, clock: float) -> TargetState:
+        return TargetState(clock, self._checks, held.ranges, held.valid_until)
 
 
 def _without(
--- a/src/balsamway/standins/server/known_request.py
+++ b/src/balsamway/standins/target/known_request.py
@@ -1,4 +1,4 @@
-"""A request id that a server has met."""
+"""A request id that a target has met."""
 
 from __future__ import annotations
 
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from balsamway.standins.server.attempt_result import AttemptResult
+    from balsamway.standins.target.attempt_result import AttemptResult
 
 
 @dataclass(slots=True)
@@ -16,6 +16,6 @@
 
     ran: bool = False
     received: set[str] = field(default_factory=set)
-    """The ids of the attempts that reached the server."""
+    """The ids of the attempts that reached the target."""
     tasks: set[asyncio.Task[AttemptResult]] = field(default_factory=set)
     """The attempts in progress."""
--- a/src/balsamway/standins/server/request_runner.py
+++ b/src/balsamway/standins/target/request_runner.py
@@ -1,4 +1,4 @@
-"""Runs the requests that a server stand-in admits."""
+"""Runs the requests that a target stand-in admits."""
 
 from __future__ import annotations
 
@@ -6,23 +6,23 @@
 from typing import TYPE_CHECKING
 
 from balsamway.standins.journal import Run, RunOutcome
-from balsamway.standins.server.attempt_result import (
+from balsamway.standins.target.attempt_result import (
     AttemptApplied,
     AttemptRefused,
     AttemptResult,
 )
-from balsamway.standins.server.known_request import KnownRequest
-from balsamway.standins.server.slot_queue import SlotQueue
+from balsamway.standins.target.known_request import KnownRequest
+from balsamway.standins.target.slot_queue import SlotQueue
 
 if TYPE_CHECKING:
     import random
     from collections.abc import Callable
 
     from balsamway.slices import KeyRange, ShardId
-    from balsamway.standins.server.attempt import Attempt
-    from balsamway.standins.server.grant_table import GrantTable
-    from balsamway.standins.server.pause import Pause
-    from balsamway.standins.server.server_settings import ServerSettings
+    from balsamway.standins.target.attempt import Attempt
+    from balsamway.standins.target.grant_table import GrantTable
+    from balsamway.standins.target.pause import Pause
+    from balsamway.standins.target.target_settings import TargetSettings
 
 QUIET_POLL_SECONDS = 0.002
 
@@ -31,8 +31,8 @@
     """Admits requests under grants, runs them in slots, applies effects.
 
     Args:
-        settings: The server's settings.
-        grants: What the server holds.
+        settings: The target's settings.
+        grants: What the target holds.
         pause: Where processing stands still.
         rng: Draws run times.
         note: Takes each attempt's record.
@@ -40,7 +40,7 @@
 
     def __init__(
         self,
-        settings: ServerSettings,
+        settings: TargetSettings,
         grants: GrantTable,
         pause: Pause,
         rng: random.Random,
@@ -61,7 +61,7 @@
 
     @property
     def load(self) -> float:
-        """Requests in the server for each slot."""
+        """Requests in the target for each slot."""
         return self._slots.load
 
     @property
@@ -153,7 +153,7 @@
 
     def _admission_refusal(self, attempt: Attempt) -> str:
         if self.shedding or self._slots.is_full:
-            return "server-shed"
+            return "target-shed"
         if attempt.deadline <= self._now():
             return "deadline-exceeded"
         if self._is_covered(attempt):
@@ -190,8 +190,8 @@
         self, attempt: Attempt, start: float, outcome: RunOutcome, counter: int = 0
     ) -> None:
         run = Run(
-            server=self._settings.name,
-            member=attempt.member,
+            target=self._settings.name,
+            workspace=attempt.workspace,
             service=attempt.service,
             kind=attempt.kind,
             request_id=attempt.request_id,
--- a/src/balsamway/standins/server/run_times.py
+++ b/src/balsamway/standins/target/run_times.py
@@ -1,4 +1,4 @@
-"""How long the runs of a server take."""
+"""How long the runs of a target take."""
 
 from __future__ import annotations
 
--- a/src/balsamway/standins/server/shard_grant.py
+++ b/src/balsamway/standins/target/shard_grant.py
@@ -1,10 +1,10 @@
-"""What a server holds of one shard."""
+"""What a target holds of one shard."""
 
 from __future__ import annotations
 
 from dataclasses import dataclass
 
-from balsamway.servers.orders import GrantedRange
+from balsamway.targets.orders import GrantedRange
 
 
 @dataclass(slots=True)
@@ -15,4 +15,4 @@
     generation: int = -1
     ranges: tuple[GrantedRange, ...] = ()
     valid_until: float = 0.0
-    """By the server's own clock."""
+    """By the target's own clock."""
--- a/src/balsamway/standins/server/slot_queue.py
+++ b/src/balsamway/standins/target/slot_queue.py
@@ -1,4 +1,4 @@
-"""The slots of a server and the requests that wait for one."""
+"""The slots of a target and the requests that wait for one."""
 
 from __future__ import annotations
 
@@ -27,7 +27,7 @@
 
     @property
     def load(self) -> float:
-        """Requests in the server for each slot."""
+        """Requests in the target for each slot."""
         return (self._running + self._waiting) / self._slots
 
     async def take(self, timeout: float) -> bool:
--- a/src/balsamway/standins/server/server_faults.py
+++ b/src/balsamway/standins/target/target_faults.py
@@ -1,4 +1,4 @@
-"""The faults that a server stand-in can be switched to."""
+"""The faults that a target stand-in can be switched to."""
 
 from __future__ import annotations
 
@@ -6,8 +6,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class ServerFaults:
-    """Which faults a server shows; the default shows none."""
+class TargetFaults:
+    """Which faults a target shows; the default shows none."""
 
     frozen: bool = False
     """Whether all processing stands still, to go on later as before."""
--- a/src/balsamway/standins/server/server_journal.py
+++ b/src/balsamway/standins/target/target_journal.py
@@ -1,27 +1,27 @@
-"""What a server stand-in writes down."""
+"""What a target stand-in writes down."""
 
 from __future__ import annotations
 
 from balsamway.standins.journal import GrantHeld, Journal, Run, StopAsked
-from balsamway.standins.server.grant_journal import GrantJournal
-from balsamway.standins.server.journal_file import JournalFile
+from balsamway.standins.target.grant_journal import GrantJournal
+from balsamway.standins.target.journal_file import JournalFile
 
 
-class ServerJournal:
+class TargetJournal:
     """Keeps grants held, runs and planned stops, and appends them to a file.
 
     Args:
-        server: The server's name.
+        target: The target's name.
         clock_offset: What its own clock is ahead, in seconds.
         file: The file's name; empty for none.
     """
 
-    def __init__(self, server: str, clock_offset: float, file: str) -> None:
+    def __init__(self, target: str, clock_offset: float, file: str) -> None:
         self._grants: list[GrantHeld] = []
         self._runs: list[Run] = []
         self._stops: list[StopAsked] = []
         self._file = JournalFile(file)
-        self.grants = GrantJournal(server, clock_offset, self._add_grant)
+        self.grants = GrantJournal(target, clock_offset, self._add_grant)
 
     @property
     def run_count(self) -> int:
@@ -48,7 +48,7 @@
         self._file.write("run", run)
 
     def add_stop(self, stop: StopAsked) -> None:
-        """Writes down that the server was asked to leave.
+        """Writes down that the target was asked to leave.
 
         Args:
             stop: The record.
--- a/src/balsamway/standins/server/server_settings.py
+++ b/src/balsamway/standins/target/target_settings.py
@@ -1,20 +1,20 @@
-"""The settings of a server stand-in."""
+"""The settings of a target stand-in."""
 
 from __future__ import annotations
 
 from dataclasses import dataclass, field
 
-from balsamway.standins.server.run_times import RunTimes
-from balsamway.standins.server.server_faults import ServerFaults
+from balsamway.standins.target.run_times import RunTimes
+from balsamway.standins.target.target_faults import TargetFaults
 
 
 @dataclass(frozen=True, slots=True)
-class ServerSettings:
-    """What a server stand-in is told at its start."""
+class TargetSettings:
+    """What a target stand-in is told at its start."""
 
     name: str
     zone: str
-    member: str
+    workspace: str
     service: str
     listen: str = "127.0.0.1:0"
     checks_grants: bool = True
@@ -27,15 +27,15 @@
     run_times: RunTimes = field(default_factory=RunTimes)
     run_times_by_kind: dict[str, RunTimes] = field(default_factory=dict)
     cold_start_seconds: float = 0.0
-    """How long the server is slow after its start."""
+    """How long the target is slow after its start."""
     cold_start_slowness: float = 4.0
     drain_seconds: float = 0.0
     """How long a stop waits for the grants and runs to end; 0 for none."""
     clock_offset_seconds: float = 0.0
-    """What the server's own clock is ahead of the runtime's."""
+    """What the target's own clock is ahead of the runtime's."""
     platform: str = ""
     """The platform's base address, to be listed by; empty for none."""
     journal_file: str = ""
     """Where runs and grants are written as JSON lines; empty for nowhere."""
     seed: int = 0
-    faults: ServerFaults = field(default_factory=ServerFaults)
+    faults: TargetFaults = field(default_factory=TargetFaults)
--- a/src/balsamway/standins/server/server_standin.py
+++ b/src/balsamway/standins/target/target_standin.py
@@ -1,4 +1,4 @@
-"""The server stand-in."""
+"""The target stand-in."""
 
 from __future__ import annotations
 
@@ -13,44 +13,44 @@
 import msgspec
 from aiohttp import web
 
-from balsamway.servers.orders import (
-    GrantOrder,
-    OrderRefused,
-    ReleaseOrder,
-    ServerState,
-    SurveyOrder,
-)
 from balsamway.standins.drop_connection import drop_connection
 from balsamway.standins.http_standin import HttpStandin
 from balsamway.standins.journal import StopAsked
 from balsamway.standins.json_body import json_answer, merge_json, read_json
-from balsamway.standins.server.attempt import Attempt, parse_attempt
-from balsamway.standins.server.attempt_result import AttemptApplied, AttemptRefused
-from balsamway.standins.server.grant_table import GrantTable
-from balsamway.standins.server.pause import Pause
-from balsamway.standins.server.request_runner import RequestRunner
-from balsamway.standins.server.server_faults import ServerFaults
-from balsamway.standins.server.server_journal import ServerJournal
+from balsamway.standins.target.attempt import Attempt, parse_attempt
+from balsamway.standins.target.attempt_result import AttemptApplied, AttemptRefused
+from balsamway.standins.target.grant_table import GrantTable
+from balsamway.standins.target.pause import Pause
+from balsamway.standins.target.request_runner import RequestRunner
+from balsamway.standins.target.target_faults import TargetFaults
+from balsamway.standins.target.target_journal import TargetJournal
 from balsamway.store import Host, HostRole, HostState
+from balsamway.targets.orders import (
+    GrantOrder,
+    OrderRefused,
+    ReleaseOrder,
+    SurveyOrder,
+    TargetState,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
     from balsamway.standins.journal import Journal
-    from balsamway.standins.server.server_settings import ServerSettings
+    from balsamway.standins.target.target_settings import TargetSettings
 
 DRAIN_POLL_SECONDS = 0.02
 
 
-class ServerStandin(HttpStandin):
+class TargetStandin(HttpStandin):
     """Runs requests under grants, and writes down what it did."""
 
-    def __init__(self, settings: ServerSettings) -> None:
+    def __init__(self, settings: TargetSettings) -> None:
         super().__init__(settings.listen, settings.connection_limit)
         self._settings = settings
         self._faults = settings.faults
         self._pause = Pause()
-        self._journal = ServerJournal(
+        self._journal = TargetJournal(
             settings.name, settings.clock_offset_seconds, settings.journal_file
         )
         self._grants = GrantTable(settings.checks_grants, self._journal.grants)
@@ -67,18 +67,18 @@
 
     @property
     def name(self) -> str:
-        """The server's name."""
+        """The target's name."""
         return self._settings.name
 
     @property
     def host(self) -> Host:
-        """The server as the platform's host list names it."""
+        """The target as the platform's host list names it."""
         return Host(
             name=self._settings.name,
-            role=HostRole.SERVER,
+            role=HostRole.TARGET,
             zone=self._settings.zone,
             address=self.address,
-            member=self._settings.member,
+            workspace=self._settings.workspace,
             service=self._settings.service,
             state=HostState.LEAVING if self._leaving else HostState.LIVE,
         )
@@ -89,18 +89,18 @@
         return self._journal.read()
 
     @property
-    def faults(self) -> ServerFaults:
+    def faults(self) -> TargetFaults:
         """The faults that are switched on."""
         return self._faults
 
     @faults.setter
-    def faults(self, faults: ServerFaults) -> None:
+    def faults(self, faults: TargetFaults) -> None:
         self._faults = faults
         self._pause.set(faults.frozen)
 
     @property
     def has_drained(self) -> bool:
-        """Whether a leaving server holds nothing and runs nothing."""
+        """Whether a leaving target holds nothing and runs nothing."""
         if not self._leaving or self._requests.in_progress:
             return False
         return self._grants.all_lapsed(self._clock())
@@ -121,7 +121,7 @@
         ]
 
     async def on_start(self) -> None:
-        """Starts to listen and has the server listed."""
+        """Starts to listen and has the target listed."""
         self._journal.open()
         await super().on_start()
         self._started_at = self._now()
@@ -145,7 +145,7 @@
         await self._list_at_platform()
 
     async def wait_drained(self) -> None:
-        """Waits until a leaving server can stop and cut nothing off."""
+        """Waits until a leaving target can stop and cut nothing off."""
         while not self.has_drained:
             await asyncio.sleep(DRAIN_POLL_SECONDS)
 
@@ -211,7 +211,7 @@
             "request_id": request_id,
             "key": attempt.key,
             "counter": counter,
-            "server": self.name,
+            "target": self.name,
             "body_size": attempt.body_size,
         }
         if self._faults.truncate_answers:
@@ -245,7 +245,7 @@
         await self._before_order()
         order = await read_json(request, ReleaseOrder)
         result = self._grants.release(order, self._clock())
-        if isinstance(result, ServerState):
+        if isinstance(result, TargetState):
             await self._requests.wait_quiet(order.shard, order.ranges)
             result = self._grants.state(order.shard, self._clock())
         return self._order_answer(result)
@@ -260,9 +260,9 @@
         if self._faults.refuse_orders:
             raise web.HTTPServiceUnavailable(text="orders are refused")
 
-    def _order_answer(self, result: ServerState | OrderRefused) -> web.Response:
+    def _order_answer(self, result: TargetState | OrderRefused) -> web.Response:
         match result:
-            case ServerState():
+            case TargetState():
                 return json_answer(dataclasses.replace(result, leaving=self._leaving))
             case OrderRefused():
                 return json_answer(result, status=409)
--- a/src/balsamway/standins/member_summary.py
+++ b/src/balsamway/standins/workspace_summary.py
@@ -1,4 +1,4 @@
-"""The measures of one member."""
+"""The measures of one workspace."""
 
 from __future__ import annotations
 
@@ -6,8 +6,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class MemberSummary:
-    """What one member's callers and servers saw."""
+class WorkspaceSummary:
+    """What one workspace's callers and targets saw."""
 
     requests: int
     answered: int
@@ -18,7 +18,7 @@
     wrong_answers: int
     owner_overlaps: int
     imbalance: float
-    """The greatest busy time of a server over the mean, by service; the
+    """The greatest busy time of a target over the mean, by service; the
     worst service counts."""
     churn: float
     """The share of the key space that changed its owner."""
--- a/src/balsamway/store/host.py
+++ b/src/balsamway/store/host.py
@@ -10,7 +10,7 @@
     """What runs on a host."""
 
     ENTRY = "entry"
-    SERVER = "server"
+    TARGET = "target"
 
 
 class HostState(StrEnum):
@@ -22,17 +22,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Host:
-    """One entry host, or one server of a member's service."""
+    """One entry host, or one target of a workspace's service."""
 
     name: str
     role: HostRole
     zone: str
     address: str
-    """`ip:port` of an entry host's peer listener, or of a server."""
-    member: str = ""
-    """The member a server belongs to; empty for an entry host."""
+    """`ip:port` of an entry host's peer listener, or of a target."""
+    workspace: str = ""
+    """The workspace a target belongs to; empty for an entry host."""
     service: str = ""
-    """The service a server runs; empty for an entry host."""
+    """The service a target runs; empty for an entry host."""
     state: HostState = HostState.LIVE
     operators_address: str = ""
     """`ip:port` of an entry host's operator listener."""
--- /dev/null
+++ b/src/balsamway/targets/__init__.py
@@ -0,0 +1,1 @@
+"""What the system says to targets."""
--- a/src/balsamway/servers/_attempt_progress.py
+++ b/src/balsamway/targets/_attempt_progress.py
@@ -1,4 +1,4 @@
-"""Whether an attempt may have reached its server."""
+"""Whether an attempt may have reached its target."""
 
 from __future__ import annotations
 
--- a/src/balsamway/servers/header_names.py
+++ b/src/balsamway/targets/header_names.py
@@ -1,4 +1,4 @@
-"""Names of the headers between callers, gateways and servers."""
+"""Names of the headers between callers, gateways and targets."""
 
 from __future__ import annotations
 
@@ -6,7 +6,7 @@
 AUTHORIZATION = "Authorization"
 EPOCH = "Balsamway-Epoch"
 KEY = "Balsamway-Key"
-MEMBER = "Balsamway-Member"
+WORKSPACE = "Balsamway-Workspace"
 REASON = "Balsamway-Reason"
 REQUEST_ID = "Balsamway-Request-Id"
 RETRY_AFTER = "Retry-After"
--- a/src/balsamway/servers/http_control.py
+++ b/src/balsamway/targets/http_control.py
@@ -1,4 +1,4 @@
-"""Gives orders to servers over HTTP."""
+"""Gives orders to targets over HTTP."""
 
 from __future__ import annotations
 
@@ -8,22 +8,22 @@
 import aiohttp
 import msgspec
 
-from balsamway.servers.orders import OrderLost, OrderRefused, ServerState
+from balsamway.targets.orders import OrderLost, OrderRefused, TargetState
 
 if TYPE_CHECKING:
-    from balsamway.servers.orders import (
+    from balsamway.store import Host
+    from balsamway.targets.orders import (
         GrantOrder,
         OrderResult,
         ReleaseOrder,
         SurveyOrder,
     )
-    from balsamway.store import Host
 
 KEEPALIVE_SECONDS = 60.0
 
 
 class HttpControl:
-    """Carries orders to servers over one long-lived connection to each.
+    """Carries orders to targets over one long-lived connection to each.
 
     A release is answered only when the runs in it have ended, so releases go
     over a connection of their own, which is closed after each: a grant never
@@ -35,32 +35,32 @@
         self._releases: aiohttp.ClientSession | None = None
 
     async def grant(
-        self, server: Host, order: GrantOrder, timeout_seconds: float
+        self, target: Host, order: GrantOrder, timeout_seconds: float
     ) -> OrderResult:
-        """Gives a server its grant, or renews it.
+        """Gives a target its grant, or renews it.
 
         Args:
-            server: The server to order.
+            target: The target to order.
             order: The grant.
             timeout_seconds: The longest time to wait for the answer.
 
         Returns:
-            The server's state, its refusal, or that no answer came.
+            The target's state, its refusal, or that no answer came.
         """
-        return await self._order(server, "grant", order, timeout_seconds)
+        return await self._order(target, "grant", order, timeout_seconds)
 
     async def release(
-        self, server: Host, order: ReleaseOrder, timeout_seconds: float
+        self, target: Host, order: ReleaseOrder, timeout_seconds: float
     ) -> OrderResult:
-        """Takes ranges from a server and waits for the runs in them to end.
+        """Takes ranges from a target and waits for the runs in them to end.
 
         Args:
-            server: The server to order.
+            target: The target to order.
             order: The ranges to take.
             timeout_seconds: The longest time to wait for the answer.
 
         Returns:
-            The server's state, its refusal, or that no answer came.
+            The target's state, its refusal, or that no answer came.
         """
         if self._releases is None:
             self._releases = aiohttp.ClientSession(
@@ -69,22 +69,22 @@
                 ),
                 cookie_jar=aiohttp.DummyCookieJar(),
             )
-        return await _post(self._releases, server, "release", order, timeout_seconds)
+        return await _post(self._releases, target, "release", order, timeout_seconds)
 
     async def survey(
-        self, server: Host, order: SurveyOrder, timeout_seconds: float
+        self, target: Host, order: SurveyOrder, timeout_seconds: float
     ) -> OrderResult:
-        """Asks a server what it holds, and announces the leader epoch.
+        """Asks a target what it holds, and announces the leader epoch.
 
         Args:
-            server: The server to ask.
+            target: The target to ask.
             order: The leader epoch to announce.
             timeout_seconds: The longest time to wait for the answer.
 
         Returns:
-            The server's state, its refusal, or that no answer came.
+            The target's state, its refusal, or that no answer came.
         """
-        return await self._order(server, "survey", order, timeout_seconds)
+        return await self._order(target, "survey", order, timeout_seconds)
 
     async def close(self) -> None:
         """Closes every connection."""
@@ -93,7 +93,7 @@
                 await session.close()
 
     async def _order(
-        self, server: Host, verb: str, order: Any, timeout_seconds: float
+        self, target: Host, verb: str, order: Any, timeout_seconds: float
     ) -> OrderResult:
         if self._renewals is None:
             self._renewals = aiohttp.ClientSession(
@@ -102,17 +102,17 @@
                 ),
                 cookie_jar=aiohttp.DummyCookieJar(),
             )
-        return await _post(self._renewals, server, verb, order, timeout_seconds)
+        return await _post(self._renewals, target, verb, order, timeout_seconds)
 
 
 async def _post(
     session: aiohttp.ClientSession,
-    server: Host,
+    target: Host,
     verb: str,
     order: Any,
     timeout_seconds: float,
 ) -> OrderResult:
-    url = f"http://{server.address}/control/{verb}"
+    url = f"http://{target.address}/control/{verb}"
     body = msgspec.json.encode(order)
     headers = {"Content-Type": "application/json"}
     try:
@@ -133,7 +133,7 @@
     try:
         match status:
             case 200:
-                return msgspec.json.decode(body, type=ServerState)
+                return msgspec.json.decode(body, type=TargetState)
             case 409:
                 return msgspec.json.decode(body, type=OrderRefused)
     except msgspec.MsgspecError:
--- a/src/balsamway/servers/http_transport.py
+++ b/src/balsamway/targets/http_transport.py
@@ -1,4 +1,4 @@
-"""Sends requests to servers over HTTP."""
+"""Sends requests to targets over HTTP."""
 
 from __future__ import annotations
 
@@ -11,18 +11,18 @@
 import msgspec
 from yarl import URL
 
-from balsamway.membership.server_health import ServerHealth
+from balsamway.membership.target_health import TargetHealth
 from balsamway.outcome import MayHaveRun, NotRun, Reason
-from balsamway.servers import header_names
-from balsamway.servers._attempt_progress import AttemptProgress, progress_trace
-from balsamway.servers.server_answer import judge_answer
+from balsamway.targets import header_names
+from balsamway.targets._attempt_progress import AttemptProgress, progress_trace
+from balsamway.targets.target_answer import judge_answer
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from balsamway.outcome import Verdict
-    from balsamway.servers.request import ServerRequest
     from balsamway.store import Host
+    from balsamway.targets.request import TargetRequest
 
 logger = logging.getLogger(__name__)
 
@@ -39,7 +39,7 @@
 
 
 class HttpTransport:
-    """Carries requests to servers; one connection for each in flight."""
+    """Carries requests to targets; one connection for each in flight."""
 
     def __init__(
         self,
@@ -50,7 +50,7 @@
 
         Args:
             connection_limit: Tells how many connections this host may have to
-                a server; the same for all servers of a service.
+                a target; the same for all targets of a service.
             on_open: Called for each connection that was opened.
         """
         self._connection_limit = connection_limit
@@ -58,17 +58,17 @@
         self._sessions: dict[tuple[str, str, int], aiohttp.ClientSession] = {}
         self._cancellations: set[asyncio.Task[bool]] = set()
 
-    async def send(self, server: Host, request: ServerRequest) -> Verdict:
-        """Sends one attempt; cancelling the call cancels it at the server.
+    async def send(self, target: Host, request: TargetRequest) -> Verdict:
+        """Sends one attempt; cancelling the call cancels it at the target.
 
         Args:
-            server: The server to send to.
+            target: The target to send to.
             request: The attempt, with the time left to its deadline.
 
         Returns:
             What became of the attempt, no later than its deadline.
         """
-        if self._connection_limit(server) < 1:
+        if self._connection_limit(target) < 1:
             return NotRun(Reason.CONNECT_FAILED, "this host has no connection")
         progress = AttemptProgress()
         cancel_seconds = min(
@@ -76,37 +76,37 @@
         )
         try:
             async with asyncio.timeout(request.timeout_seconds - cancel_seconds):
-                return await self._exchange(server, request, progress)
+                return await self._exchange(target, request, progress)
         except TimeoutError:
             if not progress.has_connection:
                 return NotRun(Reason.DEADLINE_EXCEEDED, "no connection in time")
-            if await self._cancel(server, request, progress, cancel_seconds):
+            if await self._cancel(target, request, progress, cancel_seconds):
                 return NotRun(Reason.DEADLINE_EXCEEDED)
             return MayHaveRun(Reason.DEADLINE_EXCEEDED)
         except asyncio.CancelledError:
             if progress.has_connection:
-                self._cancel_later(server, request, progress)
+                self._cancel_later(target, request, progress)
             raise
 
-    async def health(self, server: Host, timeout_seconds: float) -> ServerHealth | None:
-        """Asks a server for its health, which keeps a connection warm.
+    async def health(self, target: Host, timeout_seconds: float) -> TargetHealth | None:
+        """Asks a target for its health, which keeps a connection warm.
 
         Args:
-            server: The server to ask.
+            target: The target to ask.
             timeout_seconds: The longest time to wait.
 
         Returns:
-            What the server reports, or None if it gave no usable answer.
+            What the target reports, or None if it gave no usable answer.
         """
-        if self._connection_limit(server) < 1:
+        if self._connection_limit(target) < 1:
             return None
-        url = f"http://{server.address}/health"
+        url = f"http://{target.address}/health"
         try:
             async with (
                 asyncio.timeout(timeout_seconds),
-                self._session(server).get(url) as response,
+                self._session(target).get(url) as response,
             ):
-                return msgspec.json.decode(await response.read(), type=ServerHealth)
+                return msgspec.json.decode(await response.read(), type=TargetHealth)
         except (aiohttp.ClientError, OSError, TimeoutError, msgspec.MsgspecError):
             return None
 
@@ -119,11 +119,11 @@
         self._sessions.clear()
 
     async def _exchange(
-        self, server: Host, request: ServerRequest, progress: AttemptProgress
+        self, target: Host, request: TargetRequest, progress: AttemptProgress
     ) -> Verdict:
         try:
-            async with self._session(server).post(
-                _request_url(server.address, request.service, request.kind),
+            async with self._session(target).post(
+                _request_url(target.address, request.service, request.kind),
                 data=request.body,
                 headers=_headers(request, progress.attempt_id),
                 skip_auto_headers=_SKIPPED_HEADERS,
@@ -142,24 +142,24 @@
 
     async def _cancel(
         self,
-        server: Host,
-        request: ServerRequest,
+        target: Host,
+        request: TargetRequest,
         progress: AttemptProgress,
         timeout_seconds: float,
     ) -> bool:
-        """Cancels an attempt at its server.
+        """Cancels an attempt at its target.
 
         Returns:
-            Whether the server says that this attempt, which it had received,
+            Whether the target says that this attempt, which it had received,
             did not run and will not. What it says of the request's earlier
             attempts tells nothing of one that is still on its way.
         """
         headers = {header_names.ATTEMPT: progress.attempt_id}
-        url = f"http://{server.address}/requests/{request.request_id}"
+        url = f"http://{target.address}/requests/{request.request_id}"
         try:
             async with (
                 asyncio.timeout(timeout_seconds),
-                self._session(server).delete(url, headers=headers) as response,
+                self._session(target).delete(url, headers=headers) as response,
             ):
                 found = msgspec.json.decode(await response.read())
                 not_run = {"outcome": "not-run", "attempt": progress.attempt_id}
@@ -168,17 +168,17 @@
             return False
 
     def _cancel_later(
-        self, server: Host, request: ServerRequest, progress: AttemptProgress
+        self, target: Host, request: TargetRequest, progress: AttemptProgress
     ) -> None:
         task = asyncio.create_task(
-            self._cancel(server, request, progress, CANCEL_TIMEOUT_SECONDS)
+            self._cancel(target, request, progress, CANCEL_TIMEOUT_SECONDS)
         )
         self._cancellations.add(task)
         task.add_done_callback(self._cancellations.discard)
 
-    def _session(self, server: Host) -> aiohttp.ClientSession:
-        limit = self._connection_limit(server)
-        name = (server.member, server.service, limit)
+    def _session(self, target: Host) -> aiohttp.ClientSession:
+        limit = self._connection_limit(target)
+        name = (target.workspace, target.service, limit)
         session = self._sessions.get(name)
         if session is None:
             session = self._open_session(limit)
@@ -202,14 +202,14 @@
 
 @functools.lru_cache(maxsize=URLS_AT_MOST)
 def _request_url(address: str, service: str, kind: str) -> URL:
-    """Makes the URL of a kind at a server, parsed once."""
+    """Makes the URL of a kind at a target, parsed once."""
     return URL(f"http://{address}/requests/{service}/{kind}", encoded=True)
 
 
-def _headers(request: ServerRequest, attempt_id: str) -> dict[str, str]:
+def _headers(request: TargetRequest, attempt_id: str) -> dict[str, str]:
     headers = {
         header_names.ATTEMPT: attempt_id,
-        header_names.MEMBER: request.member,
+        header_names.WORKSPACE: request.workspace,
         header_names.REQUEST_ID: request.request_id,
         header_names.TIMEOUT_MS: str(int(request.timeout_seconds * 1000)),
         "Content-Type": request.content_type,
--- a/src/balsamway/servers/orders/grant_order.py
+++ b/src/balsamway/targets/orders/grant_order.py
@@ -1,21 +1,21 @@
-"""Grants a server exactly these ranges of a shard, and no others."""
+"""Grants a target exactly these ranges of a shard, and no others."""
 
 from __future__ import annotations
 
 from dataclasses import dataclass
 
-from balsamway.servers.orders.granted_range import GrantedRange
 from balsamway.slices import ShardId
+from balsamway.targets.orders.granted_range import GrantedRange
 
 
 @dataclass(frozen=True, slots=True)
 class GrantOrder:
-    """Grants a server exactly these ranges of a shard, and no others."""
+    """Grants a target exactly these ranges of a shard, and no others."""
 
     shard: ShardId
     leader_epoch: int
     ranges: tuple[GrantedRange, ...]
     valid_until: float
-    """In seconds of the server's own clock."""
+    """In seconds of the target's own clock."""
     generation: int
     """Grows with every order of one leader epoch; older orders are refused."""
--- a/src/balsamway/servers/orders/granted_range.py
+++ b/src/balsamway/targets/orders/granted_range.py
@@ -1,4 +1,4 @@
-"""A range that a server owns while its grant lasts."""
+"""A range that a target owns while its grant lasts."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 
 @dataclass(frozen=True, slots=True)
 class GrantedRange:
-    """A range that a server owns while its grant lasts."""
+    """A range that a target owns while its grant lasts."""
 
     range: KeyRange
     epoch: int
--- a/src/balsamway/servers/orders/order_refused.py
+++ b/src/balsamway/targets/orders/order_refused.py
@@ -1,4 +1,4 @@
-"""The server refused an order as older than one that it had accepted."""
+"""The target refused an order as older than one that it had accepted."""
 
 from __future__ import annotations
 
@@ -7,8 +7,8 @@
 
 @dataclass(frozen=True, slots=True)
 class OrderRefused:
-    """The server refused an order as older than one that it had accepted."""
+    """The target refused an order as older than one that it had accepted."""
 
     leader_epoch: int
-    """The highest leader epoch that the server has accepted."""
+    """The highest leader epoch that the target has accepted."""
     clock: float
--- a/src/balsamway/servers/orders/release_order.py
+++ b/src/balsamway/targets/orders/release_order.py
@@ -1,4 +1,4 @@
-"""Takes ranges from a server, which answers when their runs ended."""
+"""Takes ranges from a target, which answers when their runs ended."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ReleaseOrder:
-    """Takes ranges from a server, which answers when their runs ended."""
+    """Takes ranges from a target, which answers when their runs ended."""
 
     shard: ShardId
     leader_epoch: int
--- a/src/balsamway/servers/orders/survey_order.py
+++ b/src/balsamway/targets/orders/survey_order.py
@@ -1,4 +1,4 @@
-"""Announces a leader epoch and asks for the grants that a server holds."""
+"""Announces a leader epoch and asks for the grants that a target holds."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 
 @dataclass(frozen=True, slots=True)
 class SurveyOrder:
-    """Announces a leader epoch and asks for the grants that a server holds."""
+    """Announces a leader epoch and asks for the grants that a target holds."""
 
     shard: ShardId
     leader_epoch: int
--- a/src/balsamway/servers/request.py
+++ b/src/balsamway/targets/request.py
@@ -1,4 +1,4 @@
-"""One attempt of a request, as it is sent to a server."""
+"""One attempt of a request, as it is sent to a target."""
 
 from __future__ import annotations
 
@@ -10,10 +10,10 @@
 
 
 @dataclass(frozen=True, slots=True)
-class ServerRequest:
-    """What a server is told of a request."""
+class TargetRequest:
+    """What a target is told of a request."""
 
-    member: str
+    workspace: str
     service: str
     kind: str
     request_id: str
--- a/src/balsamway/servers/server_answer.py
+++ b/src/balsamway/targets/target_answer.py
@@ -1,4 +1,4 @@
-"""Judges the answer of a server to an attempt."""
+"""Judges the answer of a target to an attempt."""
 
 from __future__ import annotations
 
@@ -7,18 +7,18 @@
 import aiohttp
 
 from balsamway.outcome import Completed, MayHaveRun, NotRun, Reason
-from balsamway.servers import header_names
+from balsamway.targets import header_names
 
 if TYPE_CHECKING:
     from balsamway.outcome import Verdict
-    from balsamway.servers.request import ServerRequest
+    from balsamway.targets.request import TargetRequest
 
 ANSWER_LIMIT_BYTES = 16 * 1024 * 1024
 
 REFUSAL_REASONS = frozenset(
     {
-        Reason.SERVER_SHED,
-        Reason.SERVER_DRAINING,
+        Reason.TARGET_SHED,
+        Reason.TARGET_DRAINING,
         Reason.WRONG_EPOCH,
         Reason.GRANT_LAPSED,
         Reason.DEADLINE_EXCEEDED,
@@ -43,9 +43,9 @@
 
 
 async def judge_answer(
-    response: aiohttp.ClientResponse, request: ServerRequest
+    response: aiohttp.ClientResponse, request: TargetRequest
 ) -> Verdict:
-    """Reads a server's answer whole and gives the verdict on the attempt.
+    """Reads a target's answer whole and gives the verdict on the attempt.
 
     Args:
         response: The answer, of which the head has been received.
@@ -61,7 +61,7 @@
             return await _read_completed(response)
         case "not-run":
             return _judge_refusal(response)
-    return MayHaveRun(Reason.SERVER_ERROR, f"status {response.status}")
+    return MayHaveRun(Reason.TARGET_ERROR, f"status {response.status}")
 
 
 async def _read_completed(response: aiohttp.ClientResponse) -> Verdict:
@@ -69,7 +69,7 @@
     if length is None:
         return MayHaveRun(Reason.ANSWER_TRUNCATED, "the answer has no length")
     if length > ANSWER_LIMIT_BYTES:
-        return MayHaveRun(Reason.SERVER_ERROR, "the answer is too large")
+        return MayHaveRun(Reason.TARGET_ERROR, "the answer is too large")
     try:
         body = await response.read()
     except aiohttp.ClientPayloadError:
@@ -82,7 +82,7 @@
 def _judge_refusal(response: aiohttp.ClientResponse) -> Verdict:
     text = response.headers.get(header_names.REASON, "")
     if text not in REFUSAL_REASONS:
-        return MayHaveRun(Reason.SERVER_ERROR, "the refusal gives no known reason")
+        return MayHaveRun(Reason.TARGET_ERROR, "the refusal gives no known reason")
     return NotRun(Reason(text), retry_after_seconds=_retry_after(response))
 
 
--- a/src/balsamway/servers/transport.py
+++ b/src/balsamway/targets/transport.py
@@ -1,4 +1,4 @@
-"""The interface over which gateways send requests to servers."""
+"""The interface over which gateways send requests to targets."""
 
 from __future__ import annotations
 
@@ -6,18 +6,18 @@
 
 if TYPE_CHECKING:
     from balsamway.outcome import Verdict
-    from balsamway.servers.request import ServerRequest
     from balsamway.store import Host
+    from balsamway.targets.request import TargetRequest
 
 
-class ServerTransport(Protocol):
-    """Carries requests to servers."""
+class TargetTransport(Protocol):
+    """Carries requests to targets."""
 
-    async def send(self, server: Host, request: ServerRequest) -> Verdict:
-        """Sends one attempt; cancelling the call cancels it at the server.
+    async def send(self, target: Host, request: TargetRequest) -> Verdict:
+        """Sends one attempt; cancelling the call cancels it at the target.
 
         Args:
-            server: The server to send to.
+            target: The target to send to.
             request: The attempt, with the time left to its deadline.
 
         Returns:
--- a/tests/balance/conftest.py
+++ b/tests/balance/conftest.py
@@ -51,10 +51,10 @@
 
 
 @pytest.fixture
-def servers():
+def targets():
     def build(count, zones=4, **kwargs):
         return tuple(
-            Candidate(f"server-{index:02}", f"zone-{index % zones}", **kwargs)
+            Candidate(f"target-{index:02}", f"zone-{index % zones}", **kwargs)
             for index in range(count)
         )
 
@@ -62,14 +62,14 @@
 
 
 @pytest.fixture
-def fresh(servers):
+def fresh(targets):
     """Gives a shard without owners."""
 
     def build(count=12, slices=256, load=0.0):
         ranges = even_ranges(slices)
         return PlacementInput(
             tuple(SliceEntry(item, "", 0) for item in ranges),
-            servers(count),
+            targets(count),
             tuple(SliceLoad(item, load) for item in ranges) if load else (),
         )
 
--- a/tests/balance/test_load_estimate.py
+++ b/tests/balance/test_load_estimate.py
@@ -59,7 +59,7 @@
     assert recorder.take(SHARD, 1.0, ranges).ranges == ()
 
 
-def test_a_queue_at_a_server_does_not_make_its_slices_seem_much_heavier():
+def test_a_queue_at_a_target_does_not_make_its_slices_seem_much_heavier():
     recorder = LoadRecorder()
     ranges = even_ranges(4)
     for _ in range(200):
--- a/tests/balance/test_placement_planner.py
+++ b/tests/balance/test_placement_planner.py
@@ -69,7 +69,7 @@
     assert max(counts.values()) - min(counts.values()) <= 1
 
 
-def test_a_server_of_half_the_capacity_gets_half(fresh):
+def test_a_target_of_half_the_capacity_gets_half(fresh):
     state = fresh()
     small = replace(state.candidates[0], capacity=0.5)
     state = replace(state, candidates=(small, *state.candidates[1:]))
@@ -97,7 +97,7 @@
 
 
 @pytest.mark.parametrize("state_of_it", [CandidateState.LEAVING, CandidateState.LOST])
-def test_a_leave_moves_only_what_the_server_had(fresh, state_of_it):
+def test_a_leave_moves_only_what_the_target_had(fresh, state_of_it):
     planner = PlacementPlanner()
     state = settle(planner, fresh(load=0.1), rounds=3)
     gone = state.slices[0].owner
@@ -109,7 +109,7 @@
     assert moved_share(state, after) <= MOVEMENT_BOUND * own / POSITION_END
 
 
-def test_a_lost_server_s_load_falls_on_many(fresh):
+def test_a_lost_target_s_load_falls_on_many(fresh):
     state = settle(PlacementPlanner(), fresh(load=0.1), rounds=3)
     zones = {each.name: each.zone for each in state.candidates}
     heirs = defaultdict(set)
@@ -119,7 +119,7 @@
     assert min(len(found) for found in heirs.values()) >= 8
 
 
-def test_a_warming_server_gets_a_part_until_it_is_live(fresh):
+def test_a_warming_target_gets_a_part_until_it_is_live(fresh):
     planner = PlacementPlanner()
     state = settle(planner, fresh(load=0.1), rounds=3)
     warming = Candidate("new", "zone-0", CandidateState.WARMING)
@@ -131,7 +131,7 @@
     assert loads_of(live)["new"] > 0.9 * fair
 
 
-def test_a_hot_key_is_left_alone_on_its_server(fresh):
+def test_a_hot_key_is_left_alone_on_its_target(fresh):
     planner = PlacementPlanner()
     state = settle(planner, fresh(load=0.01), rounds=3)
     hot = state.slices[17].range.start + 99
@@ -166,13 +166,13 @@
     assert len(after.slices) == 256
 
 
-def test_balance_for_a_member_that_weighs_unavailable_time_moves_less(fresh):
+def test_balance_for_a_workspace_that_weighs_unavailable_time_moves_less(fresh):
     moved = []
     for weights in (Weights(1, 0), Weights(0, 1)):
         planner = PlacementPlanner()
         state = settle(planner, replace(fresh(load=0.1), weights=weights), rounds=3)
         loads = tuple(
-            SliceLoad(each.range, 0.12 if entry.owner == "server-03" else 0.1)
+            SliceLoad(each.range, 0.12 if entry.owner == "target-03" else 0.1)
             for each, entry in zip(state.loads, state.slices, strict=True)
         )
         state = replace(state, loads=loads)
@@ -206,7 +206,7 @@
 
 
 @given(shards())
-def test_any_plan_covers_all_slices_and_uses_only_usable_servers(state):
+def test_any_plan_covers_all_slices_and_uses_only_usable_targets(state):
     plan = PlacementPlanner().plan(state)
     usable = {
         each.name
--- a/tests/fakes/configuration_platform.py
+++ b/tests/fakes/configuration_platform.py
@@ -4,7 +4,7 @@
 
 
 class ConfigurationPlatform:
-    """An HTTP server that answers each request with the next scripted bytes.
+    """An HTTP target that answers each request with the next scripted bytes.
 
     An answer of None holds the request open; after an answer, `closes`
     tells whether the connection ends.
@@ -14,19 +14,19 @@
         self.answers = []
         self.requests = []
         self.closes = False
-        self._server = None
+        self._target = None
         self._writers = []
 
     @property
     def url(self):
-        ip, port = self._server.sockets[0].getsockname()
+        ip, port = self._target.sockets[0].getsockname()
         return f"http://{ip}:{port}"
 
     async def start(self):
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self._target = await asyncio.start_server(self._serve, "127.0.0.1", 0)
 
     async def stop(self):
-        self._server.close()
+        self._target.close()
         for writer in self._writers:
             writer.close()
 
--- a/tests/fakes/configurations.py
+++ b/tests/fakes/configurations.py
@@ -1,19 +1,19 @@
 from __future__ import annotations
 
-from balsamway.configuration import MemberConfiguration
+from balsamway.configuration import WorkspaceConfiguration
 
 
 class FakeConfigurations:
     """Configurations in force, set by the test."""
 
-    def __init__(self, *members: MemberConfiguration) -> None:
-        self.found = {one.member: one for one in members}
+    def __init__(self, *workspaces: WorkspaceConfiguration) -> None:
+        self.found = {one.workspace: one for one in workspaces}
 
-    def member(self, name: str) -> MemberConfiguration | None:
+    def workspace(self, name: str) -> WorkspaceConfiguration | None:
         return self.found.get(name)
 
-    def members(self) -> tuple[MemberConfiguration, ...]:
+    def workspaces(self) -> tuple[WorkspaceConfiguration, ...]:
         return tuple(self.found[name] for name in sorted(self.found))
 
-    def member_of_token(self, token: str) -> MemberConfiguration | None:
+    def workspace_of_token(self, token: str) -> WorkspaceConfiguration | None:
         return None
--- a/tests/fakes/directory.py
+++ b/tests/fakes/directory.py
@@ -3,15 +3,15 @@
 from balsamway.slices import ShardId, Witness
 from balsamway.store import Host, HostRole, HostState
 from tests.fakes.network import FakeNetwork
-from tests.fakes.servers import FakeServers
+from tests.fakes.targets import FakeTargets
 
 
 class FakeHosts:
-    """The entry hosts and servers as every host knows them, without lag."""
+    """The entry hosts and targets as every host knows them, without lag."""
 
-    def __init__(self, network: FakeNetwork, servers: FakeServers) -> None:
+    def __init__(self, network: FakeNetwork, targets: FakeTargets) -> None:
         self.network = network
-        self.servers = servers
+        self.targets = targets
         self.entry: dict[str, Host] = {}
         self.incarnations: dict[str, int] = {}
         self.leaving: set[str] = set()
@@ -37,13 +37,13 @@
         self._hosts = hosts
         self._host = host
 
-    def servers(self, member: str, service: str) -> tuple[Host, ...]:
+    def targets(self, workspace: str, service: str) -> tuple[Host, ...]:
         found = []
-        for server in self._hosts.servers.servers.values():
-            host = server.host
-            if (host.member, host.service) != (member, service):
+        for target in self._hosts.targets.targets.values():
+            host = target.host
+            if (host.workspace, host.service) != (workspace, service):
                 continue
-            leaving = server.name in self._hosts.leaving
+            leaving = target.name in self._hosts.leaving
             state = HostState.LEAVING if leaving else HostState.LIVE
             found.append(
                 Host(
@@ -51,15 +51,15 @@
                     host.role,
                     host.zone,
                     host.address,
-                    member,
+                    workspace,
                     service,
                     state,
                 )
             )
         return tuple(sorted(found, key=lambda host: host.name))
 
-    def server(self, name: str) -> Host | None:
-        found = self._hosts.servers.servers.get(name)
+    def target(self, name: str) -> Host | None:
+        found = self._hosts.targets.targets.get(name)
         return found.host if found else None
 
     def entry_hosts(self) -> tuple[Host, ...]:
@@ -76,5 +76,5 @@
         found = self._hosts.leaders.get(shard)
         return found[1] if found else None
 
-    def mark_leaving(self, server: str) -> None:
-        self._hosts.leaving.add(server)
+    def mark_leaving(self, target: str) -> None:
+        self._hosts.leaving.add(target)
--- a/tests/fakes/entry_host.py
+++ b/tests/fakes/entry_host.py
@@ -28,7 +28,7 @@
             self.me,
             RelayedStore(name, world.store_of(name), peers, directory, rng),
             peers,
-            world.servers.control(name),
+            world.targets.control(name),
             directory,
             world.timing,
             rng,
--- a/tests/fakes/gateway_configurations.py
+++ b/tests/fakes/gateway_configurations.py
@@ -3,10 +3,10 @@
 from dataclasses import dataclass
 
 from balsamway.configuration import (
-    MemberConfiguration,
     RequestKind,
     Service,
     Urgency,
+    WorkspaceConfiguration,
     Zone,
 )
 
@@ -18,21 +18,21 @@
 KINDS = (LOOKUP, ORDER, ARCHIVE)
 PRICES = Service("prices", False, KINDS, 3, 110, 8)
 STOCK = Service("stock", True, KINDS, 3, 110, 12, shards=4)
-LIDS = MemberConfiguration(
+LIDS = WorkspaceConfiguration(
     "lids", 1, "c1", (Zone("a", "r", 3),), (PRICES, STOCK), ("hash",)
 )
 
 
 @dataclass
 class GatewayConfigurations:
-    member_configuration: MemberConfiguration = LIDS
+    workspace_configuration: WorkspaceConfiguration = LIDS
 
-    def member(self, name):
-        found = self.member_configuration
-        return found if found.member == name else None
+    def workspace(self, name):
+        found = self.workspace_configuration
+        return found if found.workspace == name else None
 
-    def members(self):
-        return (self.member_configuration,)
+    def workspaces(self):
+        return (self.workspace_configuration,)
 
-    def member_of_token(self, token):
-        return self.member_configuration if token == TOKEN else None
+    def workspace_of_token(self, token):
+        return self.workspace_configuration if token == TOKEN else None
--- a/tests/fakes/gateway_directory.py
+++ b/tests/fakes/gateway_directory.py
@@ -10,10 +10,10 @@
     hosts: tuple[Host, ...] = ()
     gateways: tuple[str, ...] = ("g1",)
 
-    def servers(self, member, service):
+    def targets(self, workspace, service):
         return self.hosts
 
-    def server(self, name):
+    def target(self, name):
         return next((host for host in self.hosts if host.name == name), None)
 
     def entry_hosts(self):
@@ -27,5 +27,5 @@
     def leader_of(self, shard):
         return None
 
-    def mark_leaving(self, server):
+    def mark_leaving(self, target):
         pass
--- a/tests/fakes/gateway_fleet.py
+++ b/tests/fakes/gateway_fleet.py
@@ -1,4 +1,4 @@
-"""Gateways that share servers of a few slots, without a network."""
+"""Gateways that share targets of a few slots, without a network."""
 
 from __future__ import annotations
 
@@ -11,7 +11,7 @@
 
 from balsamway.gateway import CallerRequest, Gateway, GatewayMetrics
 from balsamway.gateway.connection_budget import ConnectionBudget
-from balsamway.gateway.server_pool import ServerPool
+from balsamway.gateway.target_pool import TargetPool
 from balsamway.outcome import Completed
 from balsamway.store import Host, HostRole
 from tests.fakes.gateway_configurations import LIDS, PRICES, GatewayConfigurations
@@ -24,7 +24,7 @@
 @dataclass
 class GatewayFleet:
     gateways: int = 3
-    servers: int = 3
+    targets: int = 3
     zones: str = "abc"
     transport: GatewaySlots = field(default_factory=GatewaySlots)
     seed: int = 5
@@ -41,25 +41,25 @@
         hosts = tuple(
             Host(
                 f"s{number}",
-                HostRole.SERVER,
+                HostRole.TARGET,
                 self.zones[number % len(self.zones)],
                 f"127.0.0.1:{number + 1}",
                 "lids",
                 "prices",
             )
-            for number in range(self.servers)
+            for number in range(self.targets)
         )
         self.directory = GatewayDirectory(hosts, names)
-        self.members = [self._gateway(name) for name in names]
+        self.workspaces = [self._gateway(name) for name in names]
 
     @property
     def capacity(self) -> float:
-        """Requests a second that the servers can run."""
-        return self.servers * self.transport.slots / self.transport.run_seconds
+        """Requests a second that the targets can run."""
+        return self.targets * self.transport.slots / self.transport.run_seconds
 
     def _gateway(self, name):
         budget = ConnectionBudget(name, self.directory, GatewayConfigurations())
-        pool = ServerPool(self.directory, budget, self.rng)
+        pool = TargetPool(self.directory, budget, self.rng)
         zone = self.zones[int(name[1:]) % len(self.zones)]
         return Gateway(
             pool,
@@ -86,7 +86,7 @@
         loop = asyncio.get_running_loop()
         deadline = loop.time() + kind.timeout_seconds
         request = CallerRequest(LIDS, PRICES, kind, "r", "", deadline, b"")
-        verdict = await self.rng.choice(self.members).handle(request)
+        verdict = await self.rng.choice(self.workspaces).handle(request)
         self.latest = max(self.latest, loop.time() - deadline)
         reason = "completed" if isinstance(verdict, Completed) else verdict.reason
         self.completed_in_time += reason == "completed" and loop.time() <= end
--- a/tests/fakes/gateway_path.py
+++ b/tests/fakes/gateway_path.py
@@ -11,13 +11,13 @@
 
 from balsamway.gateway import CallerListener, Gateway, GatewayLimits, GatewayMetrics
 from balsamway.gateway.connection_budget import ConnectionBudget
-from balsamway.gateway.server_pool import ServerPool
-from balsamway.servers.http_transport import HttpTransport
+from balsamway.gateway.target_pool import TargetPool
+from balsamway.targets.http_transport import HttpTransport
 from tests.fakes.gateway_configurations import TOKEN, GatewayConfigurations
 from tests.fakes.gateway_directory import GatewayDirectory
 from tests.fakes.gateway_recorder import GatewayRecorder
 from tests.fakes.gateway_routes import GatewayRoutes
-from tests.fakes.gateway_server import GatewayServer
+from tests.fakes.gateway_target import GatewayTarget
 
 QUICK_STOP = GatewayLimits(linger_seconds=0.05)
 
@@ -45,12 +45,12 @@
     routes: GatewayRoutes = field(default_factory=GatewayRoutes)
     recorder: GatewayRecorder = field(default_factory=GatewayRecorder)
     registry: CollectorRegistry = field(default_factory=CollectorRegistry)
-    servers: list[GatewayServer] = field(default_factory=list)
+    targets: list[GatewayTarget] = field(default_factory=list)
 
     async def start(self) -> GatewayPath:
         metrics = GatewayMetrics(self.registry)
         self.budget = ConnectionBudget("g1", self.directory, self.configurations)
-        self.pool = ServerPool(self.directory, self.budget, random.Random(2))
+        self.pool = TargetPool(self.directory, self.budget, random.Random(2))
         self.transport = HttpTransport(self.budget.limit, metrics.on_open)
         self.gateway = Gateway(
             self.pool,
@@ -68,18 +68,18 @@
         self.caller = aiohttp.ClientSession()
         return self
 
-    async def add_server(self, **options) -> GatewayServer:
-        server = await GatewayServer(**options).start()
-        self.servers.append(server)
-        self.directory.hosts = (*self.directory.hosts, server.host)
-        return server
+    async def add_target(self, **options) -> GatewayTarget:
+        target = await GatewayTarget(**options).start()
+        self.targets.append(target)
+        self.directory.hosts = (*self.directory.hosts, target.host)
+        return target
 
     async def stop(self) -> None:
         await self.caller.close()
         await self.listener.stop()
         await self.transport.close()
-        for server in self.servers:
-            await server.stop()
+        for target in self.targets:
+            await target.stop()
 
     async def post(self, path="/v1/prices/lookup", body=b"", **headers):
         """Makes one request; `Balsamway_Key` stands for `Balsamway-Key`."""
--- a/tests/fakes/gateway_slots.py
+++ b/tests/fakes/gateway_slots.py
@@ -1,4 +1,4 @@
-"""A transport to servers of a few slots, without a network."""
+"""A transport to targets of a few slots, without a network."""
 
 from __future__ import annotations
 
@@ -11,7 +11,7 @@
 
 @dataclass
 class GatewaySlots:
-    """Servers that run so many requests, queue a few, and shed the others."""
+    """Targets that run so many requests, queue a few, and shed the others."""
 
     slots: int = 3
     queue_limit: int = 6
@@ -27,10 +27,10 @@
     def __post_init__(self):
         self.semaphores = defaultdict(lambda: asyncio.Semaphore(self.slots))
 
-    async def send(self, server, request):
+    async def send(self, target, request):
         try:
             async with asyncio.timeout(request.timeout_seconds):
-                return await self._run(server.name, request)
+                return await self._run(target.name, request)
         except TimeoutError:
             return MayHaveRun(Reason.DEADLINE_EXCEEDED)
 
@@ -39,7 +39,7 @@
             await asyncio.sleep(3600)
         if self.inside[name] >= self.slots + self.queue_limit:
             self.shed += 1
-            return NotRun(Reason.SERVER_SHED)
+            return NotRun(Reason.TARGET_SHED)
         self.inside[name] += 1
         try:
             async with self.semaphores[name]:
--- a/tests/fakes/gateway_server.py
+++ b/tests/fakes/gateway_target.py
@@ -1,4 +1,4 @@
-"""A server that does to each request what a test told it to."""
+"""A target that does to each request what a test told it to."""
 
 from __future__ import annotations
 
@@ -9,14 +9,14 @@
 
 from aiohttp import web
 
-from balsamway.servers import header_names
 from balsamway.store import Host, HostRole
+from balsamway.targets import header_names
 
-Behaviour = Callable[["GatewayServer", web.Request], Awaitable[web.StreamResponse]]
+Behaviour = Callable[["GatewayTarget", web.Request], Awaitable[web.StreamResponse]]
 
 
 @dataclass
-class GatewayServer:
+class GatewayTarget:
     """Runs requests, or fails them in the way that comes next."""
 
     name: str = "s1"
@@ -38,7 +38,7 @@
     address: str = ""
     runner: web.AppRunner | None = None
 
-    async def start(self) -> GatewayServer:
+    async def start(self) -> GatewayTarget:
         app = web.Application(client_max_size=2**24)
         app.router.add_post("/requests/{service}/{kind}", self.on_request)
         app.router.add_delete("/requests/{request_id}", self.on_cancel)
@@ -56,7 +56,7 @@
     @property
     def host(self) -> Host:
         return Host(
-            self.name, HostRole.SERVER, self.zone, self.address, "lids", self.service
+            self.name, HostRole.TARGET, self.zone, self.address, "lids", self.service
         )
 
     async def on_request(self, request: web.Request) -> web.StreamResponse:
@@ -88,22 +88,22 @@
     }
 
 
-async def run(server: GatewayServer, request: web.Request) -> web.Response:
+async def run(target: GatewayTarget, request: web.Request) -> web.Response:
     body = await request.read()
-    server.ran.append(request.headers[header_names.REQUEST_ID])
+    target.ran.append(request.headers[header_names.REQUEST_ID])
     return web.Response(body=b"ran " + body, headers=answer(request))
 
 
 def run_for(seconds: float) -> Behaviour:
-    async def behaviour(server: GatewayServer, request: web.Request) -> web.Response:
+    async def behaviour(target: GatewayTarget, request: web.Request) -> web.Response:
         await asyncio.sleep(seconds)
-        return await run(server, request)
+        return await run(target, request)
 
     return behaviour
 
 
 def refuse(reason: str) -> Behaviour:
-    async def behaviour(server: GatewayServer, request: web.Request) -> web.Response:
+    async def behaviour(target: GatewayTarget, request: web.Request) -> web.Response:
         headers = answer(request, "not-run")
         headers[header_names.REASON] = reason
         return web.Response(status=503, headers=headers)
@@ -111,17 +111,17 @@
     return behaviour
 
 
-async def run_and_lose(server: GatewayServer, request: web.Request) -> web.Response:
-    await run(server, request)
+async def run_and_lose(target: GatewayTarget, request: web.Request) -> web.Response:
+    await run(target, request)
     request.transport.abort()
     await asyncio.sleep(3600)
     raise AssertionError
 
 
 async def run_and_cut(
-    server: GatewayServer, request: web.Request
+    target: GatewayTarget, request: web.Request
 ) -> web.StreamResponse:
-    await run(server, request)
+    await run(target, request)
     response = web.StreamResponse(headers=answer(request))
     response.content_length = 100
     await response.prepare(request)
@@ -130,22 +130,22 @@
     return response
 
 
-async def run_and_swap(server: GatewayServer, request: web.Request) -> web.Response:
-    response = await run(server, request)
+async def run_and_swap(target: GatewayTarget, request: web.Request) -> web.Response:
+    response = await run(target, request)
     response.headers[header_names.REQUEST_ID] = "another"
     return response
 
 
-async def run_and_close(server: GatewayServer, request: web.Request) -> web.Response:
+async def run_and_close(target: GatewayTarget, request: web.Request) -> web.Response:
     """Answers in a way that keeps the connection, then closes it."""
-    response = await run(server, request)
+    response = await run(target, request)
     asyncio.get_running_loop().call_soon(request.transport.close)
     return response
 
 
 async def run_without_verdict(
-    server: GatewayServer, request: web.Request
+    target: GatewayTarget, request: web.Request
 ) -> web.Response:
-    response = await run(server, request)
+    response = await run(target, request)
     del response.headers[header_names.VERDICT]
     return response
--- a/tests/fakes/ownership_interval.py
+++ b/tests/fakes/ownership_interval.py
@@ -7,9 +7,9 @@
 
 @dataclass(frozen=True, slots=True)
 class OwnershipInterval:
-    """A server held a range from `start` to `end`, by the loop's clock."""
+    """A target held a range from `start` to `end`, by the loop's clock."""
 
-    server: str
+    target: str
     shard: ShardId
     range: KeyRange
     epoch: int
@@ -20,7 +20,7 @@
 def overlaps(
     intervals: list[OwnershipInterval],
 ) -> list[tuple[OwnershipInterval, OwnershipInterval]]:
-    """Finds pairs where two servers held a position at the same time."""
+    """Finds pairs where two targets held a position at the same time."""
     found = []
     ordered = sorted(intervals, key=lambda one: one.start)
     for number, one in enumerate(ordered):
@@ -28,7 +28,7 @@
             if two.start >= one.end:
                 break
             if (
-                one.server != two.server
+                one.target != two.target
                 and one.shard == two.shard
                 and one.range.overlaps(two.range)
                 and two.end > two.start
--- a/tests/fakes/step.py
+++ b/tests/fakes/step.py
@@ -9,11 +9,11 @@
     """One call on a fake: where a fault can be injected."""
 
     interface: str
-    """`store`, `peers` or `servers`."""
+    """`store`, `peers` or `targets`."""
     operation: str
     """The method, or the class name of the message for `peers`."""
     source: str
-    target: str
-    """The object, the host or the server called."""
+    subject: str
+    """The object, the host or the target called."""
     detail: Any = None
     """The message, order or body."""
--- a/tests/fakes/server.py
+++ b/tests/fakes/target.py
@@ -3,16 +3,16 @@
 import asyncio
 from dataclasses import dataclass, replace
 
-from balsamway.servers.orders import (
+from balsamway.slices import ShardId
+from balsamway.store import Host, HostRole
+from balsamway.targets.orders import (
     GrantedRange,
     GrantOrder,
     OrderRefused,
     ReleaseOrder,
-    ServerState,
     SurveyOrder,
+    TargetState,
 )
-from balsamway.slices import ShardId
-from balsamway.store import Host, HostRole
 from tests.fakes.ownership_interval import OwnershipInterval
 
 
@@ -24,11 +24,11 @@
     valid_until: float = 0.0
 
 
-class FakeServer:
-    """A server with grants, its own clock, and a journal of what it owned.
+class FakeTarget:
+    """A target with grants, its own clock, and a journal of what it owned.
 
     Args:
-        name: The server's name.
+        name: The target's name.
         zone: Its availability zone.
         checks: Whether it refuses orders of older epochs.
         clock_offset: What its clock shows when the loop's shows zero.
@@ -44,10 +44,10 @@
         clock_offset: float = 0.0,
         clock_rate: float = 1.0,
         drain_seconds: float = 0.002,
-        member: str = "m",
+        workspace: str = "m",
         service: str = "s",
     ) -> None:
-        self.host = Host(name, HostRole.SERVER, zone, f"{name}:1", member, service)
+        self.host = Host(name, HostRole.TARGET, zone, f"{name}:1", workspace, service)
         self.checks = checks
         self.clock_offset = clock_offset
         self.clock_rate = clock_rate
@@ -104,7 +104,7 @@
         still = [replace(one, end=min(one.end, now)) for one in self._open]
         return self.closed + [one for one in still if one.end > one.start]
 
-    def survey(self, order: SurveyOrder) -> ServerState | OrderRefused:
+    def survey(self, order: SurveyOrder) -> TargetState | OrderRefused:
         holding = self._held.setdefault(order.shard, _Holding())
         if self.checks and order.leader_epoch < holding.leader_epoch:
             return self._refused(holding)
@@ -113,7 +113,7 @@
             holding.generation = 0
         return self._state(order.shard)
 
-    def grant(self, order: GrantOrder) -> ServerState | OrderRefused:
+    def grant(self, order: GrantOrder) -> TargetState | OrderRefused:
         holding = self._held.setdefault(order.shard, _Holding())
         if not self._accepts(holding, order.leader_epoch, order.generation):
             return self._refused(holding)
@@ -123,7 +123,7 @@
         self._reopen(order.shard)
         return self._state(order.shard)
 
-    async def release(self, order: ReleaseOrder) -> ServerState | OrderRefused:
+    async def release(self, order: ReleaseOrder) -> TargetState | OrderRefused:
         holding = self._held.setdefault(order.shard, _Holding())
         if not self._accepts(holding, order.leader_epoch, order.generation):
             return self._refused(holding)
@@ -150,9 +150,9 @@
         self.refusals += 1
         return OrderRefused(holding.leader_epoch, self.clock)
 
-    def _state(self, shard: ShardId) -> ServerState:
+    def _state(self, shard: ShardId) -> TargetState:
         holding = self._held[shard]
-        return ServerState(
+        return TargetState(
             self.clock,
             self.checks,
             holding.ranges,
--- a/tests/fakes/world.py
+++ b/tests/fakes/world.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from typing import Self
 
-from balsamway.configuration import MemberConfiguration, Service, Zone
+from balsamway.configuration import Service, WorkspaceConfiguration, Zone
 from balsamway.ownership.shard_leader import ShardLeader
 from balsamway.settings import Timing
 from balsamway.slices import ShardId, ShardRecord
@@ -16,27 +16,27 @@
 from tests.fakes.faults import Faults
 from tests.fakes.network import FakeNetwork
 from tests.fakes.ownership_interval import overlaps
-from tests.fakes.server import FakeServer
-from tests.fakes.servers import FakeServers
 from tests.fakes.store import FakeStore
+from tests.fakes.target import FakeTarget
+from tests.fakes.targets import FakeTargets
 
 SHARD = ShardId("m", "s", 0)
 
 
 class World:
-    """Entry hosts and servers of one member over the fakes.
+    """Entry hosts and targets of one workspace over the fakes.
 
     Args:
         hosts: How many entry hosts, over three availability zones.
-        servers: How many servers; a server's clock runs at its own rate.
-        checks: Whether the servers check who gives them an order.
+        targets: How many targets; a target's clock runs at its own rate.
+        checks: Whether the targets check who gives them an order.
         slices: How many slices the only shard starts with.
     """
 
     def __init__(
         self,
         hosts: int = 5,
-        servers: int = 4,
+        targets: int = 4,
         checks: bool = True,
         slices: int = 8,
         seed: int = 1,
@@ -47,19 +47,19 @@
         self.faults = Faults()
         self.store = FakeStore(self.faults)
         self.network = FakeNetwork(self.faults)
-        self.servers = FakeServers(self.faults)
-        self.hosts = FakeHosts(self.network, self.servers)
-        service = Service("s", True, (), 3, 50, servers, slices=slices)
+        self.targets = FakeTargets(self.faults)
+        self.hosts = FakeHosts(self.network, self.targets)
+        service = Service("s", True, (), 3, 50, targets, slices=slices)
         zones = tuple(Zone(f"z{number}", "r", 3) for number in range(3))
-        member = MemberConfiguration("m", 1, "", zones, (service,), ())
-        self.configurations = FakeConfigurations(member)
+        workspace = WorkspaceConfiguration("m", 1, "", zones, (service,), ())
+        self.configurations = FakeConfigurations(workspace)
         self.entry: dict[str, EntryHost] = {}
         self._incarnation = 100
         self._names = [f"h{number}" for number in range(hosts)]
         rates = (1.0, 1.005, 0.995)
-        for number in range(servers):
-            self.servers.add(
-                FakeServer(
+        for number in range(targets):
+            self.targets.add(
+                FakeTarget(
                     f"s{number}",
                     f"z{number % 3}",
                     checks,
@@ -95,7 +95,7 @@
         zone = f"z{int(name[1:]) % 3}"
         self.hosts.add(name, zone, self._incarnation)
         self.network.down.discard(name)
-        self.servers.down_hosts.discard(name)
+        self.targets.down_hosts.discard(name)
         self.store.cut_hosts.discard(name)
         host = EntryHost(self, name, self._incarnation)
         self.entry[name] = host
@@ -110,12 +110,12 @@
     def isolate(self, name: str) -> None:
         """The host runs on, but reaches nothing and is reached by nothing."""
         self.network.down.add(name)
-        self.servers.down_hosts.add(name)
+        self.targets.down_hosts.add(name)
         self.store.cut_hosts.add(name)
 
     def rejoin(self, name: str) -> None:
         self.network.down.discard(name)
-        self.servers.down_hosts.discard(name)
+        self.targets.down_hosts.discard(name)
         self.store.cut_hosts.discard(name)
 
     @property
@@ -141,20 +141,20 @@
         return leader.context.cluster.me.host
 
     def owners(self, position: int) -> list[str]:
-        """The servers that hold a position now: never more than one."""
+        """The targets that hold a position now: never more than one."""
         return [
-            server.name
-            for server in self.servers.servers.values()
-            if server.owns(SHARD, position)
+            target.name
+            for target in self.targets.targets.values()
+            if target.owns(SHARD, position)
         ]
 
     def unowned(self) -> list[int]:
-        """The starts of the slices that no server holds now."""
+        """The starts of the slices that no target holds now."""
         starts = [entry.range.start for entry in self.record.slices]
         return [start for start in starts if not self.owners(start)]
 
     def overlaps(self) -> list[object]:
-        return list(overlaps(self.servers.intervals()))
+        return list(overlaps(self.targets.intervals()))
 
     async def until(
         self, condition: Callable[[], bool], timeout_seconds: float = 10.0
@@ -168,7 +168,7 @@
         return loop.time() - started
 
     async def until_served(self, timeout_seconds: float = 10.0) -> float:
-        """Waits until every slice is held by a server."""
+        """Waits until every slice is held by a target."""
         return await self.until(
             lambda: SHARD.object_name in self.store.objects and not self.unowned(),
             timeout_seconds,
--- a/tests/gateway/test_connections.py
+++ b/tests/gateway/test_connections.py
@@ -13,7 +13,7 @@
 from balsamway.gateway.retry_budget import TOKENS_AT_MOST, RetryBudget
 from balsamway.gateway.subset import equal_share, is_in_subset
 from balsamway.store import Host, HostRole
-from tests.fakes import gateway_server as fake
+from tests.fakes import gateway_target as fake
 from tests.fakes.gateway_configurations import LIDS, PRICES, GatewayConfigurations
 from tests.fakes.gateway_directory import GatewayDirectory
 from tests.fakes.gateway_path import GatewayPath
@@ -34,7 +34,7 @@
 
 
 @given(services, st.integers(0, 60))
-def test_a_server_never_gets_more_connections_than_it_accepts(service, count):
+def test_a_target_never_gets_more_connections_than_it_accepts(service, count):
     gateways = [f"g{number}" for number in range(min(count, service.gateways_at_most))]
     share = equal_share(service)
     total = share * len(gateways)
@@ -48,7 +48,7 @@
     service = replace(PRICES, connections=3, gateways_at_most=16)
     configurations = GatewayConfigurations(replace(LIDS, services=(service,)))
     directory = GatewayDirectory()
-    host = fake.GatewayServer(address="127.0.0.1:1").host
+    host = fake.GatewayTarget(address="127.0.0.1:1").host
     budget = ConnectionBudget("g1", directory, configurations)
     assert budget.limit(host) == 0
     await asyncio.sleep(SETTLE_SECONDS)
@@ -62,32 +62,32 @@
     service = replace(PRICES, connections=50)
     configurations = GatewayConfigurations(replace(LIDS, services=(service,)))
     path = await GatewayPath(configurations=configurations).start()
-    server = await path.add_server(otherwise=fake.run_for(0.01))
+    target = await path.add_target(otherwise=fake.run_for(0.01))
     for _ in range(3):
         answers = await asyncio.gather(
             *(path.post("/v1/prices/order") for _ in range(20))
         )
         assert {answer.verdict for answer in answers} == {"completed"}
-    assert 1 <= len(server.connections) <= equal_share(service) == 3
+    assert 1 <= len(target.connections) <= equal_share(service) == 3
     opened = path.registry.get_sample_value("balsamway_connections_opened_total")
-    assert opened == len(server.connections)
+    assert opened == len(target.connections)
     await path.stop()
 
 
 @pytest.mark.looptime
 async def test_the_first_request_finds_a_warm_connection(path):
-    server = await path.add_server()
+    target = await path.add_target()
     warmer = ConnectionWarmer(
         path.directory, path.configurations, path.transport, path.budget
     )
     async with warmer:
         await asyncio.sleep(0.5)
-        assert len(server.connections) == 1
+        assert len(target.connections) == 1
         answer = await path.post("/v1/prices/order")
         await asyncio.sleep(50.0)
     assert answer.verdict == "completed"
     opened = path.registry.get_sample_value("balsamway_connections_opened_total")
-    assert opened == len(server.connections) == 1
+    assert opened == len(target.connections) == 1
 
 
 @pytest.mark.looptime
@@ -105,13 +105,13 @@
     assert budget.tokens <= TOKENS_AT_MOST
 
 
-def test_a_gateway_outside_the_zones_of_a_member_has_no_share():
+def test_a_gateway_outside_the_zones_of_a_workspace_has_no_share():
     directory = GatewayDirectory()
     directory.gateways = ("g1",)
     here = ConnectionBudget("g1", directory, GatewayConfigurations(LIDS))
     zones = (Zone("elsewhere", "r", 3),)
     elsewhere = GatewayConfigurations(replace(LIDS, zones=zones))
     away = ConnectionBudget("g1", directory, elsewhere)
-    server = Host("s1", HostRole.SERVER, "a", "127.0.0.1:1", "lids", "prices")
-    assert here.limit(server) == equal_share(PRICES)
-    assert away.limit(server) == 0
+    target = Host("s1", HostRole.TARGET, "a", "127.0.0.1:1", "lids", "prices")
+    assert here.limit(target) == equal_share(PRICES)
+    assert away.limit(target) == 0
--- a/tests/gateway/test_exclusive_path.py
+++ b/tests/gateway/test_exclusive_path.py
@@ -6,7 +6,7 @@
 
 from balsamway.outcome import Reason
 from balsamway.ownership.route import NoRoute
-from tests.fakes import gateway_server as fake
+from tests.fakes import gateway_target as fake
 
 pytestmark = pytest.mark.looptime
 
@@ -16,12 +16,12 @@
 
 @pytest.fixture
 async def owners(path):
-    first = await path.add_server(name="s1", service="stock")
-    second = await path.add_server(name="s2", service="stock")
+    first = await path.add_target(name="s1", service="stock")
+    second = await path.add_target(name="s2", service="stock")
     return first, second
 
 
-@pytest.mark.parametrize("reason", ["wrong-epoch", "grant-lapsed", "server-draining"])
+@pytest.mark.parametrize("reason", ["wrong-epoch", "grant-lapsed", "target-draining"])
 async def test_a_refused_route_is_found_anew(path, owners, reason):
     first, second = owners
     first.behaviours.append(fake.refuse(reason))
@@ -106,7 +106,7 @@
     answer = asyncio.create_task(path.post(ORDER, Balsamway_Key="k"))
     await asyncio.sleep(0.2)
     assert not answer.done()
-    await path.add_server(name="s3", service="stock")
+    await path.add_target(name="s3", service="stock")
     assert (await answer).verdict == "completed"
 
 
--- a/tests/gateway/test_listener_limits.py
+++ b/tests/gateway/test_listener_limits.py
@@ -6,7 +6,7 @@
 import pytest
 
 from balsamway.gateway import GatewayLimits
-from tests.fakes import gateway_server as fake
+from tests.fakes import gateway_target as fake
 from tests.fakes.gateway_path import GatewayPath
 
 pytestmark = pytest.mark.looptime
@@ -16,8 +16,8 @@
 
 
 @pytest.fixture
-async def server(path):
-    return await path.add_server()
+async def target(path):
+    return await path.add_target()
 
 
 @pytest.mark.parametrize(
@@ -46,7 +46,7 @@
     ],
 )
 async def test_bad_input_is_refused_as_not_run(
-    path, server, url, headers, status, reason
+    path, target, url, headers, status, reason
 ):
     answer = await path.post(url, b"x", **headers)
     assert (answer.status, answer.verdict, answer.reason) == (
@@ -57,11 +57,11 @@
     told = json.loads(answer.body)
     assert (told["verdict"], told["reason"]) == ("not-run", reason)
     assert told["request_id"] == answer.headers["Balsamway-Request-Id"]
-    assert server.received == []
+    assert target.received == []
     assert (await path.post(ORDER)).verdict == "completed"
 
 
-async def test_another_method_is_refused(path, server):
+async def test_another_method_is_refused(path, target):
     async with path.caller.get(f"http://{path.listener.address}{ORDER}") as response:
         assert response.status == 400
         assert response.headers["Balsamway-Verdict"] == "not-run"
@@ -79,7 +79,7 @@
         HEAD + "\r\nContent-Encoding: gzip\r\nContent-Length: 3\r\n\r\nabc",
     ],
 )
-async def test_malformed_http_is_refused_as_not_run(path, server, text):
+async def test_malformed_http_is_refused_as_not_run(path, target, text):
     reader, writer = await asyncio.open_connection(
         *path.listener.address.rsplit(":", 1)
     )
@@ -88,22 +88,22 @@
     writer.close()
     assert head.startswith(b"HTTP/1.1 400") or head.startswith(b"HTTP/1.0 400")
     assert b"Balsamway-Verdict: not-run" in head
-    assert server.received == []
+    assert target.received == []
 
 
 @pytest.mark.parametrize("chunked", [False, True])
-async def test_a_body_beyond_the_limit_of_its_kind_is_refused(path, server, chunked):
+async def test_a_body_beyond_the_limit_of_its_kind_is_refused(path, target, chunked):
     async def chunks():
         for _ in range(11):
             yield b"x" * 100
 
     answer = await path.post(ORDER, chunks() if chunked else b"x" * 1100)
     assert (answer.status, answer.reason) == (413, "body-too-large")
-    assert server.received == []
+    assert target.received == []
     assert (await path.post(ORDER, b"x" * 1000)).verdict == "completed"
 
 
-async def test_a_body_that_never_ends_is_refused_at_the_deadline(path, server):
+async def test_a_body_that_never_ends_is_refused_at_the_deadline(path, target):
     reader, writer = await asyncio.open_connection(
         *path.listener.address.rsplit(":", 1)
     )
@@ -112,19 +112,19 @@
     writer.close()
     assert b" 504 " in head.splitlines()[0]
     assert b"Balsamway-Verdict: not-run" in head
-    assert server.received == []
+    assert target.received == []
 
 
 @pytest.mark.parametrize(
     ("limits", "status", "reason"),
     [
-        (GatewayLimits(requests_per_member=2), 429, "too-many-requests"),
+        (GatewayLimits(requests_per_workspace=2), 429, "too-many-requests"),
         (GatewayLimits(requests=2), 503, "overloaded"),
     ],
 )
 async def test_too_many_requests_are_refused(limits, status, reason):
     path = await GatewayPath(limits=limits).start()
-    server = await path.add_server(otherwise=fake.run_for(0.5))
+    target = await path.add_target(otherwise=fake.run_for(0.5))
     accepted = [asyncio.create_task(path.post(ORDER)) for _ in range(2)]
     await asyncio.sleep(0.1)
     answer = await path.post(ORDER)
@@ -137,12 +137,12 @@
     assert all(
         answer.verdict == "completed" for answer in await asyncio.gather(*accepted)
     )
-    assert len(server.ran) == 2
+    assert len(target.ran) == 2
     await path.stop()
 
 
-async def test_a_stopping_gateway_finishes_what_it_took_and_takes_no_more(path, server):
-    server.behaviours.append(fake.run_for(0.8))
+async def test_a_stopping_gateway_finishes_what_it_took_and_takes_no_more(path, target):
+    target.behaviours.append(fake.run_for(0.8))
     taken = asyncio.create_task(path.post(ORDER, b"x"))
     reader, writer = await asyncio.open_connection(
         *path.listener.address.rsplit(":", 1)
--- a/tests/gateway/test_overload.py
+++ b/tests/gateway/test_overload.py
@@ -9,7 +9,7 @@
 from balsamway.gateway.admission import Admission
 from balsamway.gateway.attempt import Attempt
 from balsamway.gateway.owner_group import OwnerGroup
-from balsamway.gateway.server_state import ServerState
+from balsamway.gateway.target_state import TargetState
 from balsamway.outcome import Completed, MayHaveRun, NotRun, Reason
 from balsamway.store import HostState
 from tests.fakes.gateway_configurations import ARCHIVE, LIDS, LOOKUP, ORDER, PRICES
@@ -49,8 +49,8 @@
     assert {reason for _, reason in fleet.verdicts} == {"completed"}
 
 
-async def test_a_frozen_server_is_left_out_of_a_service():
-    fleet = GatewayFleet(gateways=3, servers=6)
+async def test_a_frozen_target_is_left_out_of_a_service():
+    fleet = GatewayFleet(gateways=3, targets=6)
     fleet.transport.frozen.add("s0")
     await fleet.offer(fleet.capacity * 0.3, 2.0, {LOOKUP: 1})
     fleet.verdicts.clear()
@@ -58,8 +58,8 @@
     assert refused_share(fleet, LOOKUP) <= 0.01
 
 
-async def test_a_leaving_server_gets_nothing_new():
-    fleet = GatewayFleet(gateways=3, servers=3)
+async def test_a_leaving_target_gets_nothing_new():
+    fleet = GatewayFleet(gateways=3, targets=3)
     await fleet.offer(100, 0.5, SHARES)
     first, *others = fleet.directory.hosts
     fleet.directory.hosts = (replace(first, state=HostState.LEAVING), *others)
@@ -70,8 +70,8 @@
     assert {reason for _, reason in fleet.verdicts} == {"completed"}
 
 
-async def test_a_server_that_joins_is_given_its_share_little_by_little():
-    fleet = GatewayFleet(gateways=1, servers=4, zones="a")
+async def test_a_target_that_joins_is_given_its_share_little_by_little():
+    fleet = GatewayFleet(gateways=1, targets=4, zones="a")
     *old, new = fleet.directory.hosts
     fleet.directory.hosts = tuple(old)
     await fleet.offer(400, 0.5, SHARES)
@@ -87,8 +87,8 @@
 
 @pytest.fixture
 def state(rng):
-    host = GatewayFleet(gateways=1, servers=1).directory.hosts[0]
-    return ServerState(host, 1, 0.0, rng)
+    host = GatewayFleet(gateways=1, targets=1).directory.hosts[0]
+    return TargetState(host, 1, 0.0, rng)
 
 
 def attempt_of(kind, seconds=1.0):
@@ -144,15 +144,15 @@
     assert (state.in_flight, admission.waiting) == (0, 0)
 
 
-async def test_failing_servers_are_ejected_but_never_more_than_a_third():
-    fleet = GatewayFleet(gateways=1, servers=7, zones="a")
-    gateway = fleet.members[0]
+async def test_failing_targets_are_ejected_but_never_more_than_a_third():
+    fleet = GatewayFleet(gateways=1, targets=7, zones="a")
+    gateway = fleet.workspaces[0]
     fleet.transport.frozen.update(host.name for host in fleet.directory.hosts)
     await fleet.offer(100, 4.0, {ORDER: 1})
     now = asyncio.get_running_loop().time()
-    servers = gateway.dump()["servers"]
-    assert sum(server["ejected_until"] > now for server in servers) <= 7 // 3
-    assert any(server["ejected_until"] > 0 for server in servers)
+    targets = gateway.dump()["targets"]
+    assert sum(target["ejected_until"] > now for target in targets) <= 7 // 3
+    assert any(target["ejected_until"] > 0 for target in targets)
     fleet.transport.frozen.clear()
     await asyncio.sleep(2.0)
     fleet.verdicts.clear()
@@ -160,7 +160,7 @@
     assert {reason for _, reason in fleet.verdicts} == {"completed"}
 
 
-async def test_a_request_that_may_have_run_counts_against_its_server(state):
+async def test_a_request_that_may_have_run_counts_against_its_target(state):
     for _ in range(3):
         state.observe(MayHaveRun(Reason.CONNECTION_LOST), 0.1)
     assert state.is_failing
--- a/tests/gateway/test_request_outcome.py
+++ b/tests/gateway/test_request_outcome.py
@@ -19,7 +19,7 @@
 from tests.fakes.gateway_script import DONE, ScriptedPath, Step, refused, uncertain
 
 DEADLINE = 10.0
-RETRIED = (Reason.SERVER_SHED, Reason.WRONG_EPOCH, Reason.CONNECT_FAILED)
+RETRIED = (Reason.TARGET_SHED, Reason.WRONG_EPOCH, Reason.CONNECT_FAILED)
 FINAL = (Reason.OVERLOADED, Reason.NO_OWNER, Reason.DEADLINE_EXCEEDED)
 
 durations = st.sampled_from([0.0, 0.01, 0.3])
--- a/tests/gateway/test_verdicts.py
+++ b/tests/gateway/test_verdicts.py
@@ -7,7 +7,7 @@
 import pytest
 
 from balsamway.store import Host, HostRole
-from tests.fakes import gateway_server as fake
+from tests.fakes import gateway_target as fake
 
 pytestmark = pytest.mark.looptime
 
@@ -21,20 +21,20 @@
         (fake.run_and_lose, "connection-lost"),
         (fake.run_and_cut, "answer-truncated"),
         (fake.run_and_swap, "answer-mismatched"),
-        (fake.run_without_verdict, "server-error"),
-        (fake.refuse("no-such-reason"), "server-error"),
+        (fake.run_without_verdict, "target-error"),
+        (fake.refuse("no-such-reason"), "target-error"),
     ],
 )
 async def test_what_may_have_run_is_not_repeated(path, behaviour, reason):
-    server = await path.add_server()
-    server.behaviours.append(behaviour)
+    target = await path.add_target()
+    target.behaviours.append(behaviour)
     answer = await path.post(ORDER, Balsamway_Request_Id="r1")
     assert (answer.status, answer.verdict, answer.reason) == (
         502,
         "may-have-run",
         reason,
     )
-    assert server.received == ["r1"]
+    assert target.received == ["r1"]
 
 
 @pytest.mark.parametrize(
@@ -47,25 +47,25 @@
     ],
 )
 async def test_an_idempotent_request_is_tried_again(path, behaviour):
-    server = await path.add_server()
-    server.behaviours.append(behaviour)
+    target = await path.add_target()
+    target.behaviours.append(behaviour)
     answer = await path.post(LOOKUP, b"x", Balsamway_Request_Id="r1")
     assert (answer.verdict, answer.body) == ("completed", b"ran x")
-    assert server.received == ["r1", "r1"]
+    assert target.received == ["r1", "r1"]
 
 
-@pytest.mark.parametrize("reason", ["server-shed", "server-draining", "wrong-epoch"])
+@pytest.mark.parametrize("reason", ["target-shed", "target-draining", "wrong-epoch"])
 async def test_a_refusal_as_not_run_is_followed_by_a_second_attempt(path, reason):
-    server = await path.add_server()
-    server.behaviours.append(fake.refuse(reason))
+    target = await path.add_target()
+    target.behaviours.append(fake.refuse(reason))
     answer = await path.post(ORDER, Balsamway_Request_Id="r1")
     assert answer.verdict == "completed"
-    assert server.ran == ["r1"]
+    assert target.ran == ["r1"]
 
 
-async def test_a_server_that_cannot_be_reached_did_not_run_the_request(path):
+async def test_a_target_that_cannot_be_reached_did_not_run_the_request(path):
     path.directory.hosts = (
-        Host("s1", HostRole.SERVER, "a", "127.0.0.1:1", "lids", "prices"),
+        Host("s1", HostRole.TARGET, "a", "127.0.0.1:1", "lids", "prices"),
     )
     answer = await path.post(ORDER)
     assert (answer.status, answer.verdict, answer.reason) == (
@@ -76,93 +76,93 @@
 
 
 async def test_a_late_answer_is_not_delivered(path):
-    server = await path.add_server()
-    server.behaviours.append(fake.run_for(5.0))
+    target = await path.add_target()
+    target.behaviours.append(fake.run_for(5.0))
     answer = await path.post(ORDER, Balsamway_Timeout_Ms="200")
     assert (answer.status, answer.verdict, answer.reason) == (
         504,
         "may-have-run",
         "deadline-exceeded",
     )
-    assert len(server.cancelled) == 1
+    assert len(target.cancelled) == 1
     following = await path.post(ORDER, b"next")
     assert following.body == b"ran next"
 
 
 async def test_a_cancellation_that_came_before_the_run_makes_it_not_run(path):
-    server = await path.add_server(cancel_outcome="not-run")
-    server.behaviours.append(fake.run_for(5.0))
+    target = await path.add_target(cancel_outcome="not-run")
+    target.behaviours.append(fake.run_for(5.0))
     answer = await path.post(ORDER, Balsamway_Timeout_Ms="200")
     assert (answer.status, answer.verdict) == (504, "not-run")
-    assert server.ran == []
+    assert target.ran == []
 
 
 async def test_a_cancellation_of_an_earlier_attempt_tells_nothing(path):
-    server = await path.add_server(
+    target = await path.add_target(
         cancel_outcome="not-run", cancelled_attempt="an-earlier-one"
     )
-    server.behaviours.append(fake.refuse("server-shed"))
-    server.behaviours.append(fake.run_for(5.0))
+    target.behaviours.append(fake.refuse("target-shed"))
+    target.behaviours.append(fake.run_for(5.0))
     answer = await path.post(ORDER, Balsamway_Timeout_Ms="200")
     assert (answer.status, answer.verdict) == (504, "may-have-run")
-    first, second = (seen["Balsamway-Attempt"] for seen in server.seen)
+    first, second = (seen["Balsamway-Attempt"] for seen in target.seen)
     assert first != second
 
 
-async def test_the_server_is_told_the_time_left(path):
-    server = await path.add_server()
+async def test_the_target_is_told_the_time_left(path):
+    target = await path.add_target()
     await path.post(ORDER, Balsamway_Timeout_Ms="200")
     await path.post(ORDER, Balsamway_Timeout_Ms="60000")
-    first, second = (int(seen["Balsamway-Timeout-Ms"]) for seen in server.seen)
+    first, second = (int(seen["Balsamway-Timeout-Ms"]) for seen in target.seen)
     assert 0 < first <= 200
     assert 200 < second <= 1000
 
 
-async def test_a_caller_that_leaves_cancels_the_request_at_the_server(path):
-    server = await path.add_server()
-    server.behaviours.append(fake.run_for(0.9))
+async def test_a_caller_that_leaves_cancels_the_request_at_the_target(path):
+    target = await path.add_target()
+    target.behaviours.append(fake.run_for(0.9))
     task = asyncio.create_task(path.post(ORDER, Balsamway_Request_Id="r1"))
     await asyncio.sleep(0.1)
     task.cancel()
     await asyncio.sleep(0.1)
-    assert server.cancelled == ["r1"]
+    assert target.cancelled == ["r1"]
     assert path.listener.in_progress == 0
     await asyncio.sleep(2.0)
-    assert server.ran == []
+    assert target.ran == []
 
 
-async def test_a_connection_that_the_server_closed_is_not_used_again(path):
-    server = await path.add_server()
-    server.behaviours.append(fake.run_and_close)
+async def test_a_connection_that_the_target_closed_is_not_used_again(path):
+    target = await path.add_target()
+    target.behaviours.append(fake.run_and_close)
     assert (await path.post(ORDER)).verdict == "completed"
     await asyncio.sleep(0.1)
     assert (await path.post(ORDER)).verdict == "completed"
-    assert len(server.ran) == 2
+    assert len(target.ran) == 2
 
 
 async def test_a_kept_connection_closed_under_a_request_leaves_it_uncertain(path):
-    server = await path.add_server()
+    target = await path.add_target()
     assert (await path.post(ORDER)).verdict == "completed"
-    server.behaviours.append(fake.run_and_lose)
+    target.behaviours.append(fake.run_and_lose)
     answer = await path.post(ORDER, Balsamway_Request_Id="r2")
     assert (answer.verdict, answer.reason) == ("may-have-run", "connection-lost")
-    assert server.received.count("r2") == 1
+    assert target.received.count("r2") == 1
 
 
 async def test_a_redirect_is_an_answer_like_any_other(path):
-    server = await path.add_server()
+    target = await path.add_target()
 
-    async def redirect(server, request):
-        response = await fake.run(server, request)
+    async def redirect(target, request):
+        response = await fake.run(target, request)
         response.set_status(307)
-        response.headers["Location"] = f"http://{server.address}/elsewhere"
+        response.headers["Location"] = f"http://{target.address}/elsewhere"
         return response
 
-    server.behaviours.append(redirect)
+    target.behaviours.append(redirect)
     response = await path.caller.post(
         f"http://{path.listener.address}{ORDER}",
         headers={"Authorization": "Bearer lids-token"},
         allow_redirects=False,
     )
     assert response.status == 307
-    assert len(server.received) == 1
+    assert len(target.received) == 1
--- a/tests/gateway/test_whole_path.py
+++ b/tests/gateway/test_whole_path.py
@@ -4,24 +4,24 @@
 
 import pytest
 
-from tests.fakes import gateway_server as fake
+from tests.fakes import gateway_target as fake
 
 pytestmark = pytest.mark.looptime
 
 
 async def test_a_request_without_an_owner_is_answered(path):
-    server = await path.add_server()
+    target = await path.add_target()
     response = await path.post(body=b"lid 7", Balsamway_Request_Id="r1")
     assert response.status == 200
     assert response.body == b"ran lid 7"
     assert response.verdict == "completed"
     assert response.headers["Balsamway-Request-Id"] == "r1"
-    assert server.ran == ["r1"]
+    assert target.ran == ["r1"]
 
 
 async def test_a_request_with_a_key_goes_to_its_owner_with_the_token(path):
-    await path.add_server(name="s1")
-    owner = await path.add_server(name="s2", service="stock")
+    await path.add_target(name="s1")
+    owner = await path.add_target(name="s2", service="stock")
     path.routes.owner = "s2"
     response = await path.post("/v1/stock/order", Balsamway_Key="lid-7")
     assert response.verdict == "completed"
@@ -34,7 +34,7 @@
 
 
 async def test_the_gauges_show_what_is_in_flight_and_what_waits(path):
-    await path.add_server(otherwise=fake.run_for(0.3))
+    await path.add_target(otherwise=fake.run_for(0.3))
     requests = [asyncio.create_task(path.post("/v1/prices/order")) for _ in range(9)]
     await asyncio.sleep(0.1)
     in_flight = path.registry.get_sample_value("balsamway_in_flight")
@@ -45,13 +45,13 @@
     assert path.registry.get_sample_value("balsamway_in_flight") == 0
 
 
-async def test_what_servers_report_of_their_load_does_not_steer(path):
+async def test_what_targets_report_of_their_load_does_not_steer(path):
     reports = {"idle": 0.0, "full": 1.0, "half": 0.5}
     for name, load in reports.items():
         health = {"state": "ready", "load": load, "in_flight": int(load * 100)}
-        await path.add_server(name=name, health=health)
+        await path.add_target(name=name, health=health)
     for _ in range(20):
         await asyncio.gather(*(path.post("/v1/prices/order") for _ in range(6)))
-    ran = [len(server.ran) for server in path.servers]
+    ran = [len(target.ran) for target in path.targets]
     assert sum(ran) == 120
     assert min(ran) > 120 / 3 / 2
--- a/tests/matrix/callers.py
+++ b/tests/matrix/callers.py
@@ -28,7 +28,7 @@
     key: str
     gateway: str
     owner: str
-    """The server that held the key when the request began."""
+    """The target that held the key when the request began."""
     start: float
     end: float
     served: bool
@@ -85,15 +85,15 @@
     async def _request(
         self, entry: EntryHost, key: str, request_id: str, idempotent: bool
     ) -> None:
-        member = entry.configuration.member("m")
-        if member is None:
+        workspace = entry.configuration.workspace("m")
+        if workspace is None:
             return
-        service = member.services[0]
+        service = workspace.services[0]
         kind = next(one for one in service.kinds if one.idempotent == idempotent)
         start = self._world.now
         owner = self._world.owner_of(position_of(key))
         request = CallerRequest(
-            member, service, kind, request_id, key, start + TIMEOUT_SECONDS, b"x"
+            workspace, service, kind, request_id, key, start + TIMEOUT_SECONDS, b"x"
         )
         work = entry.process.start(entry.gateway.handle(request))
         done, _ = await asyncio.wait([work], timeout=TIMEOUT_SECONDS + 0.5)
@@ -132,7 +132,7 @@
     ) -> None:
         self.told.append(
             Told(
-                member=request.member.member,
+                workspace=request.workspace.workspace,
                 service=request.service.name,
                 kind=request.kind.name,
                 request_id=request.request_id,
--- a/tests/matrix/entry_host.py
+++ b/tests/matrix/entry_host.py
@@ -9,7 +9,7 @@
 from balsamway.gateway.connection_budget import ConnectionBudget
 from balsamway.gateway.gateway import Gateway
 from balsamway.gateway.metrics import GatewayMetrics
-from balsamway.gateway.server_pool import ServerPool
+from balsamway.gateway.target_pool import TargetPool
 from balsamway.membership.leadership_claim import LeadershipClaim
 from balsamway.membership.membership_service import MembershipService
 from balsamway.ownership.cluster import Cluster
@@ -53,7 +53,7 @@
             me=Witness(host.name, incarnation),
             store=store,
             peers=peers,
-            control=world.servers.control(host.name),
+            control=world.targets.control(host.name),
             directory=self.membership,
             timing=Timing(),
             rng=rng,
@@ -98,11 +98,11 @@
 
     def _new_gateway(self, world: World, rng: random.Random) -> Gateway:
         budget = ConnectionBudget(self.name, self.membership, self.configuration)
-        pool = ServerPool(self.membership, budget, rng)
+        pool = TargetPool(self.membership, budget, rng)
         return Gateway(
             pool,
             self.views,
-            MatrixTransport(world.servers, self.name),
+            MatrixTransport(world.targets, self.name),
             NoLoad(),
             GatewayMetrics(CollectorRegistry()),
             self.host.zone,
--- a/tests/matrix/fault_list.py
+++ b/tests/matrix/fault_list.py
@@ -16,7 +16,7 @@
     from tests.matrix.world import World
 
 SENT_SECONDS = 0.0035
-"""After this time a call has reached its target, unless it was held up."""
+"""After this time a call has reached its subject, unless it was held up."""
 MESSAGES = frozenset({StepKind.MESSAGE})
 ORDERS = frozenset({StepKind.ORDER})
 REQUESTS = frozenset({StepKind.REQUEST})
@@ -29,11 +29,11 @@
     world.lose_entry_host(step.source)
 
 
-def _lose_target(world: World, step: Step) -> None:
+def _lose_subject(world: World, step: Step) -> None:
     if step.interface == "peers":
-        world.lose_entry_host(step.target)
+        world.lose_entry_host(step.subject)
     else:
-        world.server(step.target).lose()
+        world.target(step.subject).lose()
 
 
 def _return_source(world: World, step: Step) -> None:
@@ -41,11 +41,11 @@
         start_outside(world.start_entry_host(step.source))
 
 
-def _return_target(world: World, step: Step) -> None:
+def _return_subject(world: World, step: Step) -> None:
     if step.interface != "peers":
-        world.server(step.target).restart()
-    elif step.target not in world.entry:
-        start_outside(world.start_entry_host(step.target))
+        world.target(step.subject).restart()
+    elif step.subject not in world.entry:
+        start_outside(world.start_entry_host(step.subject))
 
 
 def _pause_source(world: World, step: Step) -> None:
@@ -58,18 +58,18 @@
         world.entry[step.source].process.resume()
 
 
-def _pause_target(world: World, step: Step) -> None:
+def _pause_subject(world: World, step: Step) -> None:
     if step.interface != "peers":
-        world.server(step.target).freeze()
-    elif step.target in world.entry:
-        world.entry[step.target].process.pause()
+        world.target(step.subject).freeze()
+    elif step.subject in world.entry:
+        world.entry[step.subject].process.pause()
 
 
-def _resume_target(world: World, step: Step) -> None:
+def _resume_subject(world: World, step: Step) -> None:
     if step.interface != "peers":
-        world.server(step.target).thaw()
-    elif step.target in world.entry:
-        world.entry[step.target].process.resume()
+        world.target(step.subject).thaw()
+    elif step.subject in world.entry:
+        world.entry[step.subject].process.resume()
 
 
 def _once_sent(strike: Callable[[World, Step], None]) -> Callable[[World, Step], None]:
@@ -123,21 +123,21 @@
     _cut_zone_from_store(world, step)
     _cut_zone_from_peers(world, step)
     zone = _zone_of(world, step)
-    for server in world.servers.servers.values():
+    for target in world.targets.targets.values():
         for host in world.entry_list:
-            if (host.zone == zone) != (server.host.zone == zone):
-                world.servers.cut.add((host.name, server.name))
+            if (host.zone == zone) != (target.host.zone == zone):
+                world.targets.cut.add((host.name, target.name))
 
 
 def _heal_network(world: World, step: Step) -> None:
     world.store.cut_hosts.clear()
     world.network.heal()
-    world.servers.cut.clear()
+    world.targets.cut.clear()
     world.callers.uncounted.clear()
 
 
-def _cut_host_from_servers(world: World, step: Step) -> None:
-    world.servers.cut |= {(step.source, name) for name in world.servers.servers}
+def _cut_host_from_targets(world: World, step: Step) -> None:
+    world.targets.cut |= {(step.source, name) for name in world.targets.targets}
     world.callers.uncounted.add(step.source)
 
 
@@ -147,9 +147,9 @@
 
 
 def _lapse_grant(world: World, step: Step) -> None:
-    servers = world.servers.servers
-    target = step.target if step.target in servers else "s2"
-    _drop_all(world, lambda one: one.target == target, "grant")
+    targets = world.targets.targets
+    subject = step.subject if step.subject in targets else "s2"
+    _drop_all(world, lambda one: one.subject == subject, "grant")
 
 
 def _drop_all(world: World, of: Callable[[Step], bool], operation: str) -> None:
@@ -166,20 +166,20 @@
         injection.times = 0
 
 
-def _lose_server(world: World, step: Step) -> None:
-    world.server("s2").lose()
+def _lose_target(world: World, step: Step) -> None:
+    world.target("s2").lose()
 
 
-def _return_server(world: World, step: Step) -> None:
-    world.server("s2").restart()
+def _return_target(world: World, step: Step) -> None:
+    world.target("s2").restart()
 
 
-def _freeze_server(world: World, step: Step) -> None:
-    world.server("s1").freeze()
+def _freeze_target(world: World, step: Step) -> None:
+    world.target("s1").freeze()
 
 
-def _thaw_server(world: World, step: Step) -> None:
-    world.server("s1").thaw()
+def _thaw_target(world: World, step: Step) -> None:
+    world.target("s1").thaw()
 
 
 def _lose_leader(world: World, step: Step) -> None:
@@ -246,25 +246,25 @@
         needs_entry_source=True,
         takes_source=True,
     ),
-    Fault("target-lost", CALLS, strike=_lose_target, heal=_return_target),
+    Fault("subject-lost", CALLS, strike=_lose_subject, heal=_return_subject),
     Fault(
-        "target-lost-once-sent",
+        "subject-lost-once-sent",
         CALLS,
-        strike=_once_sent(_lose_target),
-        heal=_return_target,
+        strike=_once_sent(_lose_subject),
+        heal=_return_subject,
     ),
     Fault(
-        "target-paused",
+        "subject-paused",
         CALLS,
-        strike=_pause_target,
-        heal=_resume_target,
+        strike=_pause_subject,
+        heal=_resume_subject,
         heal_seconds=4.5,
     ),
     Fault(
-        "target-paused-briefly",
+        "subject-paused-briefly",
         CALLS,
-        strike=_pause_target,
-        heal=_resume_target,
+        strike=_pause_subject,
+        heal=_resume_subject,
         heal_seconds=1.4,
     ),
     Fault("message-lost", CALLS, Fate.DROP),
@@ -324,8 +324,8 @@
         takes_zone=True,
     ),
     Fault(
-        "host-cut-from-servers",
-        strike=_cut_host_from_servers,
+        "host-cut-from-targets",
+        strike=_cut_host_from_targets,
         heal=_heal_network,
         heal_seconds=6.0,
         needs_entry_source=True,
@@ -346,16 +346,16 @@
         at_any_time=True,
     ),
     Fault(
-        "server-lost",
-        strike=_lose_server,
-        heal=_return_server,
+        "target-lost",
+        strike=_lose_target,
+        heal=_return_target,
         heal_seconds=8.0,
         at_any_time=True,
     ),
     Fault(
-        "server-frozen",
-        strike=_freeze_server,
-        heal=_thaw_server,
+        "target-frozen",
+        strike=_freeze_target,
+        heal=_thaw_target,
         heal_seconds=4.5,
         at_any_time=True,
     ),
--- a/tests/matrix/matrix_server.py
+++ b/tests/matrix/matrix_target.py
@@ -7,12 +7,12 @@
 
 from balsamway.slices import position_of
 from balsamway.standins.journal import Run, RunOutcome
-from tests.fakes.server import FakeServer, _Holding
+from tests.fakes.target import FakeTarget, _Holding
 
 if TYPE_CHECKING:
-    from balsamway.servers.orders import OrderRefused, ReleaseOrder, ServerState
-    from balsamway.servers.request import ServerRequest
     from balsamway.slices import KeyRange, ShardId
+    from balsamway.targets.orders import OrderRefused, ReleaseOrder, TargetState
+    from balsamway.targets.request import TargetRequest
 
 RUN_SECONDS = 0.005
 QUIET_POLL_SECONDS = 0.002
@@ -21,9 +21,9 @@
 
 @dataclass(eq=False, slots=True)
 class RunInProgress:
-    """A request that a server has admitted."""
+    """A request that a target has admitted."""
 
-    request: ServerRequest
+    request: TargetRequest
     admitted: float
     deadline: float
     cancelled: bool = False
@@ -33,8 +33,8 @@
         return position_of(self.request.key)
 
 
-class MatrixServer(FakeServer):
-    """A fake server that runs requests and writes down each run."""
+class MatrixTarget(FakeTarget):
+    """A fake target that runs requests and writes down each run."""
 
     def __init__(self, name: str, **parts: object) -> None:
         super().__init__(name, **parts)  # type: ignore[arg-type]
@@ -59,7 +59,7 @@
             self._record(run, RunOutcome.CUT_OFF)
         self.lose()
 
-    async def run(self, request: ServerRequest) -> str:
+    async def run(self, request: TargetRequest) -> str:
         """Runs a request; gives the reason where it did not run."""
         now = self.now
         run = RunInProgress(request, now, now + request.timeout_seconds)
@@ -78,7 +78,7 @@
             self._in_progress.remove(run)
         return self._finish(run)
 
-    async def release(self, order: ReleaseOrder) -> ServerState | OrderRefused:
+    async def release(self, order: ReleaseOrder) -> TargetState | OrderRefused:
         holding = self._held.setdefault(order.shard, _Holding())
         if not self._accepts(holding, order.leader_epoch, order.generation):
             return self._refused(holding)
@@ -147,8 +147,8 @@
         request = run.request
         self.runs.append(
             Run(
-                server=self.name,
-                member=request.member,
+                target=self.name,
+                workspace=request.workspace,
                 service=request.service,
                 kind=request.kind,
                 request_id=request.request_id,
