--- a/tests/matrix/matrix_transport.py
+++ b/tests/matrix/matrix_transport.py
@@ -12,79 +12,79 @@
 
 if TYPE_CHECKING:
     from balsamway.outcome import Verdict
-    from balsamway.servers.request import ServerRequest
     from balsamway.store import Host
-    from tests.fakes.servers import FakeServers
-    from tests.matrix.matrix_server import MatrixServer
+    from balsamway.targets.request import TargetRequest
+    from tests.fakes.targets import FakeTargets
+    from tests.matrix.matrix_target import MatrixTarget
 
 NEVER_SECONDS = 3600
 
 
 class MatrixTransport:
-    """One entry host's ServerTransport, with the faults of a connection."""
+    """One entry host's TargetTransport, with the faults of a connection."""
 
-    def __init__(self, servers: FakeServers, host: str) -> None:
-        self._servers = servers
+    def __init__(self, targets: FakeTargets, host: str) -> None:
+        self._targets = targets
         self._host = host
 
-    async def send(self, server: Host, request: ServerRequest) -> Verdict:
-        step = Step("requests", "send", self._host, server.name, request)
-        fate = await self._servers.faults.reach(step)
-        target = self._servers.servers.get(server.name)
-        if target is None or target.lost:
+    async def send(self, target: Host, request: TargetRequest) -> Verdict:
+        step = Step("requests", "send", self._host, target.name, request)
+        fate = await self._targets.faults.reach(step)
+        subject = self._targets.targets.get(target.name)
+        if subject is None or subject.lost:
             return NotRun(Reason.CONNECT_FAILED)
         if fate is Fate.DROP:
             return MayHaveRun(Reason.CONNECTION_LOST)
-        exchange = start_outside(self._exchange(target, request, fate))
+        exchange = start_outside(self._exchange(subject, request, fate))
         try:
             async with asyncio.timeout(request.timeout_seconds):
                 return await asyncio.shield(exchange)
         except TimeoutError:
-            self._close(target, request, exchange)
+            self._close(subject, request, exchange)
             return MayHaveRun(Reason.DEADLINE_EXCEEDED)
         except asyncio.CancelledError:
-            self._close(target, request, exchange)
+            self._close(subject, request, exchange)
             raise
 
     def _close(
-        self, target: MatrixServer, request: ServerRequest, exchange: asyncio.Task
+        self, subject: MatrixTarget, request: TargetRequest, exchange: asyncio.Task
     ) -> None:
-        if target.is_running(request.request_id) and not self._sees_close(target):
+        if subject.is_running(request.request_id) and not self._sees_close(subject):
             return
-        target.cancel(request.request_id)
+        subject.cancel(request.request_id)
         exchange.cancel()
 
-    def _sees_close(self, target: MatrixServer) -> bool:
-        return target.running.is_set() and not self._is_cut(target)
+    def _sees_close(self, subject: MatrixTarget) -> bool:
+        return subject.running.is_set() and not self._is_cut(subject)
 
     async def _exchange(
-        self, target: MatrixServer, request: ServerRequest, fate: Fate
+        self, subject: MatrixTarget, request: TargetRequest, fate: Fate
     ) -> Verdict:
-        await asyncio.sleep(self._servers.latency_seconds)
-        await self._reach(target)
-        await target.running.wait()
-        refusal = await target.run(request)
+        await asyncio.sleep(self._targets.latency_seconds)
+        await self._reach(subject)
+        await subject.running.wait()
+        refusal = await subject.run(request)
         if fate is Fate.LOSE_ANSWER:
             return MayHaveRun(Reason.CONNECTION_LOST)
         if fate is Fate.APPLY_LATE:
-            await asyncio.sleep(self._servers.faults.late_seconds)
-        await asyncio.sleep(self._servers.latency_seconds)
-        await self._reach(target)
-        if target.lost:
+            await asyncio.sleep(self._targets.faults.late_seconds)
+        await asyncio.sleep(self._targets.latency_seconds)
+        await self._reach(subject)
+        if subject.lost:
             return MayHaveRun(Reason.CONNECTION_LOST)
         if refusal:
             return NotRun(Reason(refusal))
         return Completed(200, {}, _answer(request))
 
-    async def _reach(self, target: MatrixServer) -> None:
-        if self._is_cut(target):
+    async def _reach(self, subject: MatrixTarget) -> None:
+        if self._is_cut(subject):
             await asyncio.sleep(NEVER_SECONDS)
 
-    def _is_cut(self, target: MatrixServer) -> bool:
-        servers = self._servers
-        cut = (self._host, target.name) in servers.cut
-        return cut or self._host in servers.down_hosts
+    def _is_cut(self, subject: MatrixTarget) -> bool:
+        targets = self._targets
+        cut = (self._host, subject.name) in targets.cut
+        return cut or self._host in targets.down_hosts
 
 
-def _answer(request: ServerRequest) -> bytes:
+def _answer(request: TargetRequest) -> bytes:
     return msgspec.json.encode({"request_id": request.request_id, "key": request.key})
--- a/tests/matrix/mutations.py
+++ b/tests/matrix/mutations.py
@@ -54,15 +54,15 @@
 
 MUTATIONS = (
     Mutation(
-        "a silent server counts as lost before its grant has lapsed",
+        "a silent target counts as lost before its grant has lapsed",
         Invariant.SOLE_OWNER,
         GrantKeeper,
         "lost",
         property(lambda self: not self.answers),
-        "renewal/grant:server-frozen",
+        "renewal/grant:target-frozen",
     ),
     Mutation(
-        "no gateway is fenced before a slice leaves a server that does not check",
+        "no gateway is fenced before a slice leaves a target that does not check",
         Invariant.RUN_UNDER_OWNERSHIP,
         ViewServer,
         "fence",
@@ -98,11 +98,11 @@
         Invariant.VERSION_GROWS,
         ConfigurationTable,
         "version",
-        lambda self, member: 0,
+        lambda self, workspace: 0,
         "adopt/notice:message-late",
     ),
     Mutation(
-        "a leaving server is not emptied",
+        "a leaving target is not emptied",
         Invariant.LEAVING_IDLE,
         Leaving,
         "empty",
@@ -110,7 +110,7 @@
         "leave/grant:message-doubled",
     ),
     Mutation(
-        "a leaving server is not emptied before it stops",
+        "a leaving target is not emptied before it stops",
         Invariant.STOP_GRACEFUL,
         Leaving,
         "empty",
--- a/tests/matrix/observer.py
+++ b/tests/matrix/observer.py
@@ -37,8 +37,8 @@
     def start(self) -> None:
         self._task = asyncio.create_task(self._look())
 
-    def stop_asked(self, server: str) -> None:
-        self._stops.append(StopAsked(server, self._world.now))
+    def stop_asked(self, target: str) -> None:
+        self._stops.append(StopAsked(target, self._world.now))
 
     def journal(self) -> Journal:
         return Journal(
@@ -61,9 +61,9 @@
             await asyncio.sleep(LOOK_SECONDS)
 
     def _look_at(self, entry: EntryHost) -> None:
-        for member, version in entry.configuration.versions().items():
+        for workspace, version in entry.configuration.versions().items():
             seen = VersionSeen(
-                entry.name, entry.incarnation, member, version, self._world.now
+                entry.name, entry.incarnation, workspace, version, self._world.now
             )
             self._versions.append(seen)
         for led in entry.leadership.led:
@@ -89,14 +89,14 @@
     def _grants(self) -> list[GrantHeld]:
         return [
             GrantHeld(
-                one.server, str(one.shard), one.range, one.epoch, one.start, one.end
+                one.target, str(one.shard), one.range, one.epoch, one.start, one.end
             )
-            for one in self._world.servers.intervals()
+            for one in self._world.targets.intervals()
         ]
 
     def _runs(self) -> list[Run]:
-        servers = self._world.servers.servers.values()
-        return [run for server in servers for run in server.runs]
+        targets = self._world.targets.targets.values()
+        return [run for target in targets for run in target.runs]
 
     def _kept(self) -> list[AssignmentTold]:
         return [
--- a/tests/matrix/procedures.py
+++ b/tests/matrix/procedures.py
@@ -20,7 +20,7 @@
 
 OPERATOR = "operator"
 FROZEN_SECONDS = 2.6
-"""Longer than a grant, so that the server returns without one."""
+"""Longer than a grant, so that the target returns without one."""
 BETWEEN_CHANGES_SECONDS = 0.4
 """Less than a late message is late, so that an old version arrives last."""
 
@@ -45,13 +45,13 @@
     world.lose_entry_host(world.leader())
 
 
-async def _return_server(world: World) -> None:
-    server = world.server("s1")
-    server.freeze()
+async def _return_target(world: World) -> None:
+    target = world.target("s1")
+    target.freeze()
 
     async def thaw() -> None:
         await asyncio.sleep(FROZEN_SECONDS)
-        server.thaw()
+        target.thaw()
 
     start_outside(thaw())
 
@@ -68,15 +68,15 @@
 
 
 async def _join(world: World) -> None:
-    world.add_server("s5", "zb")
+    world.add_target("s5", "zb")
 
 
 async def _leave(world: World) -> None:
     world.leave(world.owner_of(position_of(world.callers.keys[0])))
 
 
-async def _lose_server(world: World) -> None:
-    world.server(world.owner_of(position_of(world.callers.keys[0]))).lose()
+async def _lose_target(world: World) -> None:
+    world.target(world.owner_of(position_of(world.callers.keys[0]))).lose()
 
 
 async def _accept(world: World) -> None:
@@ -95,7 +95,7 @@
 def _store(operation: str, prefix: str) -> Callable[[object, Step], bool]:
     def matches(world: object, step: Step) -> bool:
         same = (step.interface, step.operation) == ("store", operation)
-        return same and step.target.startswith(prefix)
+        return same and step.subject.startswith(prefix)
 
     return matches
 
@@ -111,7 +111,7 @@
     def matches(world: object, step: Step) -> bool:
         if (step.interface, step.operation) != ("peers", name):
             return False
-        if step.source == step.target:
+        if step.source == step.subject:
             return False
         if held is None:
             return True
@@ -120,10 +120,10 @@
     return matches
 
 
-def _order(name: str, target: str = "") -> Callable[[object, Step], bool]:
+def _order(name: str, subject: str = "") -> Callable[[object, Step], bool]:
     def matches(world: object, step: Step) -> bool:
-        same = (step.interface, step.operation) == ("servers", name)
-        return same and target in ("", step.target)
+        same = (step.interface, step.operation) == ("targets", name)
+        return same and subject in ("", step.subject)
 
     return matches
 
@@ -142,11 +142,11 @@
     Procedure("first-claim", _nothing, from_nothing=True),
     Procedure("claim", _lose_leader),
     Procedure("renewal", _nothing),
-    Procedure("return", _return_server),
+    Procedure("return", _return_target),
     Procedure("move", _move),
     Procedure("join", _join),
     Procedure("leave", _leave),
-    Procedure("loss", _lose_server),
+    Procedure("loss", _lose_target),
     Procedure("accept", _accept, of_ownership=False),
     Procedure("adopt", _accept, of_ownership=False),
     Procedure("request", _nothing, of_ownership=False),
--- a/tests/matrix/record_change.py
+++ b/tests/matrix/record_change.py
@@ -15,9 +15,9 @@
     """Names what a write of a shard's record changes."""
     if (step.interface, step.operation) != ("store", "write"):
         return ""
-    if not step.target.startswith("shards/"):
+    if not step.subject.startswith("shards/"):
         return ""
-    found = world.store.current(step.target)
+    found = world.store.current(step.subject)
     if not isinstance(found, StoredObject):
         return "create"
     return _difference(decode_record(found.body), decode_record(step.detail))
--- a/tests/matrix/recovery.py
+++ b/tests/matrix/recovery.py
@@ -17,21 +17,21 @@
 NOT_TOLERATED = "not tolerated"
 
 CLASSES = (
-    ("a server is lost", "renewal/heartbeat", "server-lost", "", "3.5"),
-    ("a server freezes and returns", "renewal/heartbeat", "server-frozen", "", "5"),
+    ("a target is lost", "renewal/heartbeat", "target-lost", "", "3.5"),
+    ("a target freezes and returns", "renewal/heartbeat", "target-frozen", "", "5"),
     ("the leader is lost", "renewal/grant", "leader-lost", "", "5"),
     ("the leader is paused and returns", "renewal/grant", "leader-paused", "", "5"),
     (
-        "the leader and a server are lost",
+        "the leader and a target are lost",
         "renewal/grant",
         "leader-lost",
-        "server-lost",
+        "target-lost",
         "5",
     ),
-    ("another entry host is lost", "renewal/promise", "target-lost", "", "5"),
-    ("another entry host is paused", "renewal/promise", "target-paused", "", "5"),
-    ("a server leaves", "leave/intent", "write-doubled", "", "0"),
-    ("a server joins", "join/intent", "write-doubled", "", "0"),
+    ("another entry host is lost", "renewal/promise", "subject-lost", "", "5"),
+    ("another entry host is paused", "renewal/promise", "subject-paused", "", "5"),
+    ("a target leaves", "leave/intent", "write-doubled", "", "0"),
+    ("a target joins", "join/intent", "write-doubled", "", "0"),
     ("slices move as planned", "move/intent", "write-doubled", "", "0"),
     (
         "a move's answer from the store is lost",
@@ -43,10 +43,10 @@
     ("the store is down for 8 s", "renewal/heartbeat", "store-down", "", "0"),
     ("the store is slow for 8 s", "renewal/heartbeat", "store-slow", "", "0"),
     (
-        "the store is down, a server is lost",
+        "the store is down, a target is lost",
         "renewal/heartbeat",
         "store-down",
-        "server-lost",
+        "target-lost",
         "5",
     ),
     (
@@ -66,14 +66,14 @@
     ("a zone is cut from the others", "renewal/grant", "zone-cut-from-peers", "", "5"),
     ("a zone is cut off from all", "renewal/grant", "zone-cut-off", "", "5"),
     (
-        "the leader is cut from the servers",
+        "the leader is cut from the targets",
         "renewal/grant",
-        "host-cut-from-servers",
+        "host-cut-from-targets",
         "",
         "5",
     ),
     ("the leader's promises lapse", "renewal/promise", "lease-lapse", "", "5"),
-    ("a server's grant lapses", "renewal/grant", "grant-lapse", "", "5"),
+    ("a target's grant lapses", "renewal/grant", "grant-lapse", "", "5"),
 )
 
 
--- a/tests/matrix/world.py
+++ b/tests/matrix/world.py
@@ -5,23 +5,23 @@
 from typing import TYPE_CHECKING
 
 from balsamway.configuration import (
-    MemberConfiguration,
     RequestKind,
     Service,
+    WorkspaceConfiguration,
     Zone,
 )
-from balsamway.configuration.codec import encode_configuration, encode_members
-from balsamway.configuration.constants import MEMBERS_OBJECT
+from balsamway.configuration.codec import encode_configuration, encode_workspaces
+from balsamway.configuration.constants import WORKSPACES_OBJECT
 from balsamway.slices import ShardId
 from balsamway.store import Host, HostRole, HostState
 from tests.fakes.network import FakeNetwork
-from tests.fakes.servers import FakeServers
 from tests.fakes.store import FakeStore
+from tests.fakes.targets import FakeTargets
 from tests.matrix.callers import Callers
 from tests.matrix.entry_host import EntryHost
 from tests.matrix.matrix_faults import MatrixFaults
 from tests.matrix.matrix_hosts import MatrixHosts
-from tests.matrix.matrix_server import MatrixServer
+from tests.matrix.matrix_target import MatrixTarget
 from tests.matrix.observer import Observer
 from tests.matrix.process import start_outside
 
@@ -33,26 +33,26 @@
 
 ZONES = ("za", "zb", "zc")
 ENTRY_HOSTS = {"e1": "za", "e2": "zb", "e3": "zc", "e4": "za", "e5": "zb"}
-SERVERS = {"s1": "za", "s2": "zb", "s3": "zc", "s4": "za"}
+TARGETS = {"s1": "za", "s2": "zb", "s3": "zc", "s4": "za"}
 NOT_CHECKING = ("s3", "s4")
-MEMBER = "m"
-SHARD = ShardId(MEMBER, "s")
+WORKSPACE = "m"
+SHARD = ShardId(WORKSPACE, "s")
 SLICES = 8
 READY_TIMEOUT_SECONDS = 20.0
 POLL_SECONDS = 0.05
 STOP_TIMEOUT_SECONDS = 15.0
 
 
-def configuration(version: int) -> MemberConfiguration:
-    """Gives the member's configuration, as accepted for the nth time."""
+def configuration(version: int) -> WorkspaceConfiguration:
+    """Gives the workspace's configuration, as accepted for the nth time."""
     kinds = (
         RequestKind("read", idempotent=True, timeout_seconds=2.0),
         RequestKind("order", idempotent=False, timeout_seconds=2.0),
     )
-    service = Service("s", True, kinds, 3, 50, len(SERVERS), slices=SLICES)
+    service = Service("s", True, kinds, 3, 50, len(TARGETS), slices=SLICES)
     zones = tuple(Zone(name, "r", 2) for name in ZONES)
-    return MemberConfiguration(
-        MEMBER, version, f"change-{version}", zones, (service,), ()
+    return WorkspaceConfiguration(
+        WORKSPACE, version, f"change-{version}", zones, (service,), ()
     )
 
 
@@ -65,7 +65,7 @@
         self.faults = MatrixFaults()
         self.store = FakeStore(self.faults)
         self.network = FakeNetwork(self.faults)
-        self.servers = FakeServers(self.faults)
+        self.targets = FakeTargets(self.faults)
         self.hosts = MatrixHosts(self.store)
         self.entry: dict[str, EntryHost] = {}
         self.gone: list[EntryHost] = []
@@ -86,60 +86,64 @@
     def now(self) -> float:
         return asyncio.get_running_loop().time()
 
-    def server(self, name: str) -> MatrixServer:
-        return self.servers.servers[name]
+    def target(self, name: str) -> MatrixTarget:
+        return self.targets.targets[name]
 
     async def start(self) -> None:
         for host in self.entry_list:
             self.hosts.put(host)
-        for name, zone in SERVERS.items():
-            self.add_server(name, zone)
-        await self.store.apply(MEMBERS_OBJECT, encode_members([MEMBER]), None)
+        for name, zone in TARGETS.items():
+            self.add_target(name, zone)
+        await self.store.apply(WORKSPACES_OBJECT, encode_workspaces([WORKSPACE]), None)
         first = configuration(1)
         await self.store.apply(first.object_name, encode_configuration(first), None)
         for name in ENTRY_HOSTS:
             await self.start_entry_host(name)
         self.observer.start()
 
-    def add_server(self, name: str, zone: str) -> MatrixServer:
-        server = MatrixServer(
-            name, zone=zone, checks=name not in NOT_CHECKING, member=MEMBER, service="s"
+    def add_target(self, name: str, zone: str) -> MatrixTarget:
+        target = MatrixTarget(
+            name,
+            zone=zone,
+            checks=name not in NOT_CHECKING,
+            workspace=WORKSPACE,
+            service="s",
         )
-        server.clock_offset = 1000.0 * (1 + len(self.servers.servers))
-        self.servers.add(server)
-        self.hosts.put(server.host)
-        return server
+        target.clock_offset = 1000.0 * (1 + len(self.targets.targets))
+        self.targets.add(target)
+        self.hosts.put(target.host)
+        return target
 
     def leave(self, name: str) -> None:
-        server = self.server(name)
-        server.leaving = True
-        host = server.host
+        target = self.target(name)
+        target.leaving = True
+        host = target.host
         self.hosts.put(
             Host(
                 host.name,
                 host.role,
                 host.zone,
                 host.address,
-                host.member,
+                host.workspace,
                 host.service,
                 HostState.LEAVING,
             )
         )
         self.observer.stop_asked(name)
-        self.stops.append(start_outside(self._stop_when_empty(server)))
+        self.stops.append(start_outside(self._stop_when_empty(target)))
 
-    async def _stop_when_empty(self, server: MatrixServer) -> None:
-        if await self.wait(lambda: server.has_drained, STOP_TIMEOUT_SECONDS):
-            server.lose()
+    async def _stop_when_empty(self, target: MatrixTarget) -> None:
+        if await self.wait(lambda: target.has_drained, STOP_TIMEOUT_SECONDS):
+            target.lose()
         else:
-            await server.stop_in_a_run()
-        self.hosts.remove(server.name)
+            await target.stop_in_a_run()
+        self.hosts.remove(target.name)
 
     async def start_entry_host(self, name: str) -> None:
         self.incarnations += 1
         host = next(one for one in self.entry_list if one.name == name)
         self.network.down.discard(name)
-        self.servers.down_hosts.discard(name)
+        self.targets.down_hosts.discard(name)
         self.entry[name] = EntryHost(self, host, self.incarnations)
         await self.entry[name].start()
 
@@ -150,7 +154,7 @@
         entry.process.lose()
         self.gone.append(entry)
         self.network.down.add(name)
-        self.servers.down_hosts.add(name)
+        self.targets.down_hosts.add(name)
 
     def leader(self) -> str:
         """Names the host that leads the shard; empty for none."""
@@ -162,10 +166,10 @@
         return max(led)[1] if led else ""
 
     def owner_of(self, position: int) -> str:
-        """Names the server that holds a position; empty for none."""
-        for server in self.servers.servers.values():
-            if server.owns(SHARD, position):
-                return server.name
+        """Names the target that holds a position; empty for none."""
+        for target in self.targets.targets.values():
+            if target.owns(SHARD, position):
+                return target.name
         return ""
 
     def crashes(self) -> list[str]:
--- a/tests/observe/test_experiments.py
+++ b/tests/observe/test_experiments.py
@@ -6,7 +6,7 @@
 from balsamway.observe.experiments.fleet_run import FleetPhase, FleetRun, FleetSetup
 from balsamway.observe.experiments.keyed_run import KeyedRun, KeyedSetup
 from balsamway.observe.experiments.keyed_workload import KeyedWorkload
-from balsamway.observe.experiments.server_event import ServerChange, ServerEvent
+from balsamway.observe.experiments.target_event import TargetChange, TargetEvent
 
 
 def keyed_figures(seed, events=()):
@@ -22,10 +22,10 @@
     assert keyed_figures(3) != keyed_figures(4)
 
 
-def test_a_failed_server_costs_requests_until_it_is_known_as_lost():
+def test_a_failed_target_costs_requests_until_it_is_known_as_lost():
     events = (
-        ServerEvent(5, "server-001", ServerChange.FAILS),
-        ServerEvent(8, "server-001", ServerChange.LOST),
+        TargetEvent(5, "server-001", TargetChange.FAILS),
+        TargetEvent(8, "server-001", TargetChange.LOST),
     )
     requests, refused, _, _ = keyed_figures(3, events)
     assert 0.1 < refused / (requests * 3 / 25) < 0.5
@@ -34,7 +34,7 @@
 def test_an_overloaded_fleet_refuses_truthfully_and_repeats():
     def figures():
         async def work():
-            setup = FleetSetup((FleetPhase(0.5, 3.0),), 5, servers=2, gateways=3)
+            setup = FleetSetup((FleetPhase(0.5, 3.0),), 5, targets=2, gateways=3)
             run = FleetRun(setup, lambda zone, rng: None)
             await run.run()
             return run
--- a/tests/observe/test_member_report.py
+++ b/tests/observe/test_workspace_report.py
@@ -12,14 +12,14 @@
 @pytest.fixture
 def page():
     registry = CollectorRegistry()
-    kind = ("member", "service", "kind")
+    kind = ("workspace", "service", "kind")
     requests = Counter(
         "balsamway_requests", "", (*kind, "verdict", "reason"), registry=registry
     )
     busy = Counter(
-        "balsamway_server_busy_seconds",
+        "balsamway_target_busy_seconds",
         "",
-        ("member", "service", "server"),
+        ("workspace", "service", "target"),
         registry=registry,
     )
     latency = Histogram("balsamway_request_seconds", "", kind, registry=registry)
@@ -32,7 +32,7 @@
     return generate_latest(registry).decode()
 
 
-def test_a_report_adds_up_all_hosts_and_only_the_member(page):
+def test_a_report_adds_up_all_hosts_and_only_the_workspace(page):
     report = build_report("m", {"a": page, "b": page}, ("c",))
     (service,) = report.services
     assert (service.service, service.requests, service.completed) == ("s", 200, 180)
@@ -43,7 +43,7 @@
     assert (report.hosts_asked, report.hosts_unreached) == (3, ("c",))
 
 
-def test_a_member_that_no_host_knows_has_no_services(page):
+def test_a_workspace_that_no_host_knows_has_no_services(page):
     assert build_report("nobody", {"a": page}, ()).services == ()
 
 
@@ -54,10 +54,10 @@
     assert "90.0000%" in text
     assert "http-equiv" not in text and "<script" not in text and "<link" not in text
     assert report_table(report).row_count == 1
-    assert msgspec.json.decode(msgspec.json.encode(report))["member"] == "m"
+    assert msgspec.json.decode(msgspec.json.encode(report))["workspace"] == "m"
 
 
-def test_a_server_filled_by_one_key_is_left_out_of_the_imbalance():
+def test_a_target_filled_by_one_key_is_left_out_of_the_imbalance():
     busy = {"a": 10.0, "b": 4.0, "c": 4.0}
     assert Imbalance.of(busy).maximum_over_mean == pytest.approx(10 / 6)
     assert Imbalance.of(busy, {"a": 9.0}).maximum_over_mean == 1.0
--- a/tests/ownership/test_leadership_silence.py
+++ b/tests/ownership/test_leadership_silence.py
@@ -12,28 +12,28 @@
 pytestmark = pytest.mark.looptime
 
 
-async def test_a_new_leader_that_reaches_no_server_gives_way():
+async def test_a_new_leader_that_reaches_no_target_gives_way():
     async with World(hosts=7) as world:
         first = world.leader.context.cluster.me.host
         ranked = [name for name in world.entry if name != first]
-        world.servers.down_hosts.update(ranked[:2])
+        world.targets.down_hosts.update(ranked[:2])
         await world.lose_host(first)
         await asyncio.sleep(0.1)
         assert await world.until_served() < 5
         await asyncio.sleep(10)
-        assert world.leader.context.cluster.me.host not in world.servers.down_hosts
+        assert world.leader.context.cluster.me.host not in world.targets.down_hosts
         assert world.overlaps() == []
 
 
 async def test_changed_weights_reach_a_leader_in_power():
     async with World(hosts=3) as world:
-        member = world.configurations.found["m"]
+        workspace = world.configurations.found["m"]
         changed = Weights(imbalance=5.0, unavailable_time=0.5)
         seen = []
         planner = world.leader._placement._planner
         plan = planner.plan
         planner.plan = lambda state: seen.append(state.weights) or plan(state)
-        world.configurations.found["m"] = replace(member, weights=changed)
+        world.configurations.found["m"] = replace(workspace, weights=changed)
         await asyncio.sleep(4)
         assert seen[-1] == changed
 
--- a/tests/ownership/test_losses.py
+++ b/tests/ownership/test_losses.py
@@ -10,30 +10,30 @@
 
 pytestmark = pytest.mark.looptime
 
-SERVER_LOSS_SECONDS = 3.5
-LEADER_AND_SERVER_LOSS_SECONDS = 5.0
+TARGET_LOSS_SECONDS = 3.5
+LEADER_AND_TARGET_LOSS_SECONDS = 5.0
 LEAVING_SECONDS = 3.0
 
 
-def starts_of(world: World, *servers: str) -> list[int]:
+def starts_of(world: World, *targets: str) -> list[int]:
     slices = world.record.slices
-    return [one.range.start for one in slices if one.owner in servers]
+    return [one.range.start for one in slices if one.owner in targets]
 
 
-def starts_of_others(world: World, *servers: str) -> list[int]:
+def starts_of_others(world: World, *targets: str) -> list[int]:
     slices = world.record.slices
-    return [one.range.start for one in slices if one.owner not in servers]
+    return [one.range.start for one in slices if one.owner not in targets]
 
 
 @pytest.mark.parametrize("checks", [True, False])
 @pytest.mark.parametrize("moment", [0.0, 0.11, 0.23, 0.37])
-async def test_a_lost_server_is_replaced(checks, moment):
+async def test_a_lost_target_is_replaced(checks, moment):
     async with World(checks=checks) as world:
         await asyncio.sleep(5 + moment)
         others = starts_of_others(world, "s1")
-        world.servers.servers["s1"].lose()
+        world.targets.targets["s1"].lose()
         of_others = asyncio.create_task(world.unavailable(6, others))
-        assert await world.until_served() < SERVER_LOSS_SECONDS
+        assert await world.until_served() < TARGET_LOSS_SECONDS
         assert await of_others == 0
         assert world.overlaps() == []
         assert starts_of(world, "s1") == []
@@ -53,47 +53,47 @@
 
 @pytest.mark.parametrize("checks", [True, False])
 @pytest.mark.parametrize("moment", [0.0, 0.11, 0.23, 0.37])
-async def test_a_server_lost_with_the_leader_is_replaced(checks, moment):
+async def test_a_target_lost_with_the_leader_is_replaced(checks, moment):
     async with World(checks=checks) as world:
         await asyncio.sleep(5 + moment)
         others = starts_of_others(world, "s2")
-        world.servers.servers["s2"].lose()
+        world.targets.targets["s2"].lose()
         await world.lose_host(world.leader_host)
         of_others = asyncio.create_task(world.unavailable(8, others))
-        assert await world.until_served() < LEADER_AND_SERVER_LOSS_SECONDS
+        assert await world.until_served() < LEADER_AND_TARGET_LOSS_SECONDS
         assert await of_others == 0
         assert world.overlaps() == []
 
 
-async def test_a_frozen_server_returns_without_owning_anything(world):
+async def test_a_frozen_target_returns_without_owning_anything(world):
     async with world:
-        server = world.servers.servers["s1"]
+        target = world.targets.targets["s1"]
         await asyncio.sleep(3)
-        server.freeze()
+        target.freeze()
         await asyncio.sleep(20)
         assert world.unowned() == []
-        server.thaw()
+        target.thaw()
         await asyncio.sleep(5)
         assert world.overlaps() == []
         assert world.unowned() == []
 
 
-async def test_a_frozen_unchecked_server_returns_without_owning_anything(
+async def test_a_frozen_unchecked_target_returns_without_owning_anything(
     unchecked_world,
 ):
     async with unchecked_world as world:
-        server = world.servers.servers["s1"]
+        target = world.targets.targets["s1"]
         await asyncio.sleep(3)
-        server.freeze()
+        target.freeze()
         await asyncio.sleep(20)
-        server.thaw()
+        target.thaw()
         await asyncio.sleep(5)
         assert world.overlaps() == []
         assert world.unowned() == []
 
 
-@pytest.mark.parametrize("said_by", ["list", "server"])
-async def test_a_leaving_server_is_emptied_without_an_unavailable_moment(
+@pytest.mark.parametrize("said_by", ["list", "target"])
+async def test_a_leaving_target_is_emptied_without_an_unavailable_moment(
     world, said_by
 ):
     async with world:
@@ -103,7 +103,7 @@
         if said_by == "list":
             world.hosts.leaving.add("s0")
         else:
-            world.servers.servers["s0"].leaving = True
+            world.targets.targets["s0"].leaving = True
         unavailable = asyncio.create_task(world.unavailable(5))
         took = await world.until(lambda: starts_of(world, "s0") == [])
         assert took < LEAVING_SECONDS
@@ -113,11 +113,11 @@
 
 
 @pytest.mark.parametrize("checks", [True, False])
-async def test_a_leaving_server_is_emptied_while_the_store_is_down(checks):
+async def test_a_leaving_target_is_emptied_while_the_store_is_down(checks):
     async with World(checks=checks) as world:
         await asyncio.sleep(4)
         world.store.outage = True
-        world.servers.servers["s0"].leaving = True
+        world.targets.targets["s0"].leaving = True
         state = world.leader.context.state
         took = await world.until(lambda: state.owned_by("s0") == [])
         assert took < LEAVING_SECONDS
@@ -141,23 +141,23 @@
 
 
 @pytest.mark.parametrize("moment", [0.0, 0.17, 0.31])
-async def test_a_leader_that_reaches_no_server_leaves_the_shard_to_another(moment):
+async def test_a_leader_that_reaches_no_target_leaves_the_shard_to_another(moment):
     async with World() as world:
         await asyncio.sleep(4 + moment)
         host = world.leader_host
-        world.servers.cut |= {(host, server) for server in world.servers.servers}
-        assert await world.unavailable(12) < LEADER_AND_SERVER_LOSS_SECONDS
+        world.targets.cut |= {(host, target) for target in world.targets.targets}
+        assert await world.unavailable(12) < LEADER_AND_TARGET_LOSS_SECONDS
         assert world.leader_host != host
         assert world.unowned() == []
         assert world.overlaps() == []
 
 
-async def test_the_loss_of_all_servers_passes_a_shard_on_once_at_most():
+async def test_the_loss_of_all_targets_passes_a_shard_on_once_at_most():
     async with World() as world:
         await asyncio.sleep(4)
         epoch = world.leader.epoch
-        for server in world.servers.servers.values():
-            server.lose()
+        for target in world.targets.targets.values():
+            target.lose()
         await asyncio.sleep(30)
         assert world.leader.epoch <= epoch + 1
 
--- a/tests/ownership/test_orders.py
+++ b/tests/ownership/test_orders.py
@@ -7,18 +7,18 @@
 from balsamway.balance import Move
 from balsamway.outcome import Reason
 from balsamway.ownership.route import NoRoute, Route
-from balsamway.servers.orders import (
+from balsamway.slices import KeyRange
+from balsamway.targets.orders import (
     GrantedRange,
     GrantOrder,
     OrderRefused,
     ReleaseOrder,
-    ServerState,
     SurveyOrder,
+    TargetState,
 )
-from balsamway.slices import KeyRange
 from tests.fakes.fate import Fate
 from tests.fakes.faults import Injection
-from tests.fakes.server import FakeServer
+from tests.fakes.target import FakeTarget
 from tests.fakes.world import SHARD, World
 
 pytestmark = pytest.mark.looptime
@@ -26,9 +26,9 @@
 HALF = KeyRange(0, 1 << 62)
 
 
-def order_to(server, *operations):
+def order_to(target, *operations):
     def matches(step):
-        if step.interface != "servers" or step.target != server:
+        if step.interface != "targets" or step.subject != target:
             return False
         return step.operation in operations
 
@@ -37,23 +37,23 @@
 
 def message(name, target=None):
     def matches(step):
-        return step.operation == name and target in (None, step.target)
+        return step.operation == name and target in (None, step.subject)
 
     return matches
 
 
-async def test_a_server_that_checks_refuses_older_epochs_and_generations():
-    server = FakeServer("a")
+async def test_a_target_that_checks_refuses_older_epochs_and_generations():
+    target = FakeTarget("a")
     ranges = (GrantedRange(HALF, 5),)
-    assert isinstance(server.survey(SurveyOrder(SHARD, 2)), ServerState)
+    assert isinstance(target.survey(SurveyOrder(SHARD, 2)), TargetState)
     old = GrantOrder(SHARD, 1, ranges, 9.0, 7)
-    assert server.grant(old) == OrderRefused(2, 0.0)
-    assert isinstance(server.grant(GrantOrder(SHARD, 2, ranges, 9.0, 3)), ServerState)
-    release = await server.release(ReleaseOrder(SHARD, 2, (HALF,), 4))
-    assert isinstance(release, ServerState)
-    late = server.grant(GrantOrder(SHARD, 2, ranges, 9.0, 3))
+    assert target.grant(old) == OrderRefused(2, 0.0)
+    assert isinstance(target.grant(GrantOrder(SHARD, 2, ranges, 9.0, 3)), TargetState)
+    release = await target.release(ReleaseOrder(SHARD, 2, (HALF,), 4))
+    assert isinstance(release, TargetState)
+    late = target.grant(GrantOrder(SHARD, 2, ranges, 9.0, 3))
     assert isinstance(late, OrderRefused)
-    assert not server.owns(SHARD, 0)
+    assert not target.owns(SHARD, 0)
 
 
 @pytest.mark.parametrize("checks", [True, False])
@@ -79,7 +79,7 @@
         host = world.leader_host
 
         def pauses(step):
-            return step.source == host and step.interface == "servers"
+            return step.source == host and step.interface == "targets"
 
         def isolate(step):
             world.network.down.add(host)
@@ -105,12 +105,12 @@
         lost = [one for one in world.record.slices if one.owner == "s1"]
         standbys = {one.standby for one in lost}
         world.store.outage = True
-        world.servers.servers["s1"].lose()
+        world.targets.targets["s1"].lose()
         await world.until_served()
-        world.servers.servers["s1"].restart()
+        world.targets.targets["s1"].restart()
         old = world.leader_host
         for host in set(world.entry) - {old}:
-            world.servers.cut |= {(host, standby) for standby in standbys}
+            world.targets.cut |= {(host, standby) for standby in standbys}
         await world.lose_host(old)
         world.store.outage = False
         await world.until(lambda: world.leader is not None)
@@ -136,14 +136,14 @@
         assert world.owners(entry.range.start) == [to]
 
 
-async def test_a_move_away_from_a_server_that_cannot_be_reached_waits_for_its_lapse():
+async def test_a_move_away_from_a_target_that_cannot_be_reached_waits_for_its_lapse():
     async with World() as world:
         await asyncio.sleep(3)
         entry = world.record.slices[0]
         to = "s3" if entry.owner != "s3" else "s2"
-        world.servers.servers[entry.owner].freeze()
+        world.targets.targets[entry.owner].freeze()
         await world.leader.handover.move([Move(entry.range, to)])
-        world.servers.servers[entry.owner].thaw()
+        world.targets.targets[entry.owner].thaw()
         await asyncio.sleep(5)
         assert world.overlaps() == []
         assert world.owners(entry.range.start) == [to]
@@ -174,7 +174,7 @@
         assert 0 < max(waits) < 0.1
 
 
-async def test_a_move_from_an_unchecked_server_waits_for_requests_in_flight():
+async def test_a_move_from_an_unchecked_target_waits_for_requests_in_flight():
     async with World(checks=False) as world:
         await asyncio.sleep(8)
         now = asyncio.get_running_loop().time
@@ -194,7 +194,7 @@
         assert world.owners(entry.range.start) == [to]
 
 
-async def test_an_unchecked_server_is_not_replaced_under_a_gateways_view():
+async def test_an_unchecked_target_is_not_replaced_under_a_gateways_view():
     """A gateway that the leader cannot reach may go on until its view ends."""
     async with World(checks=False) as world:
         await asyncio.sleep(8)
--- a/tests/ownership/test_store_faults.py
+++ b/tests/ownership/test_store_faults.py
@@ -40,13 +40,13 @@
 
 
 @pytest.mark.parametrize("checks", [True, False])
-async def test_a_server_lost_in_an_outage_is_replaced_by_its_standby(checks):
+async def test_a_target_lost_in_an_outage_is_replaced_by_its_standby(checks):
     async with World(checks=checks) as world:
         await asyncio.sleep(3)
         world.store.outage = True
         await asyncio.sleep(5)
         lost = [one for one in world.record.slices if one.owner == "s1"]
-        world.servers.servers["s1"].lose()
+        world.targets.targets["s1"].lose()
         assert await world.until_served() < 5
         leader = world.leader
         for entry in lost:
@@ -54,7 +54,7 @@
             acted_by = leader.context.state.entry(entry.range)
             assert acted_by.range in leader.context.state.provisional()
             assert acted_by.epoch in leader.context.state.record.reserved_epochs
-        world.servers.servers["s1"].restart()
+        world.targets.targets["s1"].restart()
         await asyncio.sleep(5)
         world.store.outage = False
         await world.until(lambda: not leader.context.state.ahead, 10)
@@ -63,31 +63,31 @@
         assert world.overlaps() == []
 
 
-async def test_servers_lost_one_after_another_in_an_outage_are_replaced_in_time():
-    async with World(servers=6) as world:
+async def test_targets_lost_one_after_another_in_an_outage_are_replaced_in_time():
+    async with World(targets=6) as world:
         await asyncio.sleep(3)
         world.store.outage = True
         await asyncio.sleep(1)
         first = world.record.slices[0].owner
-        world.servers.servers[first].lose()
+        world.targets.targets[first].lose()
         assert await world.until_served() < 3.5
         await asyncio.sleep(10)
         held = {one.owner: one.standby for one in world.record.slices}
         second = next(owner for owner in held if first not in (owner, held[owner]))
         at = [one.range.start for one in world.record.slices if one.owner == second]
-        world.servers.servers[second].lose()
+        world.targets.targets[second].lose()
         took = await world.until(lambda: all(world.owners(start) for start in at))
         assert took < 3.5
         assert world.overlaps() == []
 
 
-async def test_a_server_lost_with_its_standby_in_an_outage_is_replaced():
-    async with World(servers=4) as world:
+async def test_a_target_lost_with_its_standby_in_an_outage_is_replaced():
+    async with World(targets=4) as world:
         await asyncio.sleep(3)
         world.store.outage = True
         entry = world.record.slices[0]
-        world.servers.servers[entry.owner].lose()
-        world.servers.servers[entry.standby].lose()
+        world.targets.targets[entry.owner].lose()
+        world.targets.targets[entry.standby].lose()
         assert await world.until_served() < 5
         # The next leader finds out who holds what, though the record is old.
         host = world.leader_host
@@ -98,12 +98,12 @@
         assert world.overlaps() == []
 
 
-async def test_a_server_lost_while_the_store_is_slow_is_replaced_in_time():
+async def test_a_target_lost_while_the_store_is_slow_is_replaced_in_time():
     async with World() as world:
         await asyncio.sleep(3)
         world.store.latency_seconds = 3.0
         await asyncio.sleep(5)
-        world.servers.servers["s1"].lose()
+        world.targets.targets["s1"].lose()
         assert await world.until_served() < 3.5
         await asyncio.sleep(20)
         world.store.latency_seconds = 0.002
@@ -118,9 +118,9 @@
         await asyncio.sleep(3)
         lost = [one for one in world.record.slices if one.owner == "s1"]
         world.store.outage = True
-        world.servers.servers["s1"].lose()
+        world.targets.targets["s1"].lose()
         await world.until_served()
-        world.servers.servers["s1"].restart()
+        world.targets.targets["s1"].restart()
         await world.lose_host(world.leader_host)
         world.store.outage = False
         assert await world.unavailable(8) == 0
--- a/tests/ownership/test_store_relay.py
+++ b/tests/ownership/test_store_relay.py
@@ -19,8 +19,8 @@
 from tests.fakes.fate import Fate
 from tests.fakes.faults import Faults, Injection
 from tests.fakes.network import FakeNetwork
-from tests.fakes.servers import FakeServers
 from tests.fakes.store import FakeStore
+from tests.fakes.targets import FakeTargets
 from tests.fakes.world import World
 
 pytestmark = pytest.mark.looptime
@@ -33,7 +33,7 @@
         self.faults = Faults()
         self.store = FakeStore(self.faults)
         network = FakeNetwork(self.faults)
-        hosts = FakeHosts(network, FakeServers(self.faults))
+        hosts = FakeHosts(network, FakeTargets(self.faults))
         self.stores = {}
         for number, name in enumerate("abc"):
             hosts.add(name, f"z{number}", number)
--- a/tests/process_deployment.py
+++ b/tests/process_deployment.py
@@ -19,7 +19,7 @@
 from balsamway.standins.caller.call_kind import CallKind
 from balsamway.standins.journal import Journal
 from balsamway.standins.platform import PlatformSettings, PlatformStandin
-from balsamway.standins.server import ServerSettings, ServerStandin
+from balsamway.standins.target import TargetSettings, TargetStandin
 from balsamway.store import Host, HostRole
 from balsamway.store.http_store import HttpStore
 
@@ -27,7 +27,7 @@
 WORKSHOP = ROOT / "examples" / "walkthrough" / "workshop.json5"
 RUN_DAEMON = "from balsamway.daemon.main import run; run()"
 DAEMONS = 3
-SERVERS = 2
+TARGETS = 2
 POLL_SECONDS = 0.1
 KINDS = (
     CallKind("stock", "lookup", idempotent=True),
@@ -36,12 +36,12 @@
 
 
 class ProcessDeployment:
-    """Daemons as plain processes; platform, servers and callers embedded."""
+    """Daemons as plain processes; platform, targets and callers embedded."""
 
     def __init__(self, directory):
         self._directory = directory
         self._settings = {}
-        self._servers = []
+        self._targets = []
         self._callers = []
         self._session = None
         self.processes = {}
@@ -68,7 +68,7 @@
                 "listen": listen[name],
                 "platform": self.platform.url,
             }
-        for number in range(SERVERS):
+        for number in range(TARGETS):
             await self._start_server(number)
         for name in names:
             self.start_daemon(name)
@@ -82,8 +82,8 @@
             if process.poll() is None:
                 process.kill()
             process.wait()
-        for server in self._servers:
-            await server.stop()
+        for target in self._targets:
+            await target.stop()
         await self.platform.stop()
         await self._session.close()
 
@@ -118,7 +118,7 @@
     async def call_for(self, seconds, gateways, seed):
         """Has callers send requests; returns what became of each."""
         settings = CallerSettings(
-            member="workshop",
+            workspace="workshop",
             token="workshop-example",
             gateways=tuple(
                 self._settings[name]["listen"]["callers"] for name in gateways
@@ -137,7 +137,7 @@
 
     def journal(self):
         merged = Journal()
-        for part in (*self._servers, *self._callers):
+        for part in (*self._targets, *self._callers):
             merged += part.journal
         return merged
 
@@ -168,18 +168,18 @@
         return any(len(roster) == DAEMONS for roster in rosters)
 
     async def _start_server(self, number):
-        server = ServerStandin(
-            ServerSettings(
+        target = TargetStandin(
+            TargetSettings(
                 name=f"stock-{number + 1}",
                 zone=f"zone-{number + 1}",
-                member="workshop",
+                workspace="workshop",
                 service="stock",
                 platform=self.platform.url,
                 seed=number,
             )
         )
-        self._servers.append(server)
-        await server.start()
+        self._targets.append(target)
+        await target.start()
 
     async def _accept(self):
         store = HttpStore(self.platform.url)
--- a/tests/test_acceptance.py
+++ b/tests/test_acceptance.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from balsamway.configuration import MemberConfiguration, Service, Zone
+from balsamway.configuration import Service, WorkspaceConfiguration, Zone
 from balsamway.configuration.acceptance import Acceptance
 from balsamway.configuration.acceptance_result import (
     AcceptConflict,
@@ -14,14 +14,14 @@
     AcceptRefused,
     AcceptUnknown,
 )
-from balsamway.configuration.codec import decode_configuration, decode_members
-from balsamway.configuration.constants import MEMBERS_OBJECT
+from balsamway.configuration.codec import decode_configuration, decode_workspaces
+from balsamway.configuration.constants import WORKSPACES_OBJECT
 from tests.fakes.configuration_store import ConfigurationStore
 
 pytestmark = pytest.mark.looptime
 
-OFFERED = MemberConfiguration(
-    member="m",
+OFFERED = WorkspaceConfiguration(
+    workspace="m",
     version=0,
     change_id="",
     zones=(Zone("z", "r", 3),),
@@ -40,14 +40,16 @@
     return Acceptance(store, rng, settle_seconds=5.0)
 
 
-def stored(store, member="m"):
-    return decode_configuration(store.objects[f"configuration/{member}"].body, member)
+def stored(store, workspace="m"):
+    return decode_configuration(
+        store.objects[f"configuration/{workspace}"].body, workspace
+    )
 
 
-async def test_a_member_is_listed_then_configured(store, acceptance):
+async def test_a_workspace_is_listed_then_configured(store, acceptance):
     assert await acceptance.accept(OFFERED, 0) == Accepted(1)
-    assert store.writes == [MEMBERS_OBJECT, "configuration/m"]
-    assert decode_members(store.objects[MEMBERS_OBJECT].body) == ("m",)
+    assert store.writes == [WORKSPACES_OBJECT, "configuration/m"]
+    assert decode_workspaces(store.objects[WORKSPACES_OBJECT].body) == ("m",)
     assert await acceptance.accept(OFFERED, 1) == Accepted(2)
     assert stored(store).version == 2
 
@@ -78,26 +80,26 @@
     assert all(isinstance(result, AcceptConflict) for result in losers)
 
 
-async def test_operators_of_different_members_are_all_listed(store):
-    members = [f"m{number}" for number in range(6)]
+async def test_operators_of_different_workspaces_are_all_listed(store):
+    workspaces = [f"m{number}" for number in range(6)]
 
-    async def accept(member):
-        acceptance = Acceptance(store, random.Random(member))
-        return await acceptance.accept(replace(OFFERED, member=member), 0)
+    async def accept(workspace):
+        acceptance = Acceptance(store, random.Random(workspace))
+        return await acceptance.accept(replace(OFFERED, workspace=workspace), 0)
 
-    results = await asyncio.gather(*map(accept, members))
+    results = await asyncio.gather(*map(accept, workspaces))
     assert results == [Accepted(1)] * 6
-    assert decode_members(store.objects[MEMBERS_OBJECT].body) == tuple(members)
+    assert decode_workspaces(store.objects[WORKSPACES_OBJECT].body) == tuple(workspaces)
 
 
 @pytest.mark.parametrize("fate", ["applied", "never", 0.05, 0.3, 3.0])
-@pytest.mark.parametrize("name", [MEMBERS_OBJECT, "configuration/m"])
+@pytest.mark.parametrize("name", [WORKSPACES_OBJECT, "configuration/m"])
 async def test_a_lost_answer_is_settled(store, acceptance, name, fate):
     store.lost_writes[name] = fate
     assert await acceptance.accept(OFFERED, 0) == Accepted(1)
     await asyncio.sleep(5)
     assert stored(store).version == 1
-    assert decode_members(store.objects[MEMBERS_OBJECT].body) == ("m",)
+    assert decode_workspaces(store.objects[WORKSPACES_OBJECT].body) == ("m",)
 
 
 async def test_a_lost_answer_is_settled_after_another_change(store, acceptance, rng):
--- a/tests/test_answer_protections.py
+++ b/tests/test_answer_protections.py
@@ -1,4 +1,4 @@
-"""The real transport against a server stand-in that answers wrongly."""
+"""The real transport against a target stand-in that answers wrongly."""
 
 from __future__ import annotations
 
@@ -8,23 +8,23 @@
 import pytest
 
 from balsamway.outcome import Completed, MayHaveRun, NotRun
-from balsamway.servers import http_transport
-from balsamway.servers.http_transport import HttpTransport
-from balsamway.servers.request import ServerRequest
 from balsamway.standins.checker import Invariant, check
 from balsamway.standins.journal import AnswerCheck, Journal, Told, ToldVerdict
-from balsamway.standins.server import (
+from balsamway.standins.target import (
     RunTimes,
-    ServerFaults,
-    ServerSettings,
-    ServerStandin,
+    TargetFaults,
+    TargetSettings,
+    TargetStandin,
 )
+from balsamway.targets import http_transport
+from balsamway.targets.http_transport import HttpTransport
+from balsamway.targets.request import TargetRequest
 
 
 @pytest.fixture
-async def server():
-    settings = ServerSettings("s1", "a", "m", "s", run_times=RunTimes(0.001))
-    async with ServerStandin(settings) as standin:
+async def target():
+    settings = TargetSettings("s1", "a", "m", "s", run_times=RunTimes(0.001))
+    async with TargetStandin(settings) as standin:
         yield standin
 
 
@@ -35,10 +35,10 @@
     await found.close()
 
 
-async def send(transport, server):
-    request = ServerRequest("m", "s", "order", "r1", "", 2.0, b"body")
+async def send(transport, target):
+    request = TargetRequest("m", "s", "order", "r1", "", 2.0, b"body")
     start = asyncio.get_running_loop().time()
-    verdict = await transport.send(server.host, request)
+    verdict = await transport.send(target.host, request)
     end = asyncio.get_running_loop().time()
     told, answer = _judge(verdict)
     return Journal(
@@ -76,38 +76,38 @@
 
 
 FAULTY = {
-    Invariant.ANSWER_FROM_RUN: ServerFaults(shedding=True),
-    Invariant.ANSWER_WHOLE: ServerFaults(swap_answers=True),
+    Invariant.ANSWER_FROM_RUN: TargetFaults(shedding=True),
+    Invariant.ANSWER_WHOLE: TargetFaults(swap_answers=True),
 }
 
 
 @pytest.mark.parametrize(
     "faults",
     [
-        ServerFaults(),
-        ServerFaults(shedding=True),
-        ServerFaults(swap_answers=True),
-        ServerFaults(truncate_answers=True),
-        ServerFaults(lose_answers=True),
+        TargetFaults(),
+        TargetFaults(shedding=True),
+        TargetFaults(swap_answers=True),
+        TargetFaults(truncate_answers=True),
+        TargetFaults(lose_answers=True),
     ],
     ids=str,
 )
-async def test_a_wrong_answer_is_not_passed_on(transport, server, faults):
-    server.faults = faults
-    journal = await send(transport, server) + server.journal
+async def test_a_wrong_answer_is_not_passed_on(transport, target, faults):
+    target.faults = faults
+    journal = await send(transport, target) + target.journal
     assert check(journal) == ()
 
 
 @pytest.mark.parametrize("invariant", FAULTY)
-async def test_trusting_any_answer_is_caught(transport, server, monkeypatch, invariant):
+async def test_trusting_any_answer_is_caught(transport, target, monkeypatch, invariant):
     monkeypatch.setattr(http_transport, "judge_answer", _trust_any_answer)
-    server.faults = FAULTY[invariant]
-    journal = await send(transport, server) + server.journal
+    target.faults = FAULTY[invariant]
+    journal = await send(transport, target) + target.journal
     assert invariant in {one.invariant for one in check(journal)}
 
 
-async def test_trusting_a_truncated_answer_is_caught(transport, server, monkeypatch):
+async def test_trusting_a_truncated_answer_is_caught(transport, target, monkeypatch):
     monkeypatch.setattr(http_transport, "judge_answer", _trust_any_answer)
-    server.faults = ServerFaults(truncate_answers=True)
-    journal = await send(transport, server) + server.journal
+    target.faults = TargetFaults(truncate_answers=True)
+    journal = await send(transport, target) + target.journal
     assert Invariant.ANSWER_WHOLE in {one.invariant for one in check(journal)}
--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -69,7 +69,7 @@
     ),
     stops=(StopAsked("s1", 1.5),),
 )
-SECOND_RUN = replace(RUN, server="s1", start=1.3, end=1.4)
+SECOND_RUN = replace(RUN, target="s1", start=1.3, end=1.4)
 FAULTY = {
     Invariant.SOLE_OWNER: Journal(grants=(GrantHeld("s1", "m/s/0", LOW, 4, 8.0, 8.5),)),
     Invariant.RUN_UNDER_OWNERSHIP: Journal(
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -77,9 +77,9 @@
 
 def test_problems_exit_with_1(tmp_path, capsys):
     bad = tmp_path / "bad.json5"
-    bad.write_text("{member: 1}")
+    bad.write_text("{workspace: 1}")
     assert main(["check", TAPADERAS, str(bad)]) == 1
-    assert "bad.json5: member: found 1" in capsys.readouterr().out
+    assert "bad.json5: workspace: found 1" in capsys.readouterr().out
     assert main(["generate", str(bad)]) == 1
     assert main(["diff", str(bad), TAPADERAS]) == 1
 
--- a/tests/test_configuration_merge.py
+++ b/tests/test_configuration_merge.py
@@ -1,4 +1,4 @@
-"""Adoption against a naive version: the greatest version of each member."""
+"""Adoption against a naive version: the greatest version of each workspace."""
 
 from __future__ import annotations
 
@@ -9,26 +9,26 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from balsamway.configuration import MemberConfiguration, Zone
-from balsamway.configuration.codec import encode_configuration, encode_members
+from balsamway.configuration import WorkspaceConfiguration, Zone
+from balsamway.configuration.codec import encode_configuration, encode_workspaces
 from balsamway.configuration.configuration_service import ConfigurationService
-from balsamway.configuration.constants import MEMBERS_OBJECT
+from balsamway.configuration.constants import WORKSPACES_OBJECT
 from balsamway.configuration.messages import (
     ConfigurationDigest,
     ConfigurationNotice,
-    MemberVersion,
+    WorkspaceVersion,
 )
 from tests.fakes.configuration_network import ConfigurationNetwork
 from tests.fakes.configuration_store import ConfigurationStore
 
 ZONES = (Zone("z0", "r", 2), Zone("z1", "r", 1))
-MEMBERS = ("a", "b", "c")
+WORKSPACES = ("a", "b", "c")
 QUIET_SECONDS = 5.0
 
 events = st.lists(
     st.tuples(
         st.sampled_from(["notice", "digest", "stored"]),
-        st.sampled_from(MEMBERS),
+        st.sampled_from(WORKSPACES),
         st.integers(1, 6),
         st.booleans(),
     ),
@@ -36,16 +36,16 @@
 )
 
 
-def body_of(member, version):
+def body_of(workspace, version):
     return encode_configuration(
-        MemberConfiguration(member, version, f"c{version}", ZONES, (), ())
+        WorkspaceConfiguration(workspace, version, f"c{version}", ZONES, (), ())
     )
 
 
 async def play(script):
     network = ConfigurationNetwork()
     store = ConfigurationStore()
-    store.put(MEMBERS_OBJECT, encode_members(MEMBERS))
+    store.put(WORKSPACES_OBJECT, encode_workspaces(WORKSPACES))
     services = []
     for host, zone in (("h0", "z0"), ("h1", "z0"), ("h2", "z1")):
         peers = network.add(host, zone)
@@ -57,22 +57,24 @@
         await service.start()
     highest = {}
     seen = [{}, {}, {}]
-    for kind, member, version, doubled in script:
+    for kind, workspace, version, doubled in script:
         for _ in range(1 + doubled):
             match kind:
                 case "notice":
                     notice = ConfigurationNotice(
-                        member, version, body_of(member, version)
+                        workspace, version, body_of(workspace, version)
                     )
                     await guest.call("h1", notice, 1.0)
                 case "digest":
-                    digest = ConfigurationDigest(0, (MemberVersion(member, version),))
+                    digest = ConfigurationDigest(
+                        0, (WorkspaceVersion(workspace, version),)
+                    )
                     await guest.call("h0", digest, 1.0)
                 case "stored":
-                    store.put(f"configuration/{member}", body_of(member, version))
+                    store.put(f"configuration/{workspace}", body_of(workspace, version))
                     await asyncio.sleep(0.3)
         if kind != "digest":
-            highest[member] = max(version, highest.get(member, 0))
+            highest[workspace] = max(version, highest.get(workspace, 0))
         for index, service in enumerate(services):
             versions = service.versions()
             before = seen[index]
--- a/tests/test_configuration_service.py
+++ b/tests/test_configuration_service.py
@@ -6,10 +6,10 @@
 
 import pytest
 
-from balsamway.configuration import MemberConfiguration, Zone
-from balsamway.configuration.codec import encode_configuration, encode_members
+from balsamway.configuration import WorkspaceConfiguration, Zone
+from balsamway.configuration.codec import encode_configuration, encode_workspaces
 from balsamway.configuration.configuration_service import ConfigurationService
-from balsamway.configuration.constants import MEMBERS_OBJECT
+from balsamway.configuration.constants import WORKSPACES_OBJECT
 from balsamway.configuration.messages import ConfigurationNotice
 from balsamway.configuration.token_index import hash_token
 from tests.fakes.configuration_network import ConfigurationNetwork
@@ -21,9 +21,9 @@
 ZONES = ("z1", "z2", "z3")
 
 
-def configuration(version, member="m", token="secret"):
-    return MemberConfiguration(
-        member=member,
+def configuration(version, workspace="m", token="secret"):
+    return WorkspaceConfiguration(
+        workspace=workspace,
         version=version,
         change_id=f"change-{version}",
         zones=tuple(Zone(zone, "r", 3) for zone in ZONES),
@@ -43,7 +43,7 @@
     def put(self, found):
         for store in self.stores.values():
             store.put(found.object_name, encode_configuration(found))
-            store.put(MEMBERS_OBJECT, encode_members([found.member]))
+            store.put(WORKSPACES_OBJECT, encode_workspaces([found.workspace]))
 
     def set_down(self, *zones):
         for zone in zones:
@@ -63,8 +63,10 @@
             for number in range(per_zone):
                 await self.start(f"{zone}-{number}", zone)
 
-    def in_force(self, member="m"):
-        return {service.versions().get(member, 0) for service in self.services.values()}
+    def in_force(self, workspace="m"):
+        return {
+            service.versions().get(workspace, 0) for service in self.services.values()
+        }
 
 
 @pytest.fixture
@@ -156,7 +158,7 @@
     await asyncio.sleep(1)
     await peer.call("z1-0", ConfigurationNotice("m", 6, body), 1.0)
     deployment.stores["z1"].put("configuration/m", body)
-    deployment.stores["z1"].put(MEMBERS_OBJECT, body)
+    deployment.stores["z1"].put(WORKSPACES_OBJECT, body)
     await asyncio.sleep(1)
     assert service.versions() == {"m": 5}
     deployment.put(configuration(6))
@@ -185,26 +187,26 @@
     assert deployment.services["z1-2"].dump()["store"]["relay"]
 
 
-async def test_a_token_names_its_member_only(deployment):
+async def test_a_token_names_its_workspace_only(deployment):
     service = await deployment.start("z1-0", "z1")
     deployment.put(configuration(1))
     await asyncio.sleep(1)
-    assert service.member_of_token("secret").member == "m"
-    assert service.member_of_token("other") is None
-    assert service.member_of_token("") is None
+    assert service.workspace_of_token("secret").workspace == "m"
+    assert service.workspace_of_token("other") is None
+    assert service.workspace_of_token("") is None
     deployment.put(replace(configuration(2), token_hashes=()))
     await asyncio.sleep(1)
-    assert service.member_of_token("secret") is None
+    assert service.workspace_of_token("secret") is None
 
 
-async def test_a_token_of_two_members_names_neither(deployment):
+async def test_a_token_of_two_workspaces_names_neither(deployment):
     service = await deployment.start("z1-0", "z1")
-    for member in ("m", "n"):
-        deployment.put(configuration(1, member))
-        deployment.stores["z1"].put(MEMBERS_OBJECT, encode_members(["m", "n"]))
+    for workspace in ("m", "n"):
+        deployment.put(configuration(1, workspace))
+        deployment.stores["z1"].put(WORKSPACES_OBJECT, encode_workspaces(["m", "n"]))
     await asyncio.sleep(1)
     assert service.versions() == {"m": 1, "n": 1}
-    assert service.member_of_token("secret") is None
+    assert service.workspace_of_token("secret") is None
 
 
 async def test_the_dump_shows_no_token(deployment):
--- a/tests/test_generator.py
+++ b/tests/test_generator.py
@@ -7,7 +7,7 @@
 import pyjson5
 import pytest
 
-from balsamway.configuration import MemberConfiguration, Urgency
+from balsamway.configuration import Urgency, WorkspaceConfiguration
 from balsamway.configuration.difference import difference
 from balsamway.configuration.generator import generate
 from balsamway.configuration.questionnaire import read_questionnaire
@@ -48,9 +48,9 @@
 def test_what_is_written_reads_back(answers):
     generated = generate(answers)
     text = render(generated)
-    found = msgspec.convert(pyjson5.decode(text), MemberConfiguration)
+    found = msgspec.convert(pyjson5.decode(text), WorkspaceConfiguration)
     assert found == generated.configuration
-    assert "// from services[0].instances: 16 for each server" in text
+    assert "// from services[0].instances: 16 for each target" in text
 
 
 def test_answers_become_configuration():
@@ -79,6 +79,6 @@
     )
 
 
-def test_a_new_member_is_all_added(answers):
+def test_a_new_workspace_is_all_added(answers):
     changes = difference(None, generate(answers).configuration)
     assert {change.kind for change in changes} == {"added"}
--- a/tests/test_http_control.py
+++ b/tests/test_http_control.py
@@ -2,18 +2,18 @@
 
 import pytest
 
-from balsamway.servers.http_control import HttpControl
-from balsamway.servers.orders import (
+from balsamway.slices import KeyRange, ShardId
+from balsamway.standins.target import TargetSettings, TargetStandin
+from balsamway.targets.http_control import HttpControl
+from balsamway.targets.orders import (
     GrantedRange,
     GrantOrder,
     OrderLost,
     OrderRefused,
     ReleaseOrder,
-    ServerState,
     SurveyOrder,
+    TargetState,
 )
-from balsamway.slices import KeyRange, ShardId
-from balsamway.standins.server import ServerSettings, ServerStandin
 
 SHARD = ShardId("m", "stock")
 RANGE = KeyRange(0, 1000)
@@ -21,8 +21,8 @@
 
 
 @pytest.fixture
-async def server():
-    standin = ServerStandin(ServerSettings("stock-1", "z1", "m", "stock"))
+async def target():
+    standin = TargetStandin(TargetSettings("stock-1", "z1", "m", "stock"))
     await standin.start()
     yield standin
     await standin.stop()
@@ -35,48 +35,48 @@
     await made.close()
 
 
-async def granted(control, server, epoch=2, generation=1):
+async def granted(control, target, epoch=2, generation=1):
     survey = SurveyOrder(SHARD, epoch)
-    state = await control.survey(server.host, survey, TIMEOUT_SECONDS)
-    assert isinstance(state, ServerState)
+    state = await control.survey(target.host, survey, TIMEOUT_SECONDS)
+    assert isinstance(state, TargetState)
     ranges = (GrantedRange(RANGE, 7),)
     order = GrantOrder(SHARD, epoch, ranges, state.clock + 5.0, generation)
-    return await control.grant(server.host, order, TIMEOUT_SECONDS)
+    return await control.grant(target.host, order, TIMEOUT_SECONDS)
 
 
-async def test_a_grant_ends_at_the_moment_named_in_the_servers_clock(control, server):
-    state = await granted(control, server)
-    assert isinstance(state, ServerState)
+async def test_a_grant_ends_at_the_moment_named_in_the_targets_clock(control, target):
+    state = await granted(control, target)
+    assert isinstance(state, TargetState)
     assert state.ranges == (GrantedRange(RANGE, 7),)
     assert 0 < state.valid_until - state.clock <= 5.0
 
 
-async def test_a_release_takes_the_ranges(control, server):
-    await granted(control, server)
+async def test_a_release_takes_the_ranges(control, target):
+    await granted(control, target)
     order = ReleaseOrder(SHARD, 2, (RANGE,), 2)
-    state = await control.release(server.host, order, TIMEOUT_SECONDS)
-    assert isinstance(state, ServerState)
+    state = await control.release(target.host, order, TIMEOUT_SECONDS)
+    assert isinstance(state, TargetState)
     assert state.ranges == ()
 
 
-async def test_orders_of_an_older_epoch_are_refused_after_a_survey(control, server):
+async def test_orders_of_an_older_epoch_are_refused_after_a_survey(control, target):
     survey = SurveyOrder(SHARD, 3)
-    await control.survey(server.host, survey, TIMEOUT_SECONDS)
+    await control.survey(target.host, survey, TIMEOUT_SECONDS)
     order = GrantOrder(SHARD, 2, (GrantedRange(RANGE, 7),), 1e12, 1)
-    refused = await control.grant(server.host, order, TIMEOUT_SECONDS)
+    refused = await control.grant(target.host, order, TIMEOUT_SECONDS)
     assert isinstance(refused, OrderRefused)
     assert refused.leader_epoch == 3
 
 
-async def test_a_leaving_server_says_so_in_its_answers(control, server):
-    await server.leave()
-    state = await granted(control, server)
-    assert isinstance(state, ServerState)
+async def test_a_leaving_target_says_so_in_its_answers(control, target):
+    await target.leave()
+    state = await granted(control, target)
+    assert isinstance(state, TargetState)
     assert state.leaving
 
 
-async def test_an_order_to_a_server_that_is_gone_is_lost(control, server):
-    host = server.host
-    await server.stop()
+async def test_an_order_to_a_target_that_is_gone_is_lost(control, target):
+    host = target.host
+    await target.stop()
     result = await control.survey(host, SurveyOrder(SHARD, 2), TIMEOUT_SECONDS)
     assert isinstance(result, OrderLost)
--- a/tests/test_json_logs.py
+++ b/tests/test_json_logs.py
@@ -22,7 +22,7 @@
 
 def test_a_record_is_one_line_of_json(stream):
     logger = logging.getLogger("balsamway.part")
-    logger.info("configuration adopted", extra={"member": "m", "version": 3})
+    logger.info("configuration adopted", extra={"workspace": "m", "version": 3})
     logging.getLogger("library").info("left out")
     (line,) = stream.getvalue().splitlines()
     found = json.loads(line)
@@ -33,6 +33,6 @@
         "event": "configuration adopted",
         "host": "entry-1",
         "zone": "zone-1",
-        "member": "m",
+        "workspace": "m",
         "version": 3,
     }
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -15,7 +15,7 @@
 from tests.fakes.network import FakeNetwork
 
 SHARD = ShardId("m", "s")
-STOCK = Host("stock-1", HostRole.SERVER, "z1", "127.0.0.1:1", "m", "stock")
+STOCK = Host("stock-1", HostRole.TARGET, "z1", "127.0.0.1:1", "m", "stock")
 
 
 def entry(name: str) -> Host:
@@ -42,12 +42,12 @@
 
 
 @pytest.mark.looptime
-async def test_hosts_learn_of_each_other_and_of_servers(deployment):
+async def test_hosts_learn_of_each_other_and_of_targets(deployment):
     services = [await deployment.start(name) for name in "abc"]
     await asyncio.sleep(2)
     assert services[0].live_witnesses() == tuple(Witness(name, 1) for name in "abc")
-    assert services[0].servers("m", "stock") == (STOCK,)
-    assert services[0].servers("other", "stock") == ()
+    assert services[0].targets("m", "stock") == (STOCK,)
+    assert services[0].targets("other", "stock") == ()
 
 
 @pytest.mark.looptime
@@ -84,21 +84,21 @@
 
 
 @pytest.mark.looptime
-async def test_a_leaving_server_is_known_to_all_before_the_list_says_so(deployment):
+async def test_a_leaving_target_is_known_to_all_before_the_list_says_so(deployment):
     first, second = [await deployment.start(name) for name in "ab"]
     await asyncio.sleep(1)
     second.mark_leaving("stock-1")
     await asyncio.sleep(1)
-    assert first.servers("m", "stock")[0].state is HostState.LEAVING
+    assert first.targets("m", "stock")[0].state is HostState.LEAVING
 
 
 @pytest.mark.looptime
-async def test_a_server_that_came_back_under_its_name_gets_work_again(deployment):
+async def test_a_target_that_came_back_under_its_name_gets_work_again(deployment):
     first, second = [await deployment.start(name) for name in "ab"]
     await asyncio.sleep(1)
     second.mark_leaving("stock-1")
     await asyncio.sleep(8)
-    assert first.servers("m", "stock")[0].state is HostState.LIVE
+    assert first.targets("m", "stock")[0].state is HostState.LIVE
 
 
 @pytest.mark.looptime
@@ -107,7 +107,7 @@
     await asyncio.sleep(1)
     deployment.listed.outage = True
     await asyncio.sleep(600)
-    assert first.servers("m", "stock") == (STOCK,)
+    assert first.targets("m", "stock") == (STOCK,)
 
 
 @pytest.mark.looptime
@@ -118,19 +118,19 @@
     away.outage = True
     late = await deployment.start("b", host_list=away, seeds=(entry("a"),))
     await asyncio.sleep(3)
-    assert late.servers("m", "stock") == (STOCK,)
+    assert late.targets("m", "stock") == (STOCK,)
 
 
 @pytest.mark.looptime
-async def test_a_server_off_the_list_can_still_be_found_for_a_while(deployment):
+async def test_a_target_off_the_list_can_still_be_found_for_a_while(deployment):
     first = await deployment.start("a")
     await asyncio.sleep(1)
     deployment.listed.listed = (entry("a"),)
     await asyncio.sleep(5)
-    assert first.servers("m", "stock") == ()
-    assert first.server("stock-1") == STOCK
+    assert first.targets("m", "stock") == ()
+    assert first.target("stock-1") == STOCK
     await asyncio.sleep(200)
-    assert first.server("stock-1") is None
+    assert first.target("stock-1") is None
 
 
 @pytest.mark.looptime
--- a/tests/test_questionnaire.py
+++ b/tests/test_questionnaire.py
@@ -16,7 +16,7 @@
 EXAMPLES = Path(__file__).parent.parent / "examples"
 
 ANSWERS = {
-    "member": "m",
+    "workspace": "m",
     "zones": [{"name": "z1", "region": "r", "entry_hosts": 3}],
     "services": [
         {
@@ -65,10 +65,10 @@
 @pytest.mark.parametrize(
     ("change", "place", "found", "expected"),
     [
-        (top(member="Bad Name"), "member", "'Bad Name'", "a name of 1 to 40"),
-        (top(member=7), "member", "7", "a name"),
-        (top(extra=1), "extra", "an unknown field", "one of member"),
-        (lambda a: a.pop("member"), "member", "nothing", "a value"),
+        (top(workspace="Bad Name"), "workspace", "'Bad Name'", "a name of 1 to 40"),
+        (top(workspace=7), "workspace", "7", "a name"),
+        (top(extra=1), "extra", "an unknown field", "one of workspace"),
+        (lambda a: a.pop("workspace"), "workspace", "nothing", "a value"),
         (top(zones=[]), "zones", "an empty array", "at least one"),
         (top(services=[]), "services", "an empty array", "at least one"),
         (top(services={}), "services", "an object", "an array"),
@@ -138,7 +138,7 @@
 
 def test_all_problems_come_at_once():
     def change(answers):
-        answers["member"] = ""
+        answers["workspace"] = ""
         answers["zones"][0]["entry_hosts"] = -2
         answers["services"][0]["slots"] = "three"
         answers["services"][0]["kinds"][0]["idempotent"] = 1
--- a/tests/test_report_processes.py
+++ b/tests/test_report_processes.py
@@ -27,7 +27,7 @@
             RUN_COMMAND,
             "report",
             f"--platform={deployment.platform.url}",
-            "--member=workshop",
+            "--workspace=workshop",
             f"--html={page}",
             "--json",
             stdout=subprocess.PIPE,
@@ -39,5 +39,5 @@
     assert process.returncode == 0
     report = json.loads(printed)
     assert sum(each["requests"] for each in report["services"]) >= len(told)
-    assert any(each["servers"] for each in report["services"])
+    assert any(each["targets"] for each in report["services"])
     assert "<svg" in page.read_text()
--- a/tests/test_standin_processes.py
+++ b/tests/test_standin_processes.py
@@ -42,16 +42,16 @@
         process.stdout.close()
 
 
-async def test_a_server_lists_itself_and_leaves_at_its_stop(start):
+async def test_a_target_lists_itself_and_leaves_at_its_stop(start):
     platform, platform_address = start("platform", {"listen": "127.0.0.1:0"})
-    settings = {"name": "s1", "zone": "a", "member": "m", "service": "s"}
+    settings = {"name": "s1", "zone": "a", "workspace": "m", "service": "s"}
     settings |= {"platform": f"http://{platform_address}", "drain_seconds": 5.0}
-    server, address = start("server", settings)
+    target, address = start("target", settings)
     async with aiohttp.ClientSession() as session:
         hosts = await _hosts(session, platform_address)
         assert [(one["address"], one["state"]) for one in hosts] == [(address, "live")]
-        server.send_signal(signal.SIGTERM)
-        assert server.wait(timeout=20) == 0
+        target.send_signal(signal.SIGTERM)
+        assert target.wait(timeout=20) == 0
         hosts = await _hosts(session, platform_address)
         assert [one["state"] for one in hosts] == ["leaving"]
     platform.send_signal(signal.SIGTERM)
@@ -64,5 +64,5 @@
 
 
 def test_wrong_settings_are_an_error_of_usage(start):
-    process, _ = start("server", {"name": 1})
+    process, _ = start("target", {"name": 1})
     assert process.wait(timeout=20) == 2
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -4,11 +4,11 @@
 import msgspec
 import pytest
 
-from balsamway.servers.orders import GrantedRange, GrantOrder, ServerState, SurveyOrder
 from balsamway.slices import POSITION_END, KeyRange, ShardId
 from balsamway.standins.journal import Journal, RunOutcome
 from balsamway.standins.platform import PlatformSettings, PlatformStandin
-from balsamway.standins.server import RunTimes, ServerSettings, ServerStandin
+from balsamway.standins.target import RunTimes, TargetSettings, TargetStandin
+from balsamway.targets.orders import GrantedRange, GrantOrder, SurveyOrder, TargetState
 
 SHARD = ShardId("m", "s")
 ALL = KeyRange(0, POSITION_END)
@@ -26,11 +26,11 @@
         yield standin
 
 
-def server_settings(**changes):
-    return ServerSettings(
+def target_settings(**changes):
+    return TargetSettings(
         name="s1",
         zone="a",
-        member="m",
+        workspace="m",
         service="s",
         run_times=RunTimes(0.001),
         **changes,
@@ -38,8 +38,8 @@
 
 
 @pytest.fixture
-async def server():
-    async with ServerStandin(server_settings()) as standin:
+async def target():
+    async with TargetStandin(target_settings()) as standin:
         yield standin
 
 
@@ -53,25 +53,25 @@
         return answer.status, int(answer.headers.get("Balsamway-Version", 0))
 
 
-async def order(session, server, verb, body):
+async def order(session, target, verb, body):
     async with session.post(
-        f"{server.url}/control/{verb}", data=msgspec.json.encode(body)
+        f"{target.url}/control/{verb}", data=msgspec.json.encode(body)
     ) as answer:
         return answer.status, await answer.read()
 
 
-async def survey(session, server, epoch):
-    status, body = await order(session, server, "survey", SurveyOrder(SHARD, epoch))
+async def survey(session, target, epoch):
+    status, body = await order(session, target, "survey", SurveyOrder(SHARD, epoch))
     assert status == 200
-    return msgspec.json.decode(body, type=ServerState)
+    return msgspec.json.decode(body, type=TargetState)
 
 
-async def grant(session, server, epoch=1, seconds=5.0, generation=1):
-    clock = (await survey(session, server, epoch)).clock
+async def grant(session, target, epoch=1, seconds=5.0, generation=1):
+    clock = (await survey(session, target, epoch)).clock
     ranges = (GrantedRange(ALL, 7),)
     return await order(
         session,
-        server,
+        target,
         "grant",
         GrantOrder(SHARD, epoch, ranges, clock + seconds, generation),
     )
@@ -79,7 +79,7 @@
 
 def request_headers(request_id="r1", epoch=7, timeout_ms=1000):
     return {
-        "Balsamway-Member": "m",
+        "Balsamway-Workspace": "m",
         "Balsamway-Request-Id": request_id,
         "Balsamway-Timeout-Ms": str(timeout_ms),
         "Balsamway-Key": "k",
@@ -88,9 +88,9 @@
     }
 
 
-async def send(session, server, **parts):
+async def send(session, target, **parts):
     async with session.post(
-        f"{server.url}/requests/s/x", data=b"body", headers=request_headers(**parts)
+        f"{target.url}/requests/s/x", data=b"body", headers=request_headers(**parts)
     ) as answer:
         await answer.read()
         return answer
@@ -130,48 +130,48 @@
     assert platform.counts.refused == 1
 
 
-async def test_a_server_runs_only_under_its_grant(session, server):
-    refused = await send(session, server, request_id="r0")
+async def test_a_target_runs_only_under_its_grant(session, target):
+    refused = await send(session, target, request_id="r0")
     assert refused.headers["Balsamway-Verdict"] == "not-run"
     assert refused.headers["Balsamway-Reason"] == "grant-lapsed"
-    assert (await grant(session, server))[0] == 200
-    answer = await send(session, server)
+    assert (await grant(session, target))[0] == 200
+    answer = await send(session, target)
     assert answer.headers["Balsamway-Verdict"] == "completed"
-    wrong = await send(session, server, request_id="r2", epoch=6)
+    wrong = await send(session, target, request_id="r2", epoch=6)
     assert wrong.headers["Balsamway-Reason"] == "wrong-epoch"
-    outcomes = [run.outcome for run in server.journal.runs]
+    outcomes = [run.outcome for run in target.journal.runs]
     assert outcomes == [RunOutcome.REFUSED, RunOutcome.APPLIED, RunOutcome.REFUSED]
 
 
-async def test_a_server_refuses_an_older_leader(session, server):
-    await grant(session, server, epoch=5)
-    status, _ = await order(session, server, "survey", SurveyOrder(SHARD, 4))
+async def test_a_target_refuses_an_older_leader(session, target):
+    await grant(session, target, epoch=5)
+    status, _ = await order(session, target, "survey", SurveyOrder(SHARD, 4))
     assert status == 409
 
 
-async def test_a_leaving_server_says_so_and_drains(session, server):
-    await grant(session, server, seconds=0.05)
-    async with session.post(f"{server.url}/standin/leave") as answer:
+async def test_a_leaving_target_says_so_and_drains(session, target):
+    await grant(session, target, seconds=0.05)
+    async with session.post(f"{target.url}/standin/leave") as answer:
         assert answer.status == 200
-    assert (await survey(session, server, 1)).leaving
-    await server.wait_drained()
-    assert [stop.server for stop in server.journal.stops] == ["s1"]
+    assert (await survey(session, target, 1)).leaving
+    await target.wait_drained()
+    assert [stop.target for stop in target.journal.stops] == ["s1"]
 
 
 async def test_connections_beyond_the_limit_are_refused(session):
-    settings = server_settings(connection_limit=1)
-    async with ServerStandin(settings) as server:
-        await survey(session, server, 1)
+    settings = target_settings(connection_limit=1)
+    async with TargetStandin(settings) as target:
+        await survey(session, target, 1)
         async with aiohttp.ClientSession() as second:
             with pytest.raises(aiohttp.ClientError):
-                await second.get(f"{server.url}/health")
-        assert server.refused_connections >= 1
+                await second.get(f"{target.url}/health")
+        assert target.refused_connections >= 1
 
 
-async def test_the_journal_is_read_over_http(session, server):
-    await grant(session, server)
-    await send(session, server)
-    async with session.get(f"{server.url}/standin/journal") as answer:
+async def test_the_journal_is_read_over_http(session, target):
+    await grant(session, target)
+    await send(session, target)
+    async with session.get(f"{target.url}/standin/journal") as answer:
         journal = msgspec.json.decode(await answer.read(), type=Journal)
-    assert journal == server.journal
+    assert journal == target.journal
     assert journal.grants[0].range == ALL
--- a/tests/test_summary.py
+++ b/tests/test_summary.py
@@ -44,9 +44,9 @@
     assert found.p50_ms == pytest.approx(300, rel=0.01)
 
 
-def test_imbalance_counts_idle_servers():
-    busier = replace(RUN, server="s2", request_id="r2", end=1.1)
-    found = summarize(Journal(runs=(RUN, busier), told=(TOLD,)), servers={"m/s": 4})
+def test_imbalance_counts_idle_targets():
+    busier = replace(RUN, target="s2", request_id="r2", end=1.1)
+    found = summarize(Journal(runs=(RUN, busier), told=(TOLD,)), targets={"m/s": 4})
     assert found["m"].imbalance == pytest.approx(0.3 / (0.4 / 4))
 
 
--- a/tests/test_server_prober.py
+++ b/tests/test_target_prober.py
@@ -6,8 +6,8 @@
 import pytest
 
 from balsamway.membership.membership_service import MembershipService
-from balsamway.membership.server_prober import ServerProber
-from balsamway.standins.server import ServerSettings, ServerStandin
+from balsamway.membership.target_prober import TargetProber
+from balsamway.standins.target import TargetSettings, TargetStandin
 from balsamway.store import Host, HostRole, HostState
 from tests.fakes.faults import Faults
 from tests.fakes.host_list import FakeHostList
@@ -15,21 +15,21 @@
 
 
 @pytest.fixture
-async def server():
-    standin = ServerStandin(ServerSettings("stock-1", "z1", "m", "stock"))
+async def target():
+    standin = TargetStandin(TargetSettings("stock-1", "z1", "m", "stock"))
     await standin.start()
     yield standin
     await standin.stop()
 
 
 @pytest.fixture
-async def membership(server):
-    listed = FakeHostList((server.host,))
+async def membership(target):
+    listed = FakeHostList((target.host,))
     me = Host("a", HostRole.ENTRY, "z1", "127.0.0.1:1")
     service = MembershipService(me, 1, listed, (), random.Random(1))
     service.connect(FakeNetwork(Faults()).peers("a"))
     await service.start()
-    prober = ServerProber(service, lambda server: ["a"])
+    prober = TargetProber(service, lambda target: ["a"])
     await asyncio.sleep(0.1)
     await prober.start()
     yield service
@@ -37,11 +37,11 @@
     await service.stop()
 
 
-async def test_a_server_that_drains_is_leaving_although_listed_live(server, membership):
-    assert membership.servers("m", "stock")[0].state is HostState.LIVE
-    await server.leave()
+async def test_a_target_that_drains_is_leaving_although_listed_live(target, membership):
+    assert membership.targets("m", "stock")[0].state is HostState.LIVE
+    await target.leave()
     for _ in range(60):
-        if membership.servers("m", "stock")[0].state is HostState.LEAVING:
+        if membership.targets("m", "stock")[0].state is HostState.LEAVING:
             return
         await asyncio.sleep(0.05)
     pytest.fail("still live after three seconds")
