--- a/src/balsamway/commands/diff.py
+++ b/src/balsamway/commands/diff.py
@@ -13,8 +13,9 @@
 from balsamway.commands.verb import FINE, NOT_DONE, NOT_MET, Arguments, Verb
 from balsamway.configuration import WorkspaceConfiguration
 from balsamway.configuration.change import Change
-from balsamway.configuration.codec import Malformed, decode_configuration
+from balsamway.configuration.codec import decode_configuration
 from balsamway.configuration.difference import difference
+from balsamway.outcome import Malformed
 from balsamway.store import Absent, StoredObject, Unavailable
 
 
--- a/src/balsamway/configuration/codec.py
+++ b/src/balsamway/configuration/codec.py
@@ -2,24 +2,17 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 import msgspec
 
 from balsamway.configuration.workspace_configuration import WorkspaceConfiguration
+from balsamway.outcome import Malformed
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
 
-@dataclass(frozen=True, slots=True)
-class Malformed:
-    """A body that is no configuration, or not the one expected."""
-
-    reason: str
-
-
 def encode_configuration(configuration: WorkspaceConfiguration) -> bytes:
     """Encodes a configuration as it is stored.
 
--- a/src/balsamway/configuration/configuration_service.py
+++ b/src/balsamway/configuration/configuration_service.py
@@ -10,7 +10,7 @@
 
 from balsamway.clock import now
 from balsamway.configuration.adopted_configuration import AdoptedConfiguration
-from balsamway.configuration.codec import Malformed, decode_configuration
+from balsamway.configuration.codec import decode_configuration
 from balsamway.configuration.configuration_metrics import ConfigurationMetrics
 from balsamway.configuration.configuration_table import ConfigurationTable
 from balsamway.configuration.messages import (
@@ -20,6 +20,7 @@
 )
 from balsamway.configuration.relays import Relays
 from balsamway.configuration.store_follower import StoreFollower
+from balsamway.outcome import Malformed
 
 if TYPE_CHECKING:
     from random import Random
--- a/src/balsamway/configuration/store_follower.py
+++ b/src/balsamway/configuration/store_follower.py
@@ -7,9 +7,10 @@
 
 import mode
 
-from balsamway.configuration.codec import Malformed, decode_workspaces
+from balsamway.configuration.codec import decode_workspaces
 from balsamway.configuration.constants import WORKSPACES_OBJECT
 from balsamway.configuration.object_watch import ObjectWatch
+from balsamway.outcome import Malformed
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- /dev/null
+++ b/src/balsamway/entry/answer_writer.py
@@ -0,0 +1,91 @@
+"""The bytes of an answer to a caller."""
+
+from __future__ import annotations
+
+from http import HTTPStatus
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from balsamway.outcome import Completed, MayHaveRun, NotRun, Reason
+from balsamway.targets import header_names
+
+if TYPE_CHECKING:
+    from balsamway.outcome import Verdict
+
+_NOT_RUN_STATUSES = {
+    Reason.BAD_REQUEST: 400,
+    Reason.NO_ROUTE: 404,
+    Reason.BODY_TOO_LARGE: 413,
+    Reason.TOO_MANY_REQUESTS: 429,
+    Reason.HEADERS_TOO_LARGE: 431,
+}
+_BODILESS = frozenset({204, 304})
+
+
+def status_of(verdict: Verdict) -> int:
+    """Gives the status that tells a caller the verdict.
+
+    Args:
+        verdict: The verdict on its request.
+
+    Returns:
+        The target's own status, or 503 for what did not run and can be sent
+        again, 504 or 502 for what may have run.
+    """
+    match verdict:
+        case Completed(status=status):
+            return status
+        case NotRun(reason=reason):
+            return _NOT_RUN_STATUSES.get(reason, 503)
+        case MayHaveRun(reason=Reason.DEADLINE_EXCEEDED):
+            return 504
+        case _:
+            return 502
+
+
+def encode_answer(
+    verdict: Verdict, request_id: str | None, method: str, closes: bool
+) -> bytes:
+    """Writes an answer.
+
+    Args:
+        verdict: The verdict on the request.
+        request_id: The request's id, None if it has none.
+        method: The request's method.
+        closes: Whether the connection ends after the answer.
+
+    Returns:
+        The answer's bytes, head and body.
+    """
+    status = status_of(verdict)
+    headers, body = _content(verdict, request_id)
+    lines = [f"HTTP/1.1 {status} {_phrase(status)}"]
+    lines.extend(f"{name}: {value}" for name, value in headers)
+    if status not in _BODILESS and method != "HEAD":
+        lines.append(f"Content-Length: {len(body)}")
+    if closes:
+        lines.append("Connection: close")
+    head = "\r\n".join(lines).encode("utf-8", "surrogateescape") + b"\r\n\r\n"
+    return head if method == "HEAD" or status in _BODILESS else head + body
+
+
+def _content(
+    verdict: Verdict, request_id: str | None
+) -> tuple[list[tuple[str, str]], bytes]:
+    if isinstance(verdict, Completed):
+        return list(verdict.headers.items()), verdict.body
+    headers = [("Content-Type", "application/json")]
+    if request_id is not None:
+        headers.append((header_names.REQUEST_ID, request_id))
+    if isinstance(verdict, NotRun) and verdict.retry_after_seconds is not None:
+        headers.append((header_names.RETRY_AFTER, f"{verdict.retry_after_seconds:.3f}"))
+    body = msgspec.json.encode({"reason": verdict.reason, "detail": verdict.detail})
+    return headers, body
+
+
+def _phrase(status: int) -> str:
+    try:
+        return HTTPStatus(status).phrase
+    except ValueError:
+        return "Unknown"
--- /dev/null
+++ b/src/balsamway/forwarding/attempt_result.py
@@ -0,0 +1,39 @@
+"""What became of one attempt at one target."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from balsamway.outcome import Verdict
+
+
+class Finding(Enum):
+    """What an attempt says of its target."""
+
+    SERVED = "served"
+    FAILED = "failed"
+    """It answered, with a failure of its own."""
+    SHED = "shed"
+    """It refused for want of room."""
+    KEY_NOT_HELD = "key-not-held"
+    OTHER_TARGET = "other-target"
+    """Another target has its address now."""
+    UNREACHABLE = "unreachable"
+    """No connection could be opened."""
+    STALE_CONNECTION = "stale-connection"
+    """A kept connection had closed before anything was written."""
+    BROKEN = "broken"
+    """The exchange ended without a whole answer."""
+    LATE = "late"
+    """No answer came in the time given."""
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptResult:
+    """The verdict on an attempt, and what it says of the target."""
+
+    verdict: Verdict
+    finding: Finding
--- /dev/null
+++ b/src/balsamway/forwarding/key_owner.py
@@ -0,0 +1,49 @@
+"""Who owns a key, as far as a gateway knows."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Protocol
+
+if TYPE_CHECKING:
+    import asyncio
+
+
+@dataclass(frozen=True, slots=True)
+class KeyOwner:
+    """The target that holds a key."""
+
+    name: str
+    incarnation: int
+    is_ready: bool
+    """Whether it has accepted the key, so that it runs requests for it."""
+
+
+class KeyOwners(Protocol):
+    """Looks up the owners of keys."""
+
+    def owner(self, service: str, key: int) -> KeyOwner | None:
+        """Gives the owner of a key.
+
+        Args:
+            service: The name of the service.
+            key: The key.
+
+        Returns:
+            The owner, or None where none is known.
+        """
+        ...
+
+    def changed(self) -> asyncio.Future[None]:
+        """Gives a future that is done at the next change of owners."""
+        ...
+
+    def on_not_held(self, service: str, key: int, owner: KeyOwner) -> None:
+        """Notes that a target does not hold a key that is said to be its.
+
+        Args:
+            service: The name of the service.
+            key: The key.
+            owner: The owner that refused.
+        """
+        ...
--- /dev/null
+++ b/src/balsamway/forwarding/request_log.py
@@ -0,0 +1,100 @@
+"""Logs what became of requests, within a bounded volume."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+from balsamway.clock import now
+from balsamway.outcome import Completed, MayHaveRun, NotRun
+
+if TYPE_CHECKING:
+    from balsamway.forwarding.request_run import RequestRun
+    from balsamway.outcome import Verdict
+
+SERVED_SAMPLE = 64
+"""One served request in so many gets a line."""
+LINES_PER_SECOND = 100
+"""How many lines of requests a second are written; others are counted."""
+
+logger = logging.getLogger(__name__)
+
+
+class RequestLog:
+    """Writes a line for each request that was not served, and a sample."""
+
+    def __init__(self) -> None:
+        self._served = 0
+        self._second = 0
+        self._lines = 0
+        self._left_out = 0
+
+    def on_finished(self, run: RequestRun, verdict: Verdict) -> None:
+        """Notes the end of a request.
+
+        Args:
+            run: The request's run.
+            verdict: What became of it.
+        """
+        if isinstance(verdict, Completed) and verdict.status < 500:
+            self._served += 1
+            if self._served % SERVED_SAMPLE:
+                return
+        match verdict:
+            case Completed(status=status):
+                outcome, reason, detail = "completed", str(status), ""
+            case NotRun(reason=why, detail=detail):
+                outcome, reason = "not-run", str(why)
+            case MayHaveRun(reason=why, detail=detail):
+                outcome, reason = "may-have-run", str(why)
+        self._write(run, outcome, reason, detail, now() - run.request.arrived)
+
+    def on_given_up(self, run: RequestRun, seconds: float) -> None:
+        """Notes that a caller left.
+
+        Args:
+            run: The request's run.
+            seconds: How long the caller waited.
+        """
+        self._write(run, "given-up", "cancelled", "", seconds)
+
+    def _write(
+        self, run: RequestRun, outcome: str, reason: str, detail: str, seconds: float
+    ) -> None:
+        if not self._has_room():
+            return
+        began = run.request.arrived
+        logger.info(
+            "request-ended",
+            extra={
+                "request_id": run.request.request_id,
+                "outcome": outcome,
+                "reason": reason,
+                "detail": detail,
+                "route": run.route.name,
+                "service": run.service.name,
+                "key": run.request.key,
+                "ms": round(seconds * 1000, 1),
+                "limit_ms": round((run.deadline - began) * 1000, 1),
+                "attempts": [
+                    {
+                        "target": name,
+                        "at_ms": round((at - began) * 1000, 1),
+                        "finding": finding.value if finding else "open",
+                    }
+                    for name, at, finding in run.attempts
+                ],
+            },
+        )
+
+    def _has_room(self) -> bool:
+        second = int(now())
+        if second != self._second:
+            if self._left_out:
+                logger.warning("request-lines-left-out", extra={"n": self._left_out})
+            self._second, self._lines, self._left_out = second, 0, 0
+        self._lines += 1
+        if self._lines > LINES_PER_SECOND:
+            self._left_out += 1
+            return False
+        return True
--- /dev/null
+++ b/src/balsamway/forwarding/request_run.py
@@ -0,0 +1,237 @@
+"""The attempts of one request."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from balsamway.clock import now
+from balsamway.forwarding.attempt_result import AttemptResult, Finding
+from balsamway.forwarding.target_choice import choose_target
+from balsamway.outcome import Completed, MayHaveRun, NotRun, Reason
+from balsamway.routing import RouteType
+
+if TYPE_CHECKING:
+    from balsamway.entry import EntryRequest
+    from balsamway.forwarding.forwarder import Forwarder
+    from balsamway.forwarding.repeat_budget import RepeatBudget
+    from balsamway.forwarding.target_state import TargetState
+    from balsamway.outcome import Verdict
+    from balsamway.routing import Route, RoutedService
+
+LEAST_ATTEMPT_SECONDS = 0.005
+"""Less time than this is not worth an attempt; a path takes two ms."""
+RETRY_SECONDS = 0.25
+"""When to come back after a refusal for want of room."""
+OWNER_RETRY_SECONDS = 0.4
+"""When to come back for a key that nobody holds at the moment."""
+NOT_HELD_ATTEMPTS = 3
+"""How often a request follows a key that has moved."""
+UNREACHABLE_ATTEMPTS = 4
+"""How many targets are tried that accept no connection."""
+
+_ARRIVED = frozenset({Finding.SHED, Finding.KEY_NOT_HELD, Finding.OTHER_TARGET})
+"""Refusals that count as an arrival at the service."""
+
+
+class RequestRun:
+    """Takes one request through its attempts to a verdict.
+
+    A request that may not be repeated gets another attempt only after the
+    one before is known not to have run.
+    """
+
+    def __init__(
+        self,
+        forwarder: Forwarder,
+        request: EntryRequest,
+        route: Route,
+        service: RoutedService,
+        budget: RepeatBudget,
+    ) -> None:
+        """Makes the run of a request that has had no attempt.
+
+        Args:
+            forwarder: What is shared by all requests.
+            request: The request.
+            route: Its route.
+            service: The service that the route's split chose.
+            budget: Allows repeats to the service.
+        """
+        self.request = request
+        self.route = route
+        self.service = service
+        self._forwarder = forwarder
+        self._budget = budget
+        patience = request.patience_seconds
+        limit = route.timeout_seconds
+        self.deadline = request.arrived + (
+            limit if patience is None else min(limit, patience)
+        )
+        self.attempts: list[tuple[str, float, Finding | None]] = []
+        """The target, start and finding of each attempt so far."""
+        self._sent = 0
+        self._arrivals = 0
+        self._may_have_run = False
+        self._tried: set[str] = set()
+
+    @property
+    def is_safe(self) -> bool:
+        """Whether the request may run more than once."""
+        return self.route.type is RouteType.SAFE
+
+    @property
+    def seconds_left(self) -> float:
+        """The time left to the deadline."""
+        return self.deadline - now()
+
+    def late(self) -> Verdict:
+        """Gives the verdict on a request whose deadline has passed."""
+        if self._may_have_run:
+            return MayHaveRun(Reason.DEADLINE_EXCEEDED)
+        return NotRun(
+            Reason.OVERLOADED, "no target in time", self._jitter(RETRY_SECONDS)
+        )
+
+    async def run(self) -> Verdict:
+        """Makes attempts until one is answered or no other is allowed.
+
+        Returns:
+            The verdict over all attempts.
+        """
+        refused = 0
+        while True:
+            state = await self._next_target()
+            if isinstance(state, NotRun):
+                return self._refuse(state)
+            result = await self._attempt(state)
+            verdict = result.verdict
+            match result.finding:
+                case Finding.SERVED:
+                    return verdict
+                case Finding.UNREACHABLE | Finding.STALE_CONNECTION:
+                    refused += 1
+                    if refused >= UNREACHABLE_ATTEMPTS:
+                        return self._refuse(verdict)
+                    continue
+                case finding if finding in _ARRIVED:
+                    if not self._may_follow_refusal(finding):
+                        return self._refuse(verdict)
+                    if finding is Finding.KEY_NOT_HELD:
+                        await self._wait_for_owner(0.05)
+                case _:
+                    if not self._may_repeat(verdict):
+                        return verdict
+
+    async def _next_target(self) -> TargetState | NotRun:
+        if self.seconds_left < LEAST_ATTEMPT_SECONDS:
+            return NotRun(Reason.OVERLOADED, "no time is left")
+        if self.service.is_keyed:
+            return await self._owner()
+        states = self._forwarder.targets.usable(self.service.name)
+        state = choose_target(
+            states, self._forwarder.zone, self._tried, self._forwarder.rng
+        )
+        if state is not None:
+            return state
+        return NotRun(
+            Reason.NO_TARGET, "no target is left", self._jitter(RETRY_SECONDS)
+        )
+
+    async def _owner(self) -> TargetState | NotRun:
+        key = self.request.key
+        if key is None:
+            return NotRun(Reason.BAD_REQUEST, "the request names no key")
+        hold_until = now() + 0.5 * self.seconds_left
+        while True:
+            owner = self._forwarder.owners.owner(self.service.name, key)
+            if owner is not None and owner.is_ready:
+                state = self._forwarder.targets.find(owner.name, owner.incarnation)
+                if state is not None and not state.is_avoided:
+                    return state
+            if not await self._wait_for_owner(hold_until - now()):
+                return NotRun(
+                    Reason.NO_OWNER if owner is None else Reason.MOVING,
+                    "" if owner is None else owner.name,
+                    self._jitter(OWNER_RETRY_SECONDS),
+                )
+
+    async def _wait_for_owner(self, seconds: float) -> bool:
+        """Waits until an owner changes.
+
+        Returns:
+            Whether one did in time.
+        """
+        if seconds <= 0:
+            return False
+        done, _ = await asyncio.wait(
+            (self._forwarder.owners.changed(),), timeout=seconds
+        )
+        return bool(done)
+
+    async def _attempt(self, state: TargetState) -> AttemptResult:
+        began = now()
+        place = len(self.attempts)
+        self.attempts.append((state.entry.name, began, None))
+        self._sent += 1
+        may_have_run_before = self._may_have_run
+        self._may_have_run = True
+        state.in_flight += 1
+        try:
+            result = await self._forwarder.transport.send(
+                state.pool, state.entry, self.request, self.seconds_left
+            )
+        finally:
+            state.in_flight -= 1
+        seconds = now() - began
+        state.observe(result.finding, seconds)
+        self.attempts[place] = (state.entry.name, began, result.finding)
+        if isinstance(result.verdict, NotRun):
+            self._may_have_run = may_have_run_before
+        if result.finding not in (Finding.STALE_CONNECTION, Finding.KEY_NOT_HELD):
+            self._tried.add(state.entry.name)
+        self._note_owner(state, result.finding)
+        return result
+
+    def _note_owner(self, state: TargetState, finding: Finding) -> None:
+        key = self.request.key
+        if finding is not Finding.KEY_NOT_HELD or key is None:
+            return
+        owner = self._forwarder.owners.owner(self.service.name, key)
+        if owner is not None and owner.name == state.entry.name:
+            self._forwarder.owners.on_not_held(self.service.name, key, owner)
+
+    def _may_follow_refusal(self, finding: Finding) -> bool:
+        self._arrivals += 1
+        if finding is Finding.KEY_NOT_HELD:
+            allowed = self._arrivals < NOT_HELD_ATTEMPTS
+        elif self.service.is_keyed:
+            allowed = False
+        else:
+            allowed = self._arrivals < self.route.attempts_at_most
+        return allowed and self._has_time() and self._budget.take()
+
+    def _may_repeat(self, verdict: Verdict) -> bool:
+        if isinstance(verdict, NotRun):
+            return False
+        self._arrivals += 1
+        return (
+            self.is_safe
+            and self._arrivals < self.route.attempts_at_most
+            and self._has_time()
+            and self._budget.take()
+        )
+
+    def _has_time(self) -> bool:
+        return self.seconds_left > LEAST_ATTEMPT_SECONDS
+
+    def _refuse(self, verdict: Verdict) -> Verdict:
+        """Ends the request, unless an earlier attempt may have run."""
+        if self._may_have_run and not isinstance(verdict, Completed):
+            return MayHaveRun(Reason.CONNECTION_LOST, "an earlier attempt may have run")
+        if isinstance(verdict, NotRun) and verdict.retry_after_seconds is None:
+            return NotRun(verdict.reason, verdict.detail, self._jitter(RETRY_SECONDS))
+        return verdict
+
+    def _jitter(self, seconds: float) -> float:
+        return seconds * self._forwarder.rng.uniform(0.7, 1.3)
--- /dev/null
+++ b/src/balsamway/forwarding/target_choice.py
@@ -0,0 +1,69 @@
+"""Chooses a target for a request to a service without exclusive keys."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Collection, Sequence
+
+    from balsamway.forwarding.target_state import TargetState
+
+OTHER_ZONE_SECONDS = 0.004
+"""What a target in another zone counts as slower: its path takes two ms more,
+and traffic between zones is paid for."""
+UNKNOWN_SERVICE_SECONDS = 0.1
+"""How long a request is taken to last at a target without any answer yet."""
+FAILURE_SECONDS = 0.5
+"""What a certain failure would count in waiting time."""
+
+
+def choose_target(
+    states: Sequence[TargetState],
+    zone: str,
+    tried: Collection[str],
+    rng: random.Random,
+) -> TargetState | None:
+    """Chooses the target that is expected to answer first.
+
+    Args:
+        states: The targets of the service that may get requests.
+        zone: The availability zone of this host.
+        tried: The names of the targets that the request was sent to.
+        rng: Breaks ties.
+
+    Returns:
+        A target, or None where there is none left to try.
+    """
+    open_states = [one for one in states if one.entry.name not in tried]
+    calm = [one for one in open_states if not one.is_avoided and one.pool.has_room]
+    candidates = calm or [one for one in open_states if not one.is_unreachable]
+    if not candidates:
+        candidates = open_states
+    if not candidates:
+        return None
+    usual = _usual_seconds(states)
+    return min(
+        candidates,
+        key=lambda one: _expected_seconds(one, zone, usual) * rng.uniform(0.85, 1.15),
+    )
+
+
+def _usual_seconds(states: Sequence[TargetState]) -> float:
+    known = [one.service_seconds or one.latency_seconds for one in states]
+    found = [seconds for seconds in known if seconds is not None]
+    return sum(found) / len(found) if found else UNKNOWN_SERVICE_SECONDS
+
+
+def _expected_seconds(state: TargetState, zone: str, usual: float) -> float:
+    seconds = state.service_seconds or state.latency_seconds or usual
+    capacity = max(1, state.entry.capacity)
+    present = state.in_flight + state.others_in_flight
+    waiting = max(1.0, (present + 1.0) / capacity)
+    expected = seconds * state.cold_factor * waiting
+    # Even below its capacity a target that has less to do answers sooner.
+    expected *= 1.0 + 0.1 * present / capacity
+    if state.entry.zone != zone:
+        expected += OTHER_ZONE_SECONDS
+    return expected + FAILURE_SECONDS * state.failure_rate
--- /dev/null
+++ b/src/balsamway/forwarding/target_state.py
@@ -0,0 +1,133 @@
+"""What this host has seen of a target."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+from balsamway.clock import now
+from balsamway.forwarding.attempt_result import Finding
+
+if TYPE_CHECKING:
+    from balsamway.discovery import TargetEntry
+    from balsamway.exchange import ConnectionPool
+
+LATENCY_WEIGHT = 0.15
+"""The weight of the newest answer in the mean latency."""
+FAILURE_WEIGHT = 0.15
+"""The weight of the newest attempt in the failure rate."""
+FORGET_SECONDS = 8.0
+"""How fast the failure rate fades without attempts."""
+SHED_SECONDS = 0.15
+"""How long a target that refused for want of room is passed over."""
+FIRST_AVOID_SECONDS = 0.3
+LONGEST_AVOID_SECONDS = 2.0
+"""How long a target without a connection is passed over, doubling."""
+COLD_FACTOR = 2.0
+"""How much slower a target is taken to be during its warm-up."""
+
+
+class TargetState:
+    """Counts what is in flight and follows latency and failures."""
+
+    def __init__(self, entry: TargetEntry, pool: ConnectionPool) -> None:
+        """Starts without any observation.
+
+        Args:
+            entry: The target.
+            pool: The connections to it.
+        """
+        self.entry = entry
+        self.pool = pool
+        self.in_flight = 0
+        self.others_in_flight = 0.0
+        """The requests of other entry hosts there, on average."""
+        self.service_seconds: float | None = None
+        """How long a request takes without a queue, by all hosts' reports."""
+        self.latency_seconds: float | None = None
+        self._failure_rate = 0.0
+        self._failure_at = now()
+        self._avoid_until = -math.inf
+        self._unreachable_in_a_row = 0
+        self._warm_at = now() + entry.warmup_seconds
+        self.answered = 0
+        self.busy_seconds = 0.0
+        """The latencies of the answers since the last report, summed."""
+
+    @property
+    def is_avoided(self) -> bool:
+        """Whether it is passed over where another target can serve."""
+        return now() < self._avoid_until
+
+    @property
+    def is_unreachable(self) -> bool:
+        """Whether the last attempts found no connection."""
+        return self._unreachable_in_a_row > 0
+
+    @property
+    def failure_rate(self) -> float:
+        """The share of failed attempts, fading while there are none."""
+        return self._failure_rate * math.exp(
+            (self._failure_at - now()) / FORGET_SECONDS
+        )
+
+    @property
+    def cold_factor(self) -> float:
+        """How much slower than usual it is taken to be."""
+        return COLD_FACTOR if now() < self._warm_at else 1.0
+
+    def update(self, entry: TargetEntry) -> None:
+        """Takes over a changed entry of the same target.
+
+        Args:
+            entry: The entry as it is now.
+        """
+        if entry.warmup_seconds != self.entry.warmup_seconds:
+            self._warm_at = now() + entry.warmup_seconds
+        self.entry = entry
+
+    def observe(self, finding: Finding, seconds: float) -> None:
+        """Takes in the end of an attempt.
+
+        Args:
+            finding: What the attempt says of the target.
+            seconds: How long it took.
+        """
+        match finding:
+            case Finding.SERVED:
+                self._unreachable_in_a_row = 0
+                self._add_failure(0.0)
+                self._add_latency(seconds)
+            case Finding.SHED:
+                self._unreachable_in_a_row = 0
+                self._avoid_until = now() + SHED_SECONDS
+            case Finding.UNREACHABLE:
+                self._on_unreachable()
+            case Finding.OTHER_TARGET:
+                self._on_unreachable()
+            case Finding.KEY_NOT_HELD | Finding.STALE_CONNECTION:
+                pass
+            case Finding.FAILED:
+                self._unreachable_in_a_row = 0
+                self._add_failure(1.0)
+                self._add_latency(seconds)
+            case Finding.BROKEN | Finding.LATE:
+                self._add_failure(1.0)
+
+    def _on_unreachable(self) -> None:
+        self._unreachable_in_a_row += 1
+        doubled = FIRST_AVOID_SECONDS * 2 ** (self._unreachable_in_a_row - 1)
+        self._avoid_until = now() + min(LONGEST_AVOID_SECONDS, doubled)
+
+    def _add_latency(self, seconds: float) -> None:
+        self.answered += 1
+        self.busy_seconds += seconds
+        if self.latency_seconds is None:
+            self.latency_seconds = seconds
+            return
+        self.latency_seconds += LATENCY_WEIGHT * (seconds - self.latency_seconds)
+
+    def _add_failure(self, failed: float) -> None:
+        rate = self.failure_rate
+        self._failure_rate = rate + FAILURE_WEIGHT * (failed - rate)
+        self._failure_at = now()
--- /dev/null
+++ b/src/balsamway/keyspace/record_writer.py
@@ -0,0 +1,87 @@
+"""Writes a service's record, and finds out what became of the write."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, TypeAlias
+
+from balsamway.keyspace.key_record import encode_record
+from balsamway.store.store import Absent, Conflict, StoredObject, Unavailable, Written
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from balsamway.keyspace.key_record import KeyRecord
+    from balsamway.store.object_store import ObjectStore
+
+KEYS_KIND = "balsamway-keys"
+RETRY_SECONDS = 0.15
+
+logger = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True, slots=True)
+class RecordWritten:
+    """The record is stored."""
+
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class RecordRefused:
+    """The record is not stored and will not be."""
+
+    current: StoredObject | Absent | None
+    """What is stored in its place, where that was said."""
+
+
+@dataclass(frozen=True, slots=True)
+class RecordUnknown:
+    """The record may be stored; this host may no longer find out."""
+
+
+RecordResult: TypeAlias = RecordWritten | RecordRefused | RecordUnknown
+
+
+async def write_record(
+    store: ObjectStore,
+    service: str,
+    record: KeyRecord,
+    version: int | None,
+    may_act: Callable[[], bool],
+) -> RecordResult:
+    """Writes a record under a condition.
+
+    A write whose end is unknown is sent again unchanged until the store
+    decides: whichever of them is carried out, the same record is stored.
+
+    Args:
+        store: The store.
+        service: The service.
+        record: The record.
+        version: The version to replace; None where there is none.
+        may_act: Whether this host leads at this moment.
+
+    Returns:
+        Whether the record is stored.
+    """
+    body = encode_record(record)
+    is_unknown = False
+    while may_act():
+        match await store.write(KEYS_KIND, service, body, version):
+            case Written(version=written):
+                return RecordWritten(written)
+            case Conflict(current=StoredObject() as current) if current.body == body:
+                return RecordWritten(current.version)
+            case Conflict(current=current):
+                return RecordRefused(current)
+            case Unavailable() if not is_unknown:
+                return RecordRefused(None)
+            case Unavailable():
+                pass
+            case _:
+                is_unknown = True
+        await asyncio.sleep(RETRY_SECONDS)
+    return RecordUnknown()
--- /dev/null
+++ b/src/balsamway/keyspace/service_leader.py
@@ -0,0 +1,341 @@
+"""Leads one service: plans moves, records them, has them carried out."""
+
+from __future__ import annotations
+
+import asyncio
+import functools
+import logging
+from typing import TYPE_CHECKING
+
+from balsamway.clock import now
+from balsamway.keyspace.control_line import ControlLine
+from balsamway.keyspace.holder import Holder
+from balsamway.keyspace.placement import PlacedTarget, Placement, even_split
+from balsamway.keyspace.record_writer import RecordRefused, RecordWritten, write_record
+from balsamway.keyspace.segment import Segment
+from balsamway.keyspace.target_keeper import TargetKeeper
+from balsamway.keyspace.vacate import vacate
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Mapping
+
+    from balsamway.discovery import TargetDirectory, TargetEntry
+    from balsamway.keyspace.key_record import KeyRecord
+    from balsamway.keyspace.leader_lease import LeaderLease
+    from balsamway.keyspace.load_board import LoadBoard
+    from balsamway.keyspace.messages import KeyMapNotice
+    from balsamway.keyspace.service_keys import ServiceKeys
+    from balsamway.keyspace.target_control import TargetControl
+    from balsamway.store.object_store import ObjectStore
+
+STEP_SECONDS = 0.05
+"""How often what must not wait is looked at."""
+PLAN_SECONDS = 0.4
+"""How often moves for balance are planned."""
+PUBLISH_SECONDS = 0.01
+"""How long changes gather before the gateways are told."""
+SETTLE_SECONDS = 1.5
+"""How long the list of targets must have stood still before the first keys
+are given out; else the first target to register is given all."""
+USUAL_SECONDS = 0.1
+"""How long a request is taken to last before there is any report."""
+COLD_FACTOR = 2.0
+"""How much slower a target is during its warm-up."""
+SLOWEST, FASTEST = 0.25, 4.0
+"""The bounds on a target's speed, relative to the mean of its service."""
+LOST_SECONDS = 8.0
+"""How long a target that did not answer until its grants lapsed gets none."""
+RELIEF_MOVES = 4
+"""So many previous holders may be unsettled before balancing pauses."""
+
+logger = logging.getLogger(__name__)
+
+
+class ServiceLeader:
+    """Runs until its leadership ends."""
+
+    def __init__(
+        self,
+        keys: ServiceKeys,
+        store: ObjectStore,
+        lease: LeaderLease,
+        directory: TargetDirectory,
+        board: LoadBoard,
+        control: TargetControl,
+        publish: Callable[[KeyMapNotice], None],
+    ) -> None:
+        """Prepares to lead a service whose record was taken over.
+
+        Args:
+            keys: The service's keys.
+            store: The store.
+            lease: The lease.
+            directory: The targets that exist.
+            board: What the entry hosts report.
+            control: Sends orders to targets.
+            publish: Tells the gateways who holds which keys.
+        """
+        self._keys = keys
+        self._store = store
+        self._lease = lease
+        self._directory = directory
+        self._board = board
+        self._control = control
+        self._publish = publish
+        self._keepers: dict[Holder, tuple[TargetKeeper, asyncio.Task[None]]] = {}
+        self._lines: dict[Holder, ControlLine] = {}
+        self._tasks: asyncio.TaskGroup | None = None
+        self._lost_until: dict[Holder, float] = {}
+        self._plan_at = now()
+        self._dirty = True
+        self.last_notice: KeyMapNotice | None = None
+        """What the gateways were told last."""
+
+    async def run(self, tasks: asyncio.TaskGroup) -> None:
+        """Leads until cancelled.
+
+        Args:
+            tasks: The tasks of this leadership.
+        """
+        self._tasks = tasks
+        try:
+            while True:
+                await self._step()
+                if self._dirty:
+                    self._dirty = False
+                    await asyncio.sleep(PUBLISH_SECONDS)
+                    self._carry_out()
+                    self.publish()
+                await asyncio.sleep(STEP_SECONDS)
+        finally:
+            for line in self._lines.values():
+                line.close()
+
+    def kick(self) -> None:
+        """Notes that holders or their readiness changed."""
+        self._dirty = True
+
+    def publish(self) -> None:
+        """Tells the gateways who holds which keys."""
+        if self._may_act():
+            self.last_notice = self._keys.notice()
+            self._publish(self.last_notice)
+
+    def dump(self) -> dict[str, object]:
+        """Gives the state for the state dump."""
+        record = self._keys.record
+        return {
+            "epoch": record.epoch,
+            "next_token": record.next_token,
+            "segments": len(record.segments),
+            "vacating": len(list(self._keys.vacating())),
+            "targets": {
+                holder.name: round(keeper.failing_seconds, 2)
+                for holder, (keeper, _) in self._keepers.items()
+            },
+        }
+
+    def _may_act(self) -> bool:
+        return self._lease.has_authority(self._keys.epoch)
+
+    async def _step(self) -> None:
+        entries = self._directory.usable(self._keys.service)
+        if not self._keys.record.segments:
+            await self._give_out(entries)
+            return
+        urgent = self._urgent()
+        if not urgent and now() < self._plan_at:
+            return
+        self._plan_at = now() + PLAN_SECONDS
+        moves = self._plan()
+        moves.update(
+            {
+                one.keys: one.holder
+                for one in self._keys.record.segments
+                if one.holder in self._keys.renew_tokens_of and one.keys not in moves
+            }
+        )
+        moves = _without_overlaps(moves)
+        if moves:
+            await self._record(self._keys.record.reassign(moves), moves)
+
+    async def _give_out(self, entries: tuple[TargetEntry, ...]) -> None:
+        """Gives out all keys for the first time."""
+        still = now() - self._directory.changed_at
+        if not entries or still < SETTLE_SECONDS:
+            return
+        targets = self._placed()
+        token = self._keys.record.next_token
+        segments = tuple(
+            Segment(first, last, holder, token + place)
+            for place, (first, last, holder) in enumerate(even_split(targets))
+        )
+        record = self._keys.record
+        await self._record(
+            type(record)(record.epoch, token + len(segments), segments),
+            {one.keys: one.holder for one in segments},
+        )
+
+    def _urgent(self) -> bool:
+        """Whether keys have a holder that must not keep them."""
+        if self._keys.renew_tokens_of:
+            return True
+        placed = {one.holder for one in self._placed()}
+        return bool(placed) and any(
+            one.holder not in placed for one in self._keys.record.segments
+        )
+
+    def _plan(self) -> dict[tuple[int, int], Holder]:
+        unsettled = sum(1 for _ in self._keys.vacating())
+        placement = Placement(
+            self._keys.record.segments,
+            self._board.key_rates(self._keys.service),
+            self._placed(),
+        )
+        return placement.plan(balances=unsettled < RELIEF_MOVES)
+
+    def _placed(self) -> list[PlacedTarget]:
+        """Gives the targets that may hold keys, with their speeds."""
+        entries = [
+            entry
+            for entry in self._directory.usable(self._keys.service)
+            if not self._is_lost(Holder(*entry.key))
+        ]
+        loads = self._board.targets()
+        seconds = {
+            entry.name: load.service_seconds
+            for entry in entries
+            if (load := loads.get(entry.name)) and load.service_seconds
+        }
+        usual = sum(seconds.values()) / len(seconds) if seconds else USUAL_SECONDS
+        placed = []
+        for entry in entries:
+            relative = usual / seconds.get(entry.name, usual)
+            if entry.warmup_seconds > 0 and entry.name not in seconds:
+                relative /= COLD_FACTOR
+            speed = min(FASTEST, max(SLOWEST, relative)) * entry.capacity
+            placed.append(PlacedTarget(Holder(*entry.key), speed))
+        return placed
+
+    def _is_lost(self, holder: Holder) -> bool:
+        """Whether a target no longer holds anything and does not answer."""
+        if self._lost_until.get(holder, 0.0) > now():
+            return True
+        found = self._keepers.get(holder)
+        if found is None:
+            return False
+        keeper = found[0]
+        has_lapsed = self._keys.bound(holder).until < now()
+        if keeper.has_ended or (keeper.failing_seconds > 0 and has_lapsed):
+            self._lost_until[holder] = now() + LOST_SECONDS
+            logger.warning(
+                "target-lost",
+                extra={
+                    "target": holder.name,
+                    "failing_seconds": round(keeper.failing_seconds, 3),
+                    "ended": keeper.has_ended,
+                },
+            )
+            return True
+        return False
+
+    async def _record(
+        self, record: KeyRecord, moves: Mapping[tuple[int, int], Holder]
+    ) -> None:
+        """Writes a record ahead of the grants that follow from it."""
+        renewed = set(self._keys.renew_tokens_of)
+        record = record.settle(self._keys.settled())
+        result = await write_record(
+            self._store,
+            self._keys.service,
+            record,
+            self._keys.version,
+            self._may_act,
+        )
+        match result:
+            case RecordWritten(version=version):
+                logger.info(
+                    "keys-moved",
+                    extra={
+                        "service": self._keys.service,
+                        "version": version,
+                        "next_token": record.next_token,
+                        "segments": len(record.segments),
+                        "moves": [
+                            f"{first}-{last}>{holder.name}"
+                            for (first, last), holder in moves.items()
+                        ][:24],
+                    },
+                )
+                self._keys.renew_tokens_of -= renewed
+                self._keys.replace(record, version)
+            case RecordRefused(current=None):
+                logger.warning(
+                    "key-record-not-written", extra={"service": self._keys.service}
+                )
+                await asyncio.sleep(PLAN_SECONDS)
+            case _:
+                self._lease.abandon("the record of the keys was changed elsewhere")
+
+    def _carry_out(self) -> None:
+        """Starts what the record asks for, and has new grants sent."""
+        assert self._tasks is not None
+        for one in self._keys.vacating():
+            if one.task is None or one.task.done():
+                holder = one.previous.holder
+                one.task = self._tasks.create_task(
+                    vacate(
+                        self._keys,
+                        one,
+                        self._line(holder),
+                        self._control,
+                        self._may_act,
+                        functools.partial(self._has_started_again, holder),
+                        self.kick,
+                    )
+                )
+        holders = {one.holder for one in self._keys.record.segments}
+        for holder in holders:
+            line = self._line(holder)
+            if holder not in self._keepers and line is not None:
+                self._start_keeper(holder, line)
+        for holder in [one for one in self._keepers if one not in holders]:
+            self._keepers.pop(holder)[1].cancel()
+        for keeper, _ in self._keepers.values():
+            keeper.kick()
+
+    def _start_keeper(self, holder: Holder, line: ControlLine) -> None:
+        assert self._tasks is not None
+        keeper = TargetKeeper(
+            self._keys,
+            holder,
+            line,
+            self._control,
+            self._may_act,
+            lambda: self._lease.renewal_failing,
+        )
+        self._keepers[holder] = (keeper, self._tasks.create_task(keeper.run()))
+
+    def _line(self, holder: Holder) -> ControlLine | None:
+        entry = self._directory.find(holder.name)
+        line = self._lines.get(holder)
+        if entry is None or entry.incarnation != holder.incarnation:
+            return line
+        if line is None or line.address != entry.address:
+            line = self._lines[holder] = ControlLine(entry.address)
+        return line
+
+    def _has_started_again(self, holder: Holder) -> bool:
+        entry = self._directory.find(holder.name)
+        return entry is not None and entry.incarnation != holder.incarnation
+
+
+def _without_overlaps(
+    moves: Mapping[tuple[int, int], Holder],
+) -> dict[tuple[int, int], Holder]:
+    """Leaves out ranges that another range is part of."""
+    kept: dict[tuple[int, int], Holder] = {}
+    for first, last in sorted(moves, key=lambda one: one[1] - one[0]):
+        if all(last < begin or end < first for begin, end in kept):
+            kept[(first, last)] = moves[(first, last)]
+    return kept
--- /dev/null
+++ b/src/balsamway/node/__init__.py
@@ -0,0 +1,1 @@
+"""Puts the parts of an entry host together."""
--- /dev/null
+++ b/src/balsamway/node/entry_node.py
@@ -0,0 +1,248 @@
+"""An entry host: all of its parts, started and stopped in order."""
+
+from __future__ import annotations
+
+import logging
+import random
+import time
+from typing import TYPE_CHECKING
+
+import mode
+from prometheus_client import CollectorRegistry
+
+from balsamway.clock import now
+from balsamway.daemon.health import Health
+from balsamway.daemon.operator_listener import OperatorListener
+from balsamway.discovery import TargetDirectory
+from balsamway.entry import EntryListener
+from balsamway.forwarding.forwarder import Forwarder
+from balsamway.forwarding.forwarding_settings import ForwardingSettings
+from balsamway.forwarding.request_log import RequestLog
+from balsamway.forwarding.service_targets import ServiceTargets
+from balsamway.keyspace.key_leader import KeyLeader
+from balsamway.keyspace.key_record import decode_record
+from balsamway.keyspace.key_view import KeyView
+from balsamway.keyspace.leader_lease import LeaderLease
+from balsamway.keyspace.load_board import LoadBoard
+from balsamway.keyspace.record_writer import KEYS_KIND
+from balsamway.node.configuration_handler import ConfigurationHandler
+from balsamway.node.directory_handler import DirectoryHandler
+from balsamway.node.load_reporter import LoadReporter
+from balsamway.node.readiness_listener import ReadinessListener
+from balsamway.outcome import Malformed
+from balsamway.peers.stream_peers import StreamPeers
+from balsamway.store.kind_watch import KindWatch
+from balsamway.store.store import StoredObject
+
+if TYPE_CHECKING:
+    from balsamway.node.node_settings import NodeSettings
+    from balsamway.node.surroundings import Surroundings
+    from balsamway.routing import RoutingConfiguration
+
+WATCH_SECONDS = 2.0
+"""How long a watch waits at most. It bounds how long a connection that went
+silent hides a change, which must be in force two seconds later."""
+TARGETS_REARM_SECONDS = 0.3
+"""The pause after a change of targets, in which more changes gather."""
+CONFIGURATION_REARM_SECONDS = 0.05
+HOUSEKEEPING_SECONDS = 0.25
+RECORD_SECONDS = 0.6
+"""How often the stored record of keys is read while no leader is heard."""
+DRAIN_IDLE_SHARE = 0.55
+"""The part of the time to stop in which idle connections stay open, so that
+the balancer has taken the host out before they close."""
+DRAIN_WHOLE_SHARE = 0.92
+
+logger = logging.getLogger(__name__)
+
+
+class EntryNode(mode.Service):
+    """Runs the gateway, and the leader's part where this host is elected."""
+
+    def __init__(self, settings: NodeSettings, surroundings: Surroundings) -> None:
+        """Puts the parts together; nothing runs yet.
+
+        Args:
+            settings: The addresses and bounds of this host.
+            surroundings: The implementations of what is outside.
+        """
+        super().__init__()
+        self._settings = settings
+        self._rng = random.Random()
+        self._is_draining = False
+        self._registry = CollectorRegistry()
+        store = surroundings.store
+        self._store = store
+        self.directory = TargetDirectory()
+        self.targets = ServiceTargets(self.directory, lambda: None)
+        self.view = KeyView()
+        bounds = settings.bounds
+        self.forwarder = Forwarder(
+            settings.zone,
+            self.targets,
+            self.view,
+            surroundings.transport,
+            ForwardingSettings(bounds.repeat_ratio, bounds.repeat_burst),
+            RequestLog(),
+            self._rng,
+        )
+        self._peer_addresses: dict[str, str] = {}
+        self._peers = StreamPeers(
+            settings.host,
+            time.time_ns() // 1_000_000,
+            settings.peers_address,
+            self._peer_addresses.get,
+            self._rng,
+        )
+        self.lease = LeaderLease(
+            store, settings.host, settings.peers_address, self._rng
+        )
+        board = LoadBoard()
+        self._reporter = LoadReporter(
+            settings.host,
+            settings.zone,
+            settings.peers_address,
+            self._peers,
+            self._peer_addresses,
+            self.forwarder,
+            self.targets,
+            self.view,
+            self.lease,
+            board,
+        )
+        self.leader = KeyLeader(
+            store,
+            self.lease,
+            self.directory,
+            board,
+            surroundings.control,
+            self._keyed_services,
+            self._reporter.publish,
+        )
+        self._reporter.leader = self.leader
+        self._listener = EntryListener(
+            settings.callers_address, surroundings.codec, self.forwarder.forward
+        )
+        self._readiness = ReadinessListener(
+            settings.readiness_address, surroundings.readiness_path, self.is_ready
+        )
+        self._operators = OperatorListener(
+            settings.operators_address, self._registry, self.state, self._health
+        )
+        self._configuration_watch = KindWatch(
+            store,
+            surroundings.configuration_kind,
+            ConfigurationHandler(
+                surroundings.configuration_name,
+                surroundings.decode_configuration,
+                self._adopt,
+            ),
+            WATCH_SECONDS,
+            CONFIGURATION_REARM_SECONDS,
+            self._rng,
+        )
+        self._targets_watch = KindWatch(
+            store,
+            surroundings.targets_kind,
+            DirectoryHandler(self.directory, surroundings.decode_target),
+            WATCH_SECONDS,
+            TARGETS_REARM_SECONDS,
+            self._rng,
+        )
+
+    def is_ready(self) -> bool:
+        """Tells whether this host takes new connections."""
+        return (
+            not self._is_draining
+            and self.forwarder.configuration is not None
+            and self.directory.is_listed
+        )
+
+    async def on_start(self) -> None:
+        """Starts the parts, the listener for callers last."""
+        for part in (
+            self._readiness,
+            self._operators,
+            self._peers,
+            self._configuration_watch,
+            self._targets_watch,
+            self.lease,
+            self.leader,
+            self._reporter,
+            self._listener,
+        ):
+            await self.add_runtime_dependency(part)
+
+    async def drain(self) -> None:
+        """Lets requests and connections end, and gives leadership up."""
+        began = now()
+        self._is_draining = True
+        logger.info("draining", extra={"in_progress": self._listener.in_progress})
+        await self.lease.resign()
+        grace = self._settings.bounds.grace_seconds
+        await self._listener.drain(DRAIN_IDLE_SHARE * grace, DRAIN_WHOLE_SHARE * grace)
+        logger.info(
+            "drained",
+            extra={
+                "in_progress": self._listener.in_progress,
+                "seconds": round(now() - began, 3),
+            },
+        )
+
+    def state(self) -> dict[str, object]:
+        """Gives what this host believes, for the state dump."""
+        return {
+            "host": self._settings.host,
+            "zone": self._settings.zone,
+            "ready": self.is_ready(),
+            "leader": self.lease.leader,
+            "leads": self.lease.epoch,
+            "configuration_age_seconds": self._configuration_watch.age_seconds,
+            "targets_age_seconds": self._targets_watch.age_seconds,
+            "callers": self._listener.dump(),
+            "forwarding": self.forwarder.dump(),
+            "keys": self.view.dump(),
+            "leading": self.leader.dump(),
+            "peers": self._peers.dump(),
+        }
+
+    def _health(self) -> Health:
+        version = self.forwarder.dump()["version"]
+        configurations = {"routes": version} if isinstance(version, int) else {}
+        return Health(
+            self._settings.host,
+            self._settings.zone,
+            self.is_ready(),
+            self._is_draining,
+            configurations,
+        )
+
+    def _adopt(self, configuration: RoutingConfiguration) -> None:
+        if self.forwarder.adopt(configuration):
+            self._listener.limits = configuration.limits
+
+    def _keyed_services(self) -> tuple[str, ...]:
+        configuration = self.forwarder.configuration
+        return () if configuration is None else configuration.keyed_services
+
+    @mode.Service.task
+    async def _keep_house(self) -> None:
+        while not self.should_stop:
+            await self.sleep(HOUSEKEEPING_SECONDS)
+            self.directory.expire()
+            self.targets.trim()
+
+    @mode.Service.task
+    async def _read_records(self) -> None:
+        """Reads who holds which keys while the leader is not heard."""
+        while not self.should_stop:
+            await self.sleep(RECORD_SECONDS)
+            if not self.view.is_stale:
+                continue
+            for service in self._keyed_services():
+                found = await self._store.read(KEYS_KIND, service, may_be_old=True)
+                if not isinstance(found, StoredObject):
+                    continue
+                record = decode_record(found.body)
+                if not isinstance(record, Malformed):
+                    self.view.on_record(service, record)
--- /dev/null
+++ b/src/balsamway/node/load_reporter.py
@@ -0,0 +1,156 @@
+"""Exchanges loads and key maps between the leader and the other hosts."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import mode
+
+from balsamway.keyspace.messages import FleetNotice, KeyMapNotice, LoadNotice
+
+if TYPE_CHECKING:
+    from balsamway.forwarding.forwarder import Forwarder
+    from balsamway.forwarding.service_targets import ServiceTargets
+    from balsamway.keyspace.key_leader import KeyLeader
+    from balsamway.keyspace.key_view import KeyView
+    from balsamway.keyspace.leader_lease import LeaderLease
+    from balsamway.keyspace.load_board import LoadBoard
+    from balsamway.peers.peers import Peers
+
+REPORT_SECONDS = 0.4
+"""How often hosts report; hot keys change within seconds."""
+
+
+class LoadReporter(mode.Service):
+    """Sends this host's load to the leader, and as leader tells the sums."""
+
+    def __init__(
+        self,
+        host: str,
+        zone: str,
+        address: str,
+        peers: Peers,
+        addresses: dict[str, str],
+        forwarder: Forwarder,
+        targets: ServiceTargets,
+        view: KeyView,
+        lease: LeaderLease,
+        board: LoadBoard,
+    ) -> None:
+        """Prepares the exchange.
+
+        Args:
+            host: The name of this host.
+            zone: Its availability zone.
+            address: Where it listens for its peers.
+            peers: The other entry hosts.
+            addresses: The peer addresses that are known, kept up to date here.
+            forwarder: Counts requests by key.
+            targets: What this host saw of the targets.
+            view: What this host knows of keys.
+            lease: Says who leads.
+            board: Where the leader adds the notices up.
+        """
+        super().__init__()
+        self._host = host
+        self._zone = zone
+        self._address = address
+        self._peers = peers
+        self._addresses = addresses
+        self._forwarder = forwarder
+        self._targets = targets
+        self._view = view
+        self._lease = lease
+        self._board = board
+        self.leader: KeyLeader | None = None
+        peers.handle(LoadNotice, self._on_load)
+        peers.handle(FleetNotice, self._on_fleet)
+        peers.handle(KeyMapNotice, self._on_key_map)
+
+    def publish(self, notice: KeyMapNotice) -> None:
+        """Tells all hosts who holds which keys.
+
+        Args:
+            notice: The leader's notice.
+        """
+        self._view.on_notice(notice)
+        for host in self._board.hosts:
+            if host != self._host:
+                self._peers.send(host, notice)
+
+    @mode.Service.task
+    async def _report(self) -> None:
+        while not self.should_stop:
+            await self.sleep(REPORT_SECONDS)
+            notice = self._notice()
+            if self._lease.epoch is not None:
+                self._board.add(notice)
+                self._tell_fleet(self._lease.epoch)
+                continue
+            leader = self._lease.leader
+            if leader is not None and leader[1] != self._host:
+                self._addresses[leader[1]] = leader[2]
+                self._peers.send(leader[1], notice)
+
+    def _notice(self) -> LoadNotice:
+        targets = {}
+        for state in self._targets.all():
+            if not state.in_flight and not state.answered:
+                continue
+            seconds = round(state.busy_seconds, 4)
+            targets[state.entry.name] = (state.in_flight, state.answered, seconds)
+            state.answered, state.busy_seconds = 0, 0.0
+        return LoadNotice(
+            self._host,
+            self._zone,
+            self._address,
+            targets,
+            self._forwarder.take_key_counts(),
+            self._view.seen(),
+        )
+
+    def _tell_fleet(self, epoch: int) -> None:
+        capacities = {
+            state.entry.name: state.entry.capacity for state in self._targets.all()
+        }
+        self._board.fade(capacities)
+        targets = {
+            name: (
+                round(load.total_in_flight(), 1),
+                round(load.service_seconds, 4),
+            )
+            for name, load in self._board.targets().items()
+            if load.service_seconds
+        }
+        notice = FleetNotice(epoch, self._host, len(self._board.hosts), targets)
+        self._take_fleet(notice)
+        for host in self._board.hosts:
+            if host != self._host:
+                self._peers.send(host, notice)
+
+    async def _on_load(self, sender: str, notice: Any) -> None:
+        self._addresses[notice.host] = notice.address
+        if self._lease.epoch is None:
+            return
+        self._board.add(notice)
+        if self.leader is not None:
+            for found in self.leader.notices_after(notice.seen):
+                self._peers.send(notice.host, found)
+
+    async def _on_fleet(self, sender: str, notice: Any) -> None:
+        self._take_fleet(notice)
+
+    async def _on_key_map(self, sender: str, notice: Any) -> None:
+        self._view.on_notice(notice)
+
+    def _take_fleet(self, notice: FleetNotice) -> None:
+        self._view.on_leader_heard()
+        self._forwarder.set_hosts(notice.hosts)
+        for state in self._targets.all():
+            found = notice.targets.get(state.entry.name)
+            if found is None:
+                state.others_in_flight = 0.0
+                continue
+            in_flight, seconds = found
+            state.others_in_flight = max(0.0, in_flight - state.in_flight)
+            state.service_seconds = seconds
--- /dev/null
+++ b/src/balsamway/node/readiness_listener.py
@@ -0,0 +1,46 @@
+"""Tells the balancer whether this host takes new connections."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import mode
+from aiohttp import web
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+
+class ReadinessListener(mode.Service):
+    """An HTTP listener with one path."""
+
+    def __init__(self, address: str, path: str, is_ready: Callable[[], bool]) -> None:
+        """Prepares the listener.
+
+        Args:
+            address: The `ip:port` to listen on.
+            path: The path that is asked for.
+            is_ready: Tells whether this host takes new connections.
+        """
+        super().__init__()
+        self._address = address
+        self._path = path
+        self._is_ready = is_ready
+        self._runner: web.ServerRunner | None = None
+
+    async def on_start(self) -> None:
+        """Starts to listen."""
+        self._runner = web.ServerRunner(web.Server(self._on_request, access_log=None))
+        await self._runner.setup()
+        ip, _, port = self._address.rpartition(":")
+        await web.TCPSite(self._runner, ip, int(port)).start()
+
+    async def on_stop(self) -> None:
+        """Stops to listen."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    async def _on_request(self, request: web.BaseRequest) -> web.StreamResponse:
+        if request.path != self._path:
+            return web.Response(status=404)
+        return web.Response(status=200 if self._is_ready() else 503)
--- /dev/null
+++ b/src/balsamway/node/surroundings.py
@@ -0,0 +1,33 @@
+"""What an entry host needs from outside, as one value."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from balsamway.discovery import TargetEntry
+    from balsamway.entry import CallerCodec
+    from balsamway.forwarding import TargetTransport
+    from balsamway.keyspace.target_control import TargetControl
+    from balsamway.outcome import Malformed
+    from balsamway.routing import RoutingConfiguration
+    from balsamway.store.object_store import ObjectStore
+
+
+@dataclass(frozen=True, slots=True)
+class Surroundings:
+    """The implementations of the interfaces to what is outside."""
+
+    store: ObjectStore
+    codec: CallerCodec
+    transport: TargetTransport
+    control: TargetControl
+    readiness_path: str
+    configuration_kind: str
+    configuration_name: str
+    targets_kind: str
+    decode_configuration: Callable[[bytes], RoutingConfiguration | Malformed]
+    decode_target: Callable[[str, bytes], TargetEntry | None]
--- a/src/balsamway/outcome/__init__.py
+++ b/src/balsamway/outcome/__init__.py
@@ -1,6 +1,7 @@
 """What became of a request: verdicts, and the reasons they carry."""
 
+from balsamway.outcome.malformed import Malformed
 from balsamway.outcome.reason import Reason
 from balsamway.outcome.verdict import Completed, MayHaveRun, NotRun, Verdict
 
-__all__ = ["Completed", "MayHaveRun", "NotRun", "Reason", "Verdict"]
+__all__ = ["Completed", "Malformed", "MayHaveRun", "NotRun", "Reason", "Verdict"]
--- a/src/balsamway/outcome/reason.py
+++ b/src/balsamway/outcome/reason.py
@@ -33,4 +33,5 @@
     ANSWER_MISMATCHED = "answer-mismatched"
     DEADLINE_EXCEEDED = "deadline-exceeded"
     CANCELLED = "cancelled"
+    INTERNAL_ERROR = "internal-error"
     TARGET_ERROR = "target-error"
--- a/src/balsamway/peers/_framing.py
+++ b/src/balsamway/peers/_framing.py
@@ -37,7 +37,7 @@
         OSError: If the connection broke.
         ValueError: If the bytes are no msgpack, or a frame is too large.
     """
-    unpacker = msgpack.Unpacker(max_buffer_size=FRAME_LIMIT_BYTES)
+    unpacker = msgpack.Unpacker(max_buffer_size=FRAME_LIMIT_BYTES, strict_map_key=False)
     while data := await reader.read(READ_SIZE_BYTES):
         unpacker.feed(data)
         for parts in unpacker:
--- a/src/balsamway/peers/peer_link.py
+++ b/src/balsamway/peers/peer_link.py
@@ -9,6 +9,7 @@
 
 import mode
 
+from balsamway.exchange.socket_options import bound_silence
 from balsamway.peers._framing import frames
 from balsamway.peers.codec import Frame, encode
 from balsamway.peers.hello import Hello
@@ -124,6 +125,7 @@
                 reader, writer = await asyncio.open_connection(ip, int(port))
         except (OSError, ValueError):
             return
+        bound_silence(writer.transport)
         self._writer = writer
         self._write(Frame(0, False, self._hello))
         self._connected.set()
--- a/src/balsamway/peers/peer_listener.py
+++ b/src/balsamway/peers/peer_listener.py
@@ -8,6 +8,7 @@
 
 import mode
 
+from balsamway.exchange.socket_options import bound_silence
 from balsamway.peers._framing import frames
 from balsamway.peers.codec import Frame, encode
 from balsamway.peers.hello import Hello
@@ -66,6 +67,7 @@
         if len(self._streams) >= STREAMS_AT_MOST:
             writer.close()
             return
+        bound_silence(writer.transport)
         self._streams.add(writer)
         try:
             async with asyncio.TaskGroup() as answers:
--- /dev/null
+++ b/src/balsamway/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The users' platform, translated into the product's types."""
--- /dev/null
+++ b/src/balsamway/platform/main.py
@@ -0,0 +1,98 @@
+"""Runs an entry host on the users' platform."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import signal
+import sys
+from typing import TYPE_CHECKING
+
+from balsamway.boot_time_loop import BootTimeLoop
+from balsamway.node.entry_node import EntryNode
+from balsamway.node.surroundings import Surroundings
+from balsamway.observe.json_logs import set_up_json_logs
+from balsamway.platform import names
+from balsamway.platform.caller_codec import PlatformCallerCodec
+from balsamway.platform.configuration_decoder import decode_routing
+from balsamway.platform.settings import read_node_settings, settings_path
+from balsamway.platform.store_client import StoreClient
+from balsamway.platform.target_control import PlatformTargetControl
+from balsamway.platform.target_decoder import decode_target
+from balsamway.platform.target_transport import PlatformTargetTransport
+from balsamway.settings import SettingsError
+from balsamway.store.call_counts import CallCounts
+
+if TYPE_CHECKING:
+    from balsamway.node.node_settings import NodeSettings
+
+CRASHED_EXIT_STATUS = 1
+USAGE_EXIT_STATUS = 2
+
+logger = logging.getLogger(__name__)
+
+
+def run() -> int:
+    """Runs until the process is told to stop.
+
+    Returns:
+        The exit status: 2 for settings that cannot be used.
+    """
+    try:
+        settings = read_node_settings(settings_path())
+    except SettingsError as error:
+        print(f"balsamway: {error}", file=sys.stderr)
+        return USAGE_EXIT_STATUS
+    set_up_json_logs(settings.host, settings.zone, stream=sys.stdout)
+    with asyncio.Runner(loop_factory=BootTimeLoop) as runner:
+        return runner.run(_serve(settings))
+
+
+def _surroundings(settings: NodeSettings) -> Surroundings:
+    return Surroundings(
+        store=StoreClient(settings.store_address, CallCounts()),
+        codec=PlatformCallerCodec(),
+        transport=PlatformTargetTransport(),
+        control=PlatformTargetControl(),
+        readiness_path=names.READINESS_PATH,
+        configuration_kind=names.CONFIGURATION_KIND,
+        configuration_name=names.CONFIGURATION_NAME,
+        targets_kind=names.TARGETS_KIND,
+        decode_configuration=decode_routing,
+        decode_target=decode_target,
+    )
+
+
+async def _serve(settings: NodeSettings) -> int:
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    loop.add_signal_handler(signal.SIGHUP, _on_settings_changed)
+    node = EntryNode(settings, _surroundings(settings))
+    await node.start()
+    logger.info("started")
+    stopping = asyncio.create_task(stop.wait())
+    ending = asyncio.create_task(node.wait_until_stopped())
+    await asyncio.wait({stopping, ending}, return_when=asyncio.FIRST_COMPLETED)
+    crashed = node.crashed
+    if crashed:
+        logger.error("crashed", extra={"reason": repr(node.crash_reason)})
+    else:
+        await node.drain()
+    await node.stop()
+    logger.info("stopped")
+    return CRASHED_EXIT_STATUS if crashed else 0
+
+
+def _on_settings_changed() -> None:
+    try:
+        read_node_settings(settings_path())
+    except SettingsError as error:
+        logger.error("settings-unreadable", extra={"reason": str(error)})
+        return
+    logger.info("settings-read")
+
+
+if __name__ == "__main__":
+    sys.exit(run())
--- /dev/null
+++ b/src/balsamway/platform/target_control.py
@@ -0,0 +1,117 @@
+"""Orders to the platform's targets: keys that they hold, or no longer."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+
+from balsamway.exchange import Broken, HttpAnswer, HttpRequest, NotSent
+from balsamway.keyspace.order_result import (
+    Accepted,
+    OrderLost,
+    OrderNotSent,
+    OtherTarget,
+    Outdated,
+    Released,
+)
+from balsamway.platform import names
+
+if TYPE_CHECKING:
+    from balsamway.exchange import ConnectionPool
+    from balsamway.keyspace.order_result import GrantResult, ReleaseResult
+
+
+class PlatformTargetControl:
+    """Implements `TargetControl` with the platform's calls."""
+
+    async def grant(
+        self,
+        pool: ConnectionPool,
+        target: str,
+        keys: tuple[int, int],
+        token: int,
+        hold_seconds: float,
+        handover: str | None,
+        timeout_seconds: float,
+    ) -> GrantResult:
+        """Lets a target hold keys for a time; see `TargetControl`."""
+        order: dict[str, Any] = {
+            "from": keys[0],
+            "to": keys[1],
+            "fence": token,
+            "holdMs": int(hold_seconds * 1000),
+        }
+        if handover is not None:
+            order["handover"] = handover
+        answer = await _order(pool, target, names.GRANT_PATH, order, timeout_seconds)
+        match answer:
+            case HttpAnswer(status=200):
+                return Accepted()
+            case HttpAnswer(status=409):
+                return Outdated()
+            case HttpAnswer():
+                return OrderLost(f"status {answer.status}")
+            case _:
+                return answer
+
+    async def release(
+        self,
+        pool: ConnectionPool,
+        target: str,
+        keys: tuple[int, int],
+        token: int,
+        timeout_seconds: float,
+    ) -> ReleaseResult:
+        """Takes keys back; see `TargetControl`."""
+        order = {"from": keys[0], "to": keys[1], "fence": token}
+        answer = await _order(pool, target, names.RELEASE_PATH, order, timeout_seconds)
+        match answer:
+            case HttpAnswer(status=200):
+                return Released(answer.headers.get(names.HANDOVER))
+            case HttpAnswer():
+                return OrderLost(f"status {answer.status}")
+            case _:
+                return answer
+
+
+async def _order(
+    pool: ConnectionPool,
+    target: str,
+    path: str,
+    order: dict[str, Any],
+    timeout_seconds: float,
+) -> HttpAnswer | OtherTarget | OrderLost | OrderNotSent:
+    request = HttpRequest(
+        "POST",
+        path,
+        (
+            (b"Host", pool.address.encode()),
+            (b"Content-Type", b"application/json"),
+            (names.TARGET.encode(), target.encode()),
+        ),
+        msgspec.json.encode(order),
+    )
+    try:
+        async with asyncio.timeout(timeout_seconds):
+            connection = await pool.acquire()
+            if isinstance(connection, NotSent):
+                return OrderNotSent(connection.reason)
+            try:
+                answer = await connection.exchange(request)
+            finally:
+                pool.release(connection)
+    except TimeoutError:
+        return OrderLost(f"no answer in {timeout_seconds:.2f} s")
+    match answer:
+        case NotSent(reason=reason):
+            return OrderNotSent(reason)
+        case Broken(reason=reason):
+            return OrderLost(reason)
+        case HttpAnswer(status=421):
+            other = answer.headers.get(names.ANSWERED_BY)
+            if other is not None and other != target:
+                return OtherTarget(other)
+            return OrderLost("status 421")
+    return answer
--- /dev/null
+++ b/src/balsamway/platform/target_transport.py
@@ -0,0 +1,112 @@
+"""Sends attempts to the platform's targets and judges their answers."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from balsamway.entry.hop_headers import end_to_end
+from balsamway.exchange import Broken, HttpRequest, NotSent
+from balsamway.forwarding.attempt_result import AttemptResult, Finding
+from balsamway.outcome import Completed, MayHaveRun, NotRun, Reason
+from balsamway.platform import names
+
+if TYPE_CHECKING:
+    from balsamway.discovery import TargetEntry
+    from balsamway.entry import EntryRequest
+    from balsamway.exchange import ConnectionPool, HttpAnswer
+
+
+class PlatformTargetTransport:
+    """Implements `TargetTransport` with the platform's header names."""
+
+    async def send(
+        self,
+        pool: ConnectionPool,
+        target: TargetEntry,
+        request: EntryRequest,
+        timeout_seconds: float,
+    ) -> AttemptResult:
+        """Sends one attempt; see `TargetTransport`."""
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + timeout_seconds
+        try:
+            async with asyncio.timeout_at(deadline):
+                connection = await pool.acquire()
+        except TimeoutError:
+            refusal = NotRun(Reason.OVERLOADED, "no free connection to the target")
+            return AttemptResult(refusal, Finding.LATE)
+        if isinstance(connection, NotSent):
+            refusal = NotRun(Reason.CONNECT_FAILED, connection.reason)
+            return AttemptResult(refusal, Finding.UNREACHABLE)
+        try:
+            async with asyncio.timeout_at(deadline):
+                answer = await connection.exchange(
+                    _http_request(request, target, deadline - loop.time())
+                )
+        except TimeoutError:
+            late = MayHaveRun(Reason.DEADLINE_EXCEEDED)
+            return AttemptResult(late, Finding.LATE)
+        finally:
+            pool.release(connection)
+        match answer:
+            case NotSent(reason=reason):
+                refusal = NotRun(Reason.CONNECT_FAILED, reason)
+                return AttemptResult(refusal, Finding.STALE_CONNECTION)
+            case Broken(reason=reason):
+                lost = MayHaveRun(Reason.CONNECTION_LOST, reason)
+                return AttemptResult(lost, Finding.BROKEN)
+            case _:
+                return _judge(answer, target)
+
+
+def _http_request(
+    request: EntryRequest, target: TargetEntry, seconds_left: float
+) -> HttpRequest:
+    left_ms = max(1, int(seconds_left * 1000))
+    headers = (
+        *request.headers,
+        (names.DEADLINE.encode(), b"%d" % left_ms),
+        (names.TARGET.encode(), target.name.encode()),
+    )
+    return HttpRequest(
+        request.method, request.path, headers, request.body, request.request_id
+    )
+
+
+def _judge(answer: HttpAnswer, target: TargetEntry) -> AttemptResult:
+    headers = answer.headers
+    if answer.status == 421 or names.NOT_EXECUTED in headers:
+        return _judge_refusal(answer, target)
+    if names.REQUEST_ID not in headers:
+        return _untrusted(Reason.ANSWER_MISMATCHED, "the answer names no request")
+    if "Content-Encoding" in headers:
+        return _untrusted(Reason.ANSWER_MISMATCHED, "the answer is encoded")
+    if answer.status < 300 and names.SIGNATURE not in headers:
+        return _untrusted(Reason.ANSWER_MISMATCHED, "the answer is not signed")
+    kept = end_to_end(
+        (name.encode(), value.encode(errors="surrogateescape"))
+        for name, value in headers.items()
+    )
+    passed = {
+        name.decode(): value.decode(errors="surrogateescape") for name, value in kept
+    }
+    finding = Finding.SERVED if answer.status < 500 else Finding.FAILED
+    return AttemptResult(Completed(answer.status, passed, answer.body), finding)
+
+
+def _judge_refusal(answer: HttpAnswer, target: TargetEntry) -> AttemptResult:
+    answered_by = answer.headers.get(names.ANSWERED_BY)
+    if answer.status == 421:
+        if answered_by is not None and answered_by != target.name:
+            refusal = NotRun(Reason.NO_TARGET, f"{answered_by} has the address")
+            return AttemptResult(refusal, Finding.OTHER_TARGET)
+        return AttemptResult(NotRun(Reason.NO_OWNER), Finding.KEY_NOT_HELD)
+    if answer.status in (429, 503):
+        return AttemptResult(NotRun(Reason.TARGET_SHED), Finding.SHED)
+    refusal = NotRun(Reason.BAD_REQUEST, f"the target answered {answer.status}")
+    return AttemptResult(refusal, Finding.FAILED)
+
+
+def _untrusted(reason: Reason, detail: str) -> AttemptResult:
+    return AttemptResult(MayHaveRun(reason, detail), Finding.BROKEN)
--- /dev/null
+++ b/src/balsamway/routing/__init__.py
@@ -0,0 +1,19 @@
+"""Routes from callers' requests to services."""
+
+from balsamway.routing.backend import Backend
+from balsamway.routing.caller_limits import CallerLimits
+from balsamway.routing.route import Route
+from balsamway.routing.route_table import RouteTable
+from balsamway.routing.route_type import RouteType
+from balsamway.routing.routed_service import RoutedService
+from balsamway.routing.routing_configuration import RoutingConfiguration
+
+__all__ = [
+    "Backend",
+    "CallerLimits",
+    "Route",
+    "RouteTable",
+    "RouteType",
+    "RoutedService",
+    "RoutingConfiguration",
+]
--- /dev/null
+++ b/src/balsamway/routing/routing_configuration.py
@@ -0,0 +1,29 @@
+"""A version of the routes and services, as a whole."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from balsamway.routing.caller_limits import CallerLimits
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from balsamway.routing.route import Route
+    from balsamway.routing.routed_service import RoutedService
+
+
+@dataclass(frozen=True, slots=True)
+class RoutingConfiguration:
+    """The routes and services that one version puts in force."""
+
+    version: int
+    routes: tuple[Route, ...]
+    services: Mapping[str, RoutedService]
+    limits: CallerLimits = field(default_factory=CallerLimits)
+
+    @property
+    def keyed_services(self) -> tuple[str, ...]:
+        """The names of the services whose keys belong to one target."""
+        return tuple(s.name for s in self.services.values() if s.is_keyed)
