Place a key that fills a target alone on a fast one

Ruled out: slow reports; the rates showed the key within 0.4 s. Now settled segments move, a hot key gets a target of its own, service times are learnt from requests that found a free slot, gateways refuse what would be far over the objective, and the own zone is preferred by a fifth of the objective.

--- a/src/balsamway/forwarding/request_run.py
+++ b/src/balsamway/forwarding/request_run.py
@@ -7,7 +7,11 @@
 
 from balsamway.clock import now
 from balsamway.forwarding.attempt_result import AttemptResult, Finding
-from balsamway.forwarding.target_choice import choose_target
+from balsamway.forwarding.target_choice import (
+    choose_target,
+    expected_seconds,
+    usual_seconds,
+)
 from balsamway.outcome import Completed, MayHaveRun, NotRun, Reason
 from balsamway.routing import RouteType
 
@@ -30,6 +34,12 @@
 UNREACHABLE_ATTEMPTS = 4
 """How many targets are tried that accept no connection."""
 
+PATIENCE = {0: 1.8, 1: 1.4}
+"""How long a request may be expected to take, as a multiple of its route's
+latency objective, by the route's priority."""
+LEAST_PATIENCE = 1.1
+"""The same for the priorities below those."""
+
 _ARRIVED = frozenset({Finding.SHED, Finding.KEY_NOT_HELD, Finding.OTHER_TARGET})
 """Refusals that count as an arrival at the service."""
 
@@ -130,14 +140,35 @@
             return await self._owner()
         states = self._forwarder.targets.usable(self.service.name)
         state = choose_target(
-            states, self._forwarder.zone, self._tried, self._forwarder.rng
+            states,
+            self._forwarder.zone,
+            self.route.objective_seconds,
+            self._tried,
+            self._forwarder.rng,
         )
         if state is not None:
-            return state
+            return self._admit(state, usual_seconds(states))
         return NotRun(
             Reason.NO_TARGET, "no target is left", self._jitter(RETRY_SECONDS)
         )
 
+    def _admit(self, state: TargetState, usual: float) -> TargetState | NotRun:
+        """Refuses what would wait so long that its answer is worth little.
+
+        Under overload a target serves as many requests with a long queue as
+        with a short one, but late. Less urgent routes give way first.
+        """
+        expected = expected_seconds(state, usual)
+        patience = PATIENCE.get(self.route.priority, LEAST_PATIENCE)
+        limit = max(patience * self.route.objective_seconds, 1.5 * usual)
+        if expected <= limit:
+            return state
+        return NotRun(
+            Reason.OVERLOADED,
+            f"{state.entry.name} would take {expected:.3f} s",
+            self._jitter(max(RETRY_SECONDS, expected - limit)),
+        )
+
     async def _owner(self) -> TargetState | NotRun:
         key = self.request.key
         if key is None:
@@ -148,7 +179,8 @@
             if owner is not None and owner.is_ready:
                 state = self._forwarder.targets.find(owner.name, owner.incarnation)
                 if state is not None and not state.is_avoided:
-                    return state
+                    states = self._forwarder.targets.usable(self.service.name)
+                    return self._admit(state, usual_seconds(states))
             if not await self._wait_for_owner(hold_until - now()):
                 return NotRun(
                     Reason.NO_OWNER if owner is None else Reason.MOVING,
@@ -176,6 +208,7 @@
         self._sent += 1
         may_have_run_before = self._may_have_run
         self._may_have_run = True
+        was_prompt = state.has_free_slot
         state.in_flight += 1
         try:
             result = await self._forwarder.transport.send(
@@ -184,7 +217,7 @@
         finally:
             state.in_flight -= 1
         seconds = now() - began
-        state.observe(result.finding, seconds)
+        state.observe(result.finding, seconds, was_prompt)
         self.attempts[place] = (state.entry.name, began, result.finding)
         if isinstance(result.verdict, NotRun):
             self._may_have_run = may_have_run_before
--- a/src/balsamway/forwarding/target_choice.py
+++ b/src/balsamway/forwarding/target_choice.py
@@ -10,9 +10,10 @@
 
     from balsamway.forwarding.target_state import TargetState
 
-OTHER_ZONE_SECONDS = 0.004
-"""What a target in another zone counts as slower: its path takes two ms more,
-and traffic between zones is paid for."""
+OTHER_ZONE_SHARE = 0.2
+"""What a target in another zone counts as slower, as a part of the route's
+latency objective: its path takes two ms more, and traffic between zones is
+paid for, by more than a short wait in the own zone costs the caller."""
 UNKNOWN_SERVICE_SECONDS = 0.1
 """How long a request is taken to last at a target without any answer yet."""
 FAILURE_SECONDS = 0.5
@@ -22,6 +23,7 @@
 def choose_target(
     states: Sequence[TargetState],
     zone: str,
+    objective_seconds: float,
     tried: Collection[str],
     rng: random.Random,
 ) -> TargetState | None:
@@ -30,6 +32,7 @@
     Args:
         states: The targets of the service that may get requests.
         zone: The availability zone of this host.
+        objective_seconds: The latency objective of the route.
         tried: The names of the targets that the request was sent to.
         rng: Breaks ties.
 
@@ -43,27 +46,39 @@
         candidates = open_states
     if not candidates:
         return None
-    usual = _usual_seconds(states)
-    return min(
-        candidates,
-        key=lambda one: _expected_seconds(one, zone, usual) * rng.uniform(0.85, 1.15),
-    )
+    usual = usual_seconds(states)
+    away = OTHER_ZONE_SHARE * objective_seconds
 
+    def cost(state: TargetState) -> float:
+        expected = expected_seconds(state, usual) * rng.uniform(0.95, 1.05)
+        expected += FAILURE_SECONDS * state.failure_rate
+        return expected if state.entry.zone == zone else expected + away
 
-def _usual_seconds(states: Sequence[TargetState]) -> float:
+    return min(candidates, key=cost)
+
+
+def usual_seconds(states: Sequence[TargetState]) -> float:
+    """Gives how long a request takes without a queue, over all targets.
+
+    Args:
+        states: The targets of a service.
+    """
     known = [one.service_seconds or one.latency_seconds for one in states]
     found = [seconds for seconds in known if seconds is not None]
     return sum(found) / len(found) if found else UNKNOWN_SERVICE_SECONDS
 
 
-def _expected_seconds(state: TargetState, zone: str, usual: float) -> float:
+def expected_seconds(state: TargetState, usual: float) -> float:
+    """Gives how long a request is expected to take at a target.
+
+    Args:
+        state: The target.
+        usual: What to take where the target has not answered yet.
+    """
     seconds = state.service_seconds or state.latency_seconds or usual
     capacity = max(1, state.entry.capacity)
     present = state.in_flight + state.others_in_flight
     waiting = max(1.0, (present + 1.0) / capacity)
     expected = seconds * state.cold_factor * waiting
     # Even below its capacity a target that has less to do answers sooner.
-    expected *= 1.0 + 0.1 * present / capacity
-    if state.entry.zone != zone:
-        expected += OTHER_ZONE_SECONDS
-    return expected + FAILURE_SECONDS * state.failure_rate
+    return expected * (1.0 + 0.1 * present / capacity)
--- a/src/balsamway/forwarding/target_state.py
+++ b/src/balsamway/forwarding/target_state.py
@@ -51,8 +51,11 @@
         self._unreachable_in_a_row = 0
         self._warm_at = now() + entry.warmup_seconds
         self.answered = 0
-        self.busy_seconds = 0.0
-        """The latencies of the answers since the last report, summed."""
+        """The answers since the last report."""
+        self.prompt_answers = 0
+        """Those of them whose request found no queue."""
+        self.prompt_seconds = 0.0
+        """The latencies of those, summed."""
 
     @property
     def is_avoided(self) -> bool:
@@ -86,18 +89,24 @@
             self._warm_at = now() + entry.warmup_seconds
         self.entry = entry
 
-    def observe(self, finding: Finding, seconds: float) -> None:
+    @property
+    def has_free_slot(self) -> bool:
+        """Whether a request sent now should find no queue."""
+        return self.in_flight + self.others_in_flight < self.entry.capacity
+
+    def observe(self, finding: Finding, seconds: float, was_prompt: bool) -> None:
         """Takes in the end of an attempt.
 
         Args:
             finding: What the attempt says of the target.
             seconds: How long it took.
+            was_prompt: Whether a slot seemed free when it was sent.
         """
         match finding:
             case Finding.SERVED:
                 self._unreachable_in_a_row = 0
                 self._add_failure(0.0)
-                self._add_latency(seconds)
+                self._add_latency(seconds, was_prompt)
             case Finding.SHED:
                 self._unreachable_in_a_row = 0
                 self._avoid_until = now() + SHED_SECONDS
@@ -110,7 +119,7 @@
             case Finding.FAILED:
                 self._unreachable_in_a_row = 0
                 self._add_failure(1.0)
-                self._add_latency(seconds)
+                self._add_latency(seconds, was_prompt)
             case Finding.BROKEN | Finding.LATE:
                 self._add_failure(1.0)
 
@@ -119,9 +128,23 @@
         doubled = FIRST_AVOID_SECONDS * 2 ** (self._unreachable_in_a_row - 1)
         self._avoid_until = now() + min(LONGEST_AVOID_SECONDS, doubled)
 
-    def _add_latency(self, seconds: float) -> None:
+    def take_counts(self) -> tuple[int, int, int, float]:
+        """Gives what a report says, and begins to count anew."""
+        counts = (
+            self.in_flight,
+            self.answered,
+            self.prompt_answers,
+            round(self.prompt_seconds, 4),
+        )
+        self.answered = self.prompt_answers = 0
+        self.prompt_seconds = 0.0
+        return counts
+
+    def _add_latency(self, seconds: float, was_prompt: bool) -> None:
         self.answered += 1
-        self.busy_seconds += seconds
+        if was_prompt:
+            self.prompt_answers += 1
+            self.prompt_seconds += seconds
         if self.latency_seconds is None:
             self.latency_seconds = seconds
             return
--- a/src/balsamway/keyspace/load_board.py
+++ b/src/balsamway/keyspace/load_board.py
@@ -17,8 +17,13 @@
 """How long an entry host counts after its last notice."""
 IN_FLIGHT_SECONDS = 1.5
 """How long a host's count of requests in flight is believed."""
-SERVICE_WEIGHT = 0.25
-"""The weight of the newest notices in a target's service time."""
+SERVICE_SAMPLES = 40
+"""About how many answers a target's service time is the mean of; single ones
+differ by a factor of two and more."""
+BUSY_FACTOR = 1.5
+"""A target with this many requests for each that it can run is never idle."""
+BUSY_ANSWERS = 4
+"""The answers of a busy target after which its pace is judged."""
 FADE_BELOW = 0.02
 """Rates below this are forgotten."""
 
@@ -28,9 +33,49 @@
     """What the hosts report of a target, summed."""
 
     in_flight: dict[str, tuple[float, int]] = field(default_factory=dict)
-    answered: float = 0.0
-    busy_seconds: float = 0.0
     service_seconds: float | None = None
+    """How long a request takes without a queue."""
+    answers: int = 0
+    """All answers since the last estimate."""
+    busy_answers: int = 0
+    busy_since: float | None = None
+    """Since when it has been busy without a pause, if it is."""
+
+    def add_prompt(self, answers: int, seconds: float) -> None:
+        """Takes in answers that found no queue.
+
+        Args:
+            answers: Their number.
+            seconds: Their latencies, summed.
+        """
+        if answers:
+            self._learn(seconds / answers, answers)
+
+    def add_answers(self, answers: int, capacity: int) -> None:
+        """Takes in all answers, from which a busy target's pace shows.
+
+        Args:
+            answers: Their number.
+            capacity: How many requests it runs at a time.
+        """
+        if self.total_in_flight() < BUSY_FACTOR * capacity:
+            self.busy_since, self.busy_answers = None, 0
+            return
+        if self.busy_since is None:
+            self.busy_since, self.busy_answers = now(), 0
+            return
+        self.busy_answers += answers
+        if self.busy_answers >= BUSY_ANSWERS:
+            seconds = (now() - self.busy_since) * capacity / self.busy_answers
+            self._learn(seconds, self.busy_answers)
+            self.busy_since, self.busy_answers = now(), 0
+
+    def _learn(self, seconds: float, answers: int) -> None:
+        if self.service_seconds is None:
+            self.service_seconds = seconds
+            return
+        weight = answers / (answers + SERVICE_SAMPLES)
+        self.service_seconds += weight * (seconds - self.service_seconds)
 
     def total_in_flight(self) -> float:
         """Sums the requests in flight that lately were reported."""
@@ -60,14 +105,15 @@
             notice: What the host saw since its last one.
         """
         self._hosts[notice.host] = (now(), notice.address)
-        for name, (in_flight, answered, seconds) in notice.targets.items():
+        for name, counts in notice.targets.items():
+            in_flight, answers, prompt_answers, prompt_seconds = counts
             load = self._targets.setdefault(name, TargetLoad())
             load.in_flight[notice.host] = (now(), in_flight)
-            load.answered += answered
-            load.busy_seconds += seconds
-        for service, counts in notice.keys.items():
+            load.add_prompt(prompt_answers, prompt_seconds)
+            load.answers += answers
+        for service, found in notice.keys.items():
             rates = self._keys.setdefault(service, {})
-            for key, count in counts.items():
+            for key, count in found.items():
                 rates[key] = rates.get(key, 0.0) + count
 
     def fade(self, capacities: dict[str, int]) -> None:
@@ -86,7 +132,8 @@
         for name in [name for name in self._targets if name not in capacities]:
             del self._targets[name]
         for name, load in self._targets.items():
-            _estimate(load, capacities[name])
+            load.add_answers(load.answers, capacities[name])
+            load.answers = 0
 
     def key_rates(self, service: str) -> dict[int, float]:
         """Gives the requests a second for each key of a service.
@@ -101,20 +148,3 @@
     def targets(self) -> dict[str, TargetLoad]:
         """Gives what is known of each target."""
         return self._targets
-
-
-def _estimate(load: TargetLoad, capacity: int) -> None:
-    """Estimates how long a request takes without a queue.
-
-    While more are present than run at a time, the time in the target is
-    longer than the service by that ratio.
-    """
-    if load.answered < 1:
-        return
-    seconds = load.busy_seconds / load.answered
-    seconds /= max(1.0, load.total_in_flight() / max(1, capacity))
-    if load.service_seconds is None:
-        load.service_seconds = seconds
-    else:
-        load.service_seconds += SERVICE_WEIGHT * (seconds - load.service_seconds)
-    load.answered = load.busy_seconds = 0.0
--- a/src/balsamway/keyspace/messages.py
+++ b/src/balsamway/keyspace/messages.py
@@ -35,8 +35,9 @@
     zone: str
     address: str
     """Where the host listens for its peers."""
-    targets: dict[str, tuple[int, int, float]]
-    """For each target: requests in flight, answers, their seconds summed."""
+    targets: dict[str, tuple[int, int, int, float]]
+    """For each target: requests in flight, answers, and the number and summed
+    seconds of those answers that found no queue."""
     keys: dict[str, dict[int, int]]
     """For each service: how many requests came for each key."""
     seen: dict[str, tuple[int, int]]
--- a/src/balsamway/keyspace/placement.py
+++ b/src/balsamway/keyspace/placement.py
@@ -21,15 +21,19 @@
 """A load that is spread evenly over all keys beside what is measured, so
 that keys without requests are spread as well."""
 PRIOR_SHARE = 0.1
-SLACK_SHARE = 0.2
+SLACK_SHARE = 0.25
 """How far a target may be from its share before keys move."""
 NOISE_SECONDS = 1.2
 """The span over which rates are measured, for the size of their noise."""
-NOISE_DEVIATIONS = 1.5
+NOISE_DEVIATIONS = 2.0
 LEAST_MOVE_SHARE = 0.04
 """Moves that bring less than this of a mean share are left out."""
 MOVES_AT_MOST = 16
 """Ranges moved at a time."""
+HOT_SHARE = 0.3
+"""A key with this part of a mean share is placed on its own."""
+FASTER = 1.5
+"""A hot key changes to a target that is faster by this factor."""
 SEGMENTS_AT_MOST = 400
 """Above this number nothing is split any more."""
 KEYS = 65_536
@@ -98,13 +102,16 @@
                 at += 1
             busy = [(key, rates[key]) for key in keys[begin:at]]
             piece = _Piece(segment.first, segment.last, busy, self._per_key)
-            piece.is_settled = not segment.previous
-            if segment.holder in self._targets:
-                self._add(segment.holder, piece)
-            else:
+            if segment.holder not in self._targets:
                 self._homeless.append(piece)
+                continue
+            for part in piece.isolate(HOT_SHARE * self._total / len(targets)):
+                part.is_settled = not segment.previous
+                self._add(segment.holder, part)
         self._count = len(segments)
         self._moves: dict[tuple[int, int], Holder] = {}
+        self._reserved: dict[Holder, float] = {}
+        """The load of each target that serves one hot key only."""
 
     def plan(self, balances: bool = True) -> dict[tuple[int, int], Holder]:
         """Plans the moves that are worth making now.
@@ -119,18 +126,59 @@
             return {}
         for piece in sorted(self._homeless, key=lambda one: -one.load):
             self._house(piece)
+        if balances:
+            self._reserve()
         while balances and len(self._moves) < MOVES_AT_MOST and self._balance():
             pass
         return self._moves
 
+    def _reserve(self) -> None:
+        """Gives keys that fill a target one that serves nothing else."""
+        hot = [
+            (piece, holder)
+            for holder, pieces in self._pieces.items()
+            for piece in pieces
+            if piece.first == piece.last and piece.is_settled
+        ]
+        for piece, holder in sorted(hot, key=lambda one: -one[0].load):
+            free = [one for one in self._targets if one not in self._reserved]
+            if len(free) < 2 or len(self._reserved) >= len(self._targets) // 2:
+                return
+            fastest = max(free, key=lambda one: self._targets[one].speed)
+            if piece.load < self._wanted(fastest):
+                continue
+            home = holder if holder in free else fastest
+            if self._targets[fastest].speed > FASTER * self._targets[home].speed:
+                home = fastest
+            self._reserved[home] = piece.load
+            if home != holder:
+                self._pieces[holder].remove(piece)
+                self._move(piece, holder, home)
+            else:
+                piece.is_settled = False
+
+    def _move(self, piece: _Piece, giver: Holder, taker: Holder) -> None:
+        self._moves[(piece.first, piece.last)] = taker
+        self._loads[giver] -= piece.load
+        self._loads[taker] += piece.load
+
     def _wanted(self, holder: Holder) -> float:
-        speeds = sum(one.speed for one in self._targets.values())
-        return self._total * self._targets[holder].speed / speeds
+        if holder in self._reserved:
+            return self._reserved[holder]
+        speeds = sum(
+            one.speed
+            for one in self._targets.values()
+            if one.holder not in self._reserved
+        )
+        rest = self._total - sum(self._reserved.values())
+        return max(0.0, rest) * self._targets[holder].speed / speeds
 
     def _surplus(self, holder: Holder) -> float:
         return self._loads[holder] - self._wanted(holder)
 
     def _slack(self, holder: Holder) -> float:
+        if holder in self._reserved:
+            return LEAST_MOVE_SHARE * self._total / len(self._targets)
         wanted = self._wanted(holder)
         noise = NOISE_DEVIATIONS * math.sqrt(max(wanted, 1.0) / NOISE_SECONDS)
         return SLACK_SHARE * wanted + noise
@@ -171,9 +219,7 @@
         part = self._take(giver, amount)
         if part is None:
             return False
-        self._moves[(part.first, part.last)] = taker
-        self._loads[giver] -= part.load
-        self._loads[taker] += part.load
+        self._move(part, giver, taker)
         return True
 
     def _take(self, giver: Holder, amount: float) -> _Piece | None:
@@ -181,13 +227,13 @@
         pieces = [one for one in self._pieces[giver] if one.is_settled]
         whole = [one for one in pieces if 0.6 * amount <= one.load <= 1.1 * amount]
         if whole:
-            found = max(whole, key=lambda one: one.load)
+            found = max(whole, key=lambda one: one.density)
             self._pieces[giver].remove(found)
             return found
         larger = [one for one in pieces if one.load > amount and one.first < one.last]
         if larger and self._may_split():
-            found = max(larger, key=lambda one: one.load)
-            part, rest = found.cut(amount)
+            found = max(larger, key=lambda one: one.density)
+            part, rest = found.cut_densest(amount)
             if rest is None or part.load > 1.5 * amount:
                 return None
             self._pieces[giver].remove(found)
@@ -220,6 +266,52 @@
         self._per_key = per_key
         self.load = _sum(busy) + per_key * (last - first + 1)
 
+    @property
+    def density(self) -> float:
+        """The load for each key."""
+        return self.load / (self.last - self.first + 1)
+
+    def cut_densest(self, amount: float) -> tuple[_Piece, _Piece | None]:
+        """Cuts about an amount of load off the side with the busier keys.
+
+        Args:
+            amount: The load wanted.
+
+        Returns:
+            The keys cut off, and the rest if there is any.
+        """
+        part, rest = self.cut(amount)
+        other, last = self.cut(self.load - amount)
+        if last is None or rest is None:
+            return part, rest
+        return (part, rest) if part.density >= last.density else (last, other)
+
+    def isolate(self, rate: float) -> list[_Piece]:
+        """Cuts out each key that is busier than a rate.
+
+        Args:
+            rate: Requests a second.
+
+        Returns:
+            The parts in the order of keys; this piece alone if it has no such
+            key.
+        """
+        parts: list[_Piece] = []
+        first, begin = self.first, 0
+        for place, (key, found) in enumerate(self._busy):
+            if found < rate:
+                continue
+            if first < key:
+                before = self._busy[begin:place]
+                parts.append(_Piece(first, key - 1, before, self._per_key))
+            parts.append(_Piece(key, key, [(key, found)], self._per_key))
+            first, begin = key + 1, place + 1
+        if not parts:
+            return [self]
+        if first <= self.last:
+            parts.append(_Piece(first, self.last, self._busy[begin:], self._per_key))
+        return parts
+
     def cut(self, amount: float) -> tuple[_Piece, _Piece | None]:
         """Cuts off the first keys that carry about an amount of load.
 
--- a/src/balsamway/keyspace/service_leader.py
+++ b/src/balsamway/keyspace/service_leader.py
@@ -157,7 +157,8 @@
         )
         moves = _without_overlaps(moves)
         if moves:
-            await self._record(self._keys.record.reassign(moves), moves)
+            settled = self._keys.record.settle(self._keys.settled())
+            await self._record(settled.reassign(moves), moves)
 
     async def _give_out(self, entries: tuple[TargetEntry, ...]) -> None:
         """Gives out all keys for the first time."""
@@ -188,7 +189,7 @@
     def _plan(self) -> dict[tuple[int, int], Holder]:
         unsettled = sum(1 for _ in self._keys.vacating())
         placement = Placement(
-            self._keys.record.segments,
+            self._keys.record.settle(self._keys.settled()).segments,
             self._board.key_rates(self._keys.service),
             self._placed(),
         )
@@ -244,7 +245,6 @@
     ) -> None:
         """Writes a record ahead of the grants that follow from it."""
         renewed = set(self._keys.renew_tokens_of)
-        record = record.settle(self._keys.settled())
         result = await write_record(
             self._store,
             self._keys.service,
--- a/src/balsamway/node/load_reporter.py
+++ b/src/balsamway/node/load_reporter.py
@@ -97,9 +97,7 @@
         for state in self._targets.all():
             if not state.in_flight and not state.answered:
                 continue
-            seconds = round(state.busy_seconds, 4)
-            targets[state.entry.name] = (state.in_flight, state.answered, seconds)
-            state.answered, state.busy_seconds = 0, 0.0
+            targets[state.entry.name] = state.take_counts()
         return LoadNotice(
             self._host,
             self._zone,
