Bring keys back sooner after a loss, and stop in time

Now leases are shorter (2.2 s; grants 3.6 s, 9.5 s while the store is away), a notice says how long a move will take, what cannot be served in time is refused at once, a leader that reaches less than half of the targets stands down, and a process that replaced its own predecessor claims at once.

--- a/src/balsamway/entry/entry_listener.py
+++ b/src/balsamway/entry/entry_listener.py
@@ -10,7 +10,7 @@
 
 from balsamway.clock import now
 from balsamway.entry.caller_connection import CallerConnection
-from balsamway.outcome import NotRun
+from balsamway.outcome import NotRun, Reason
 from balsamway.routing import CallerLimits
 
 if TYPE_CHECKING:
@@ -23,6 +23,8 @@
     from balsamway.outcome import Verdict
 
 BACKLOG = 1024
+STOPPING_RETRY_SECONDS = 0.05
+"""When to come back, which is to another host, after a refusal at the end."""
 SWEEP_SECONDS = 0.5
 """How often connections are checked for their idle time."""
 
@@ -56,6 +58,7 @@
         self.is_draining = False
         """Whether each connection ends after its next answer."""
         self._in_progress = 0
+        self._is_refusing = False
 
     @property
     def address(self) -> str:
@@ -90,12 +93,15 @@
         """Lets requests end, and then the connections.
 
         Args:
-            idle_seconds: How long idle connections may bring another request.
+            idle_seconds: How long connections may bring another request.
             whole_seconds: The longest time for all of it.
         """
         self.is_draining = True
         began = now()
         await self.sleep(idle_seconds)
+        self._is_refusing = True
+        if self._server is not None:
+            self._server.close()
         self.close_idle()
         while self._connections and now() - began < whole_seconds:
             await self.sleep(0.05)
@@ -120,6 +126,9 @@
         Returns:
             The verdict.
         """
+        if self._is_refusing:
+            # It may last longer than this host, and others are there for it.
+            return NotRun(Reason.STOPPING, retry_after_seconds=STOPPING_RETRY_SECONDS)
         request = self._codec.read_request(head, body, arrived)
         if isinstance(request, NotRun):
             return request
--- a/src/balsamway/forwarding/key_owner.py
+++ b/src/balsamway/forwarding/key_owner.py
@@ -17,6 +17,8 @@
     incarnation: int
     is_ready: bool
     """Whether it has accepted the key, so that it runs requests for it."""
+    ready_at: float = 0.0
+    """When it should have, by the runtime's clock."""
 
 
 class KeyOwners(Protocol):
--- a/src/balsamway/forwarding/request_run.py
+++ b/src/balsamway/forwarding/request_run.py
@@ -29,6 +29,9 @@
 """When to come back after a refusal for want of room."""
 OWNER_RETRY_SECONDS = 0.4
 """When to come back for a key that nobody holds at the moment."""
+HELD_SHARE = 0.4
+"""The part of the time left for which a request waits for its key's owner."""
+RECHECK_SECONDS = 0.05
 NOT_HELD_ATTEMPTS = 3
 """How often a request follows a key that has moved."""
 UNREACHABLE_ATTEMPTS = 4
@@ -173,21 +176,32 @@
         key = self.request.key
         if key is None:
             return NotRun(Reason.BAD_REQUEST, "the request names no key")
-        hold_until = now() + 0.5 * self.seconds_left
+        hold_until = now() + HELD_SHARE * self.seconds_left
         while True:
             owner = self._forwarder.owners.owner(self.service.name, key)
-            if owner is not None and owner.is_ready:
+            state = None
+            expected_at = hold_until
+            if owner is not None:
                 state = self._forwarder.targets.find(owner.name, owner.incarnation)
-                if state is not None and not state.is_avoided:
-                    states = self._forwarder.targets.usable(self.service.name)
-                    return self._admit(state, usual_seconds(states))
-            if not await self._wait_for_owner(hold_until - now()):
+                expected_at = owner.ready_at
+            if owner is not None and owner.is_ready and state is not None:
+                if not state.is_avoided:
+                    return self._admit_owner(state)
+                expected_at = state.avoided_until
+            # What cannot be served in time is refused at once, not held.
+            is_hopeless = expected_at > hold_until
+            left = min(hold_until, max(expected_at, now() + RECHECK_SECONDS)) - now()
+            if is_hopeless or (not await self._wait_for_owner(left) and left <= 0):
                 return NotRun(
                     Reason.NO_OWNER if owner is None else Reason.MOVING,
                     "" if owner is None else owner.name,
-                    self._jitter(OWNER_RETRY_SECONDS),
+                    self._jitter(max(OWNER_RETRY_SECONDS, expected_at - now())),
                 )
 
+    def _admit_owner(self, state: TargetState) -> TargetState | NotRun:
+        states = self._forwarder.targets.usable(self.service.name)
+        return self._admit(state, usual_seconds(states))
+
     async def _wait_for_owner(self, seconds: float) -> bool:
         """Waits until an owner changes.
 
--- a/src/balsamway/forwarding/service_targets.py
+++ b/src/balsamway/forwarding/service_targets.py
@@ -97,6 +97,11 @@
             for service in services
         }
 
+    def reaches_most(self) -> bool:
+        """Tells whether this host found a connection to most targets."""
+        states = self._states.values()
+        return 2 * sum(one.is_unreachable for one in states) <= len(states)
+
     def trim(self) -> None:
         """Closes the connections that were idle for too long."""
         for state in self._states.values():
--- a/src/balsamway/forwarding/target_state.py
+++ b/src/balsamway/forwarding/target_state.py
@@ -62,6 +62,17 @@
         """Whether it is passed over where another target can serve."""
         return now() < self._avoid_until
 
+    @property
+    def avoided_until(self) -> float:
+        """Until when it is passed over, by the runtime's clock.
+
+        One without a connection is not expected back sooner than its keys
+        can have another holder.
+        """
+        if self._unreachable_in_a_row > 1:
+            return self._avoid_until + LONGEST_AVOID_SECONDS
+        return self._avoid_until
+
     @property
     def is_unreachable(self) -> bool:
         """Whether the last attempts found no connection."""
--- a/src/balsamway/keyspace/key_view.py
+++ b/src/balsamway/keyspace/key_view.py
@@ -81,8 +81,10 @@
         self._noticed_at = now()
         self.doubted = False
         owners = tuple(
-            KeyOwner(*notice.holders[place], is_ready=ready)
-            for place, ready in zip(notice.places, notice.ready, strict=True)
+            KeyOwner(*notice.holders[place], ready, now() + wait)
+            for place, ready, wait in zip(
+                notice.places, notice.ready, notice.waits, strict=True
+            )
         )
         self._put(notice.service, _ServiceView(order, notice.lasts, owners))
 
@@ -99,7 +101,7 @@
             return
         serial = view.order[1] if view and view.order[0] == record.epoch else 0
         owners = tuple(
-            KeyOwner(one.holder.name, one.holder.incarnation, not one.previous)
+            KeyOwner(one.holder.name, one.holder.incarnation, not one.previous, now())
             for one in record.segments
         )
         lasts = tuple(one.last for one in record.segments)
--- a/src/balsamway/keyspace/leader_lease.py
+++ b/src/balsamway/keyspace/leader_lease.py
@@ -21,22 +21,25 @@
 
 if TYPE_CHECKING:
     import random
+    from collections.abc import Callable
 
     from balsamway.store.object_store import ObjectStore
 
 LEASE_KIND = "balsamway-leases"
 LEASE_NAME = "keys"
-LEASE_SECONDS = 3.0
+LEASE_SECONDS = 2.2
 """How long a leader acts on a renewal. Shorter than a target's grant, so that
 the next leader renews the grants before they lapse."""
-RENEW_SECONDS = 0.7
+RENEW_SECONDS = 0.5
 CLAIM_MARGIN_SECONDS = 0.2
 """How much longer the lease must have stood still; clocks of hosts differ in
 rate by less."""
-POLL_SECONDS = 0.8
+POLL_SECONDS = 0.6
 """How often the others read the lease, from a copy that may be old."""
-RETRY_SECONDS = 0.15
+RETRY_SECONDS = 0.1
 READ_TRIES = 8
+ASIDE_SECONDS = 4.0
+"""How long a host that stood down leaves the lease to others."""
 
 logger = logging.getLogger(__name__)
 
@@ -58,7 +61,12 @@
     """
 
     def __init__(
-        self, store: ObjectStore, host: str, address: str, rng: random.Random
+        self,
+        store: ObjectStore,
+        host: str,
+        address: str,
+        reaches_most: Callable[[], bool],
+        rng: random.Random,
     ) -> None:
         """Prepares the lease of a host that does not lead.
 
@@ -66,12 +74,15 @@
             store: The store.
             host: The name of this host.
             address: Where it listens for its peers.
+            reaches_most: Whether this host reaches most of the targets; one
+                that does not leaves the lease to others for a while.
             rng: Spreads claims.
         """
         super().__init__()
         self._store = store
         self._host = host
         self._own_address = address
+        self._reaches_most = reaches_most
         self._rng = rng
         self._known: tuple[int, _Lease] | None = None
         self._known_since = 0.0
@@ -82,6 +93,8 @@
         self.elected = asyncio.Event()
         """Set while this host leads."""
         self._may_claim = True
+        self._aside_until = float("-inf")
+        self._is_first_look = True
 
     @property
     def epoch(self) -> int | None:
@@ -128,10 +141,22 @@
     async def resign(self) -> None:
         """Gives the lease up, so that another host need not wait for it."""
         self._may_claim = False
+        await self._give_up("resigned")
+
+    async def stand_down(self, reason: str) -> None:
+        """Leaves the lease to another host for a while.
+
+        Args:
+            reason: Why.
+        """
+        self._aside_until = now() + ASIDE_SECONDS
+        await self._give_up(reason)
+
+    async def _give_up(self, reason: str) -> None:
         epoch, known = self._epoch, self._known
         if epoch is None or known is None:
             return
-        self.abandon("resigned")
+        self.abandon(reason)
         body = msgspec.json.encode(_Lease(epoch, "", "", self._beat + 1))
         await self._store.write(LEASE_KIND, LEASE_NAME, body, known[0])
 
@@ -158,6 +183,8 @@
             await self._claim(self._known[0], self._known[1].epoch + 1)
             if self._epoch is not None:
                 return
+        if isinstance(found, StoredObject):
+            self._is_first_look = False
         await self.sleep(POLL_SECONDS * self._rng.uniform(0.8, 1.2))
 
     def _is_free(self) -> bool:
@@ -165,7 +192,19 @@
         if known is None:
             return False
         stood = now() - self._known_since
-        return not known[1].host or stood > LEASE_SECONDS + CLAIM_MARGIN_SECONDS
+        if now() < self._aside_until and stood < ASIDE_SECONDS:
+            return False
+        if not known[1].host:
+            is_free = True
+        elif self._is_first_look and self._is_own(known[1]):
+            # The process that led from here has ended: this one replaced it.
+            is_free = True
+        else:
+            is_free = stood > LEASE_SECONDS + CLAIM_MARGIN_SECONDS
+        return is_free and (self._reaches_most() or stood > ASIDE_SECONDS)
+
+    def _is_own(self, lease: _Lease) -> bool:
+        return (lease.host, lease.address) == (self._host, self._own_address)
 
     async def _claim(self, version: int | None, epoch: int) -> None:
         lease = _Lease(epoch, self._host, self._own_address, self._next_beat())
--- a/src/balsamway/keyspace/messages.py
+++ b/src/balsamway/keyspace/messages.py
@@ -24,6 +24,8 @@
     """The place of each segment's holder among the holders."""
     ready: tuple[bool, ...]
     """Whether the holder of each segment has accepted its grant."""
+    waits: tuple[float, ...]
+    """How many seconds that should take, for each segment."""
 
 
 @message("load")
--- a/src/balsamway/keyspace/service_keys.py
+++ b/src/balsamway/keyspace/service_keys.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from balsamway.clock import now
 from balsamway.keyspace.hold_bound import HoldBound
 from balsamway.keyspace.messages import KeyMapNotice
 
@@ -17,6 +18,11 @@
     from balsamway.keyspace.key_record import KeyRecord
     from balsamway.keyspace.segment import Previous, Segment
 
+GRANT_SECONDS = 0.05
+"""About how long a grant takes."""
+RELEASE_SECONDS = 0.3
+"""About how long the work takes that a release waits for."""
+
 logger = logging.getLogger(__name__)
 
 
@@ -29,6 +35,8 @@
     until: float
     """When its grant has run out, whatever it answers."""
     is_done: bool = False
+    is_unanswered: bool = False
+    """Whether the last release got no answer, so that only time helps."""
     task: asyncio.Task[None] | None = None
 
 
@@ -201,8 +209,22 @@
             tuple(one.last for one in self.record.segments),
             tuple(places),
             tuple(self.is_confirmed(one) for one in self.record.segments),
+            tuple(round(self._wait(one), 2) for one in self.record.segments),
         )
 
+    def _wait(self, segment: Segment) -> float:
+        """Estimates when the holder will have accepted its grant."""
+        if self.is_confirmed(segment):
+            return 0.0
+        waits = [GRANT_SECONDS]
+        for previous in segment.previous:
+            one = self._vacating[(segment.first, segment.last, previous)]
+            if one.is_done:
+                continue
+            left = max(0.0, one.until - now())
+            waits.append(left if one.is_unanswered else min(left, RELEASE_SECONDS))
+        return max(waits)
+
     def _is_vacant(self, segment: Segment) -> bool:
         return all(
             self._vacating[(segment.first, segment.last, previous)].is_done
--- a/src/balsamway/keyspace/service_leader.py
+++ b/src/balsamway/keyspace/service_leader.py
@@ -41,6 +41,8 @@
 """How long a request is taken to last before there is any report."""
 COLD_FACTOR = 2.0
 """How much slower a target is during its warm-up."""
+UNREACHED_SECONDS = 0.5
+"""How long orders must have failed for a target to count as not reached."""
 SLOWEST, FASTEST = 0.25, 4.0
 """The bounds on a target's speed, relative to the mean of its service."""
 LOST_SECONDS = 8.0
@@ -88,6 +90,7 @@
         self._lost_until: dict[Holder, float] = {}
         self._plan_at = now()
         self._dirty = True
+        self._was_outage = False
         self.last_notice: KeyMapNotice | None = None
         """What the gateways were told last."""
 
@@ -100,7 +103,9 @@
         self._tasks = tasks
         try:
             while True:
+                await self._check_reach()
                 await self._step()
+                self._kick_in_outage()
                 if self._dirty:
                     self._dirty = False
                     await asyncio.sleep(PUBLISH_SECONDS)
@@ -135,6 +140,27 @@
             },
         }
 
+    async def _check_reach(self) -> None:
+        """Stands down where most targets do not answer this host.
+
+        A host whose zone is cut off still reaches the store at times, and
+        would take the keys from the targets that all others reach.
+        """
+        failing = [
+            keeper.failing_seconds > UNREACHED_SECONDS
+            for keeper, _ in self._keepers.values()
+        ]
+        if len(failing) > 2 and sum(failing) * 2 > len(failing):
+            await self._lease.stand_down("most targets do not answer")
+
+    def _kick_in_outage(self) -> None:
+        """Has grants renewed for longer as soon as the store seems away."""
+        is_outage = self._lease.renewal_failing
+        if is_outage and not self._was_outage:
+            for keeper, _ in self._keepers.values():
+                keeper.kick()
+        self._was_outage = is_outage
+
     def _may_act(self) -> bool:
         return self._lease.has_authority(self._keys.epoch)
 
--- a/src/balsamway/keyspace/target_keeper.py
+++ b/src/balsamway/keyspace/target_keeper.py
@@ -24,17 +24,17 @@
     from balsamway.keyspace.service_keys import ServiceKeys
     from balsamway.keyspace.target_control import TargetControl
 
-HOLD_SECONDS = 5.0
+HOLD_SECONDS = 3.6
 """How long a grant lasts. It outlives the change of leader, which takes the
 leader's lease and a claim; after a loss keys wait for it to lapse."""
 HOLD_IN_OUTAGE_SECONDS = 9.5
 """How long a grant lasts while the store does not answer, so that the keys
 outlast the outage; below the longest time that targets accept."""
-RENEW_SECONDS = 0.9
-ORDER_SECONDS = 0.8
+RENEW_SECONDS = 0.7
+ORDER_SECONDS = 0.7
 """The longest time for an order; a target answers in a few ms."""
 RETRY_SECONDS = 0.2
-GIVE_UP_SECONDS = 1.6
+GIVE_UP_SECONDS = 1.0
 """After orders failed for this long no more are sent, since each would extend
 the time after which the keys can go to another target."""
 
@@ -86,8 +86,11 @@
     async def run(self) -> None:
         """Sends grants until cancelled."""
         renew_at = now()
+        was_outage = False
         while not self.has_ended:
-            is_renewal = now() >= renew_at
+            is_outage = self._in_outage()
+            is_renewal = now() >= renew_at or (is_outage and not was_outage)
+            was_outage = is_outage
             if is_renewal:
                 renew_at = now() + RENEW_SECONDS
             answered = await self._send_all(is_renewal)
--- a/src/balsamway/keyspace/vacate.py
+++ b/src/balsamway/keyspace/vacate.py
@@ -16,7 +16,7 @@
     from balsamway.keyspace.target_control import TargetControl
 
 RETRY_SECONDS = 0.2
-RELEASE_SECONDS = 3.0
+RELEASE_SECONDS = 2.0
 """How long one call waits for running work to end before it is repeated."""
 
 
@@ -42,7 +42,7 @@
         control: Sends the orders.
         may_act: Whether this host leads at this moment.
         has_started_again: Whether another run of the target is known.
-        on_done: Called when the keys are free.
+        on_done: Called when the keys are free, or later than expected.
     """
     while True:
         how = ""
@@ -51,7 +51,9 @@
             how = "started again"
         elif now() >= one.until:
             how = "lapsed"
-        elif line is not None and may_act():
+        elif line is None:
+            one.is_unanswered = True
+        elif may_act():
             result = await control.release(
                 line.pool,
                 one.previous.holder.name,
@@ -64,6 +66,10 @@
                     how, handover = "released", found
                 case OtherTarget():
                     how = "replaced"
+                case _:
+                    if not one.is_unanswered:
+                        one.is_unanswered = True
+                        on_done()
         if how:
             keys.on_vacated(one, how, handover)
             on_done()
--- a/src/balsamway/node/entry_node.py
+++ b/src/balsamway/node/entry_node.py
@@ -48,9 +48,9 @@
 HOUSEKEEPING_SECONDS = 0.25
 RECORD_SECONDS = 0.6
 """How often the stored record of keys is read while no leader is heard."""
-DRAIN_IDLE_SHARE = 0.55
-"""The part of the time to stop in which idle connections stay open, so that
-the balancer has taken the host out before they close."""
+DRAIN_IDLE_SHARE = 0.48
+"""The part of the time to stop in which requests are still taken, so that the
+balancer has taken the host out before; the rest is left for them to end."""
 DRAIN_WHOLE_SHARE = 0.92
 
 logger = logging.getLogger(__name__)
@@ -95,7 +95,11 @@
             self._rng,
         )
         self.lease = LeaderLease(
-            store, settings.host, settings.peers_address, self._rng
+            store,
+            settings.host,
+            settings.peers_address,
+            self.targets.reaches_most,
+            self._rng,
         )
         board = LoadBoard()
         self._reporter = LoadReporter(
