--- /dev/null
+++ b/tests/fakes/scripted_target.py
@@ -0,0 +1,108 @@
+"""A target that answers with whatever bytes a test asks for."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+from dataclasses import dataclass, field
+
+
+@dataclass
+class Received:
+    method: str
+    path: str
+    headers: dict
+    body: bytes
+
+
+@dataclass
+class ScriptedTarget:
+    """Calls `script(received, writer, number)` for each whole request."""
+
+    script: object
+    received: list = field(default_factory=list)
+    connections: int = 0
+    resets: int = 0
+    address: str = ""
+    _server: object = None
+    _writers: set = field(default_factory=set)
+
+    async def start(self):
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        ip, port = self._server.sockets[0].getsockname()
+        self.address = f"{ip}:{port}"
+        return self
+
+    async def stop(self):
+        self._server.close()
+        for writer in self._writers:
+            writer.transport.abort()
+
+    async def _serve(self, reader, writer):
+        self.connections += 1
+        self._writers.add(writer)
+        try:
+            while (received := await read_request(reader)) is not None:
+                self.received.append(received)
+                await self.script(received, writer, len(self.received))
+        except (OSError, asyncio.IncompleteReadError):
+            self.resets += 1
+        finally:
+            writer.close()
+
+
+async def read_request(reader):
+    head = await read_head(reader)
+    if head is None:
+        return None
+    first, headers = head
+    method, path, _ = first.split(" ")
+    body = await reader.readexactly(int(headers.get("content-length", "0")))
+    return Received(method, path, headers, body)
+
+
+async def read_answer(reader):
+    """Reads an answer: its status, headers and body; None at the end."""
+    head = await read_head(reader)
+    if head is None:
+        return None
+    first, headers = head
+    body = await reader.readexactly(int(headers.get("content-length", "0")))
+    return int(first.split(" ")[1]), headers, body
+
+
+async def read_head(reader):
+    try:
+        head = await reader.readuntil(b"\r\n\r\n")
+    except asyncio.IncompleteReadError as error:
+        if error.partial:
+            raise
+        return None
+    first, *lines = head.decode().split("\r\n")[:-2]
+    headers = {}
+    for line in lines:
+        name, _, value = line.partition(": ")
+        headers[name.lower()] = value
+    return first, headers
+
+
+def answer(
+    request_id, body=b"whole", status=200, signature="sig", extra="", length=None
+):
+    lines = [f"HTTP/1.1 {status} X"]
+    if request_id is not None:
+        lines.append(f"Balsamway-Request-Id: {request_id}")
+    if signature is not None:
+        lines.append(f"Balsamway-Response-Signature: {signature}")
+    lines.append(f"Content-Length: {len(body) if length is None else length}")
+    if extra:
+        lines.append(extra)
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
+def reset(writer):
+    """Ends a connection with a reset."""
+    sock = writer.get_extra_info("socket")
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
--- /dev/null
+++ b/tests/forwarding/conftest.py
@@ -0,0 +1,111 @@
+from __future__ import annotations
+
+import asyncio
+import random
+
+import pytest
+
+from balsamway.discovery import TargetDirectory, TargetEntry
+from balsamway.entry import EntryRequest
+from balsamway.forwarding.forwarder import Forwarder
+from balsamway.forwarding.forwarding_settings import ForwardingSettings
+from balsamway.forwarding.key_owner import KeyOwner
+from balsamway.forwarding.request_log import RequestLog
+from balsamway.forwarding.service_targets import ServiceTargets
+from balsamway.routing import (
+    Backend,
+    Route,
+    RoutedService,
+    RouteType,
+    RoutingConfiguration,
+)
+from tests.fakes.scripted_transport import ScriptedTransport
+
+
+class Owners:
+    """Says who owns every key."""
+
+    def __init__(self):
+        self.found = None
+        self.doubts = []
+        self._changed = asyncio.get_running_loop().create_future()
+
+    def owner(self, service, key):
+        return self.found
+
+    def changed(self):
+        return self._changed
+
+    def on_not_held(self, service, key, owner):
+        self.doubts.append(owner.name)
+
+    def change(self, name, incarnation=1, is_ready=True, ready_at=0.0):
+        self.found = KeyOwner(name, incarnation, is_ready, ready_at)
+        changed, self._changed = (
+            self._changed,
+            asyncio.get_running_loop().create_future(),
+        )
+        changed.set_result(None)
+
+
+def target(name, service="s", zone="z1", capacity=3):
+    return TargetEntry(name, 1, service, "127.0.0.1:1", zone, capacity, False, 0.0)
+
+
+def configuration(version=1, **changes):
+    fields = {
+        "name": "r1",
+        "host": "h",
+        "path_prefix": "/a/",
+        "type": RouteType.SAFE,
+        "timeout_seconds": 1.0,
+        "objective_seconds": 0.3,
+        "priority": 1,
+        "attempts_at_most": 2,
+        "backends": (Backend("s", 1.0),),
+    }
+    route = Route(**(fields | changes))
+    services = {"s": RoutedService("s", 110), "k": RoutedService("k", 110, True)}
+    return RoutingConfiguration(version, (route,), services)
+
+
+class Setup:
+    def __init__(self):
+        self.directory = TargetDirectory()
+        self.targets = ServiceTargets(self.directory, lambda: None)
+        self.owners = Owners()
+        self.transport = ScriptedTransport()
+        self.forwarder = Forwarder(
+            "z1",
+            self.targets,
+            self.owners,
+            self.transport,
+            ForwardingSettings(0.2, 60, 12),
+            RequestLog(),
+            random.Random(1),
+        )
+        self._number = 0
+
+    def adopt(self, **changes):
+        version = self.forwarder.configuration
+        number = 1 if version is None else version.version + 1
+        self.forwarder.adopt(configuration(number, **changes))
+
+    def place(self, *targets):
+        self.directory.replace(targets)
+
+    async def request(self, path="/a/b", patience=None, key=None, host="h"):
+        self._number += 1
+        now = asyncio.get_running_loop().time()
+        request = EntryRequest(
+            f"r{self._number}", "GET", host, path, (), b"", now, patience, key
+        )
+        return await self.forwarder.forward(request)
+
+
+@pytest.fixture
+async def setup():
+    setup = Setup()
+    setup.adopt()
+    setup.place(target("i-1"), target("i-2"), target("i-3"))
+    return setup
--- /dev/null
+++ b/tests/forwarding/test_forwarder.py
@@ -0,0 +1,222 @@
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from balsamway.forwarding.attempt_result import Finding
+from balsamway.outcome import Completed, MayHaveRun, NotRun, Reason
+from balsamway.routing import Backend, RouteType
+from tests.forwarding.conftest import Setup, configuration, target
+
+pytestmark = pytest.mark.looptime
+
+
+def now():
+    return asyncio.get_running_loop().time()
+
+
+async def test_without_a_configuration_nothing_is_said_of_routes():
+    verdict = await Setup().request()
+    assert isinstance(verdict, NotRun)
+    assert verdict.reason is Reason.NO_CONFIGURATION
+    assert verdict.retry_after_seconds > 0
+
+
+async def test_a_request_without_a_route_is_told_so(setup):
+    verdict = await setup.request(path="/other/")
+    assert verdict == NotRun(Reason.NO_ROUTE)
+
+
+async def test_an_older_configuration_is_never_adopted(setup):
+    assert setup.forwarder.adopt(configuration(9, path_prefix="/new/"))
+    assert not setup.forwarder.adopt(configuration(8))
+    assert not setup.forwarder.adopt(configuration(9))
+    assert (await setup.request("/new/")).status == 200
+    assert (await setup.request("/a/")).reason is Reason.NO_ROUTE
+
+
+async def test_a_served_request_has_one_attempt(setup):
+    verdict = await setup.request()
+    assert isinstance(verdict, Completed)
+    assert len(setup.transport.sent) == 1
+
+
+@pytest.mark.parametrize("finding", [Finding.BROKEN, Finding.LATE, Finding.FAILED])
+async def test_an_unsafe_request_that_may_have_run_is_not_sent_again(setup, finding):
+    setup.adopt(type=RouteType.UNSAFE)
+    setup.transport.findings = [finding, Finding.SERVED]
+    verdict = await setup.request()
+    assert len(setup.transport.sent) == 1
+    assert not isinstance(verdict, NotRun)
+
+
+@pytest.mark.parametrize("finding", [Finding.BROKEN, Finding.FAILED])
+async def test_a_safe_request_is_sent_to_another_target(setup, finding):
+    setup.transport.findings = [finding, Finding.SERVED]
+    verdict = await setup.request()
+    assert verdict.status == 200
+    first, second = (name for name, _ in setup.transport.sent)
+    assert first != second
+
+
+@pytest.mark.parametrize("type_", list(RouteType))
+async def test_a_refusal_is_followed_by_another_target(setup, type_):
+    setup.adopt(type=type_)
+    setup.transport.findings = [Finding.SHED, Finding.SERVED]
+    assert (await setup.request()).status == 200
+    assert len(setup.transport.sent) == 2
+
+
+async def test_an_unsafe_request_whose_first_attempt_may_have_run_is_never_refused(
+    setup,
+):
+    setup.transport.findings = [Finding.BROKEN, Finding.SHED]
+    verdict = await setup.request()
+    assert isinstance(verdict, MayHaveRun)
+
+
+async def test_attempts_end_at_the_routes_limit(setup):
+    setup.adopt(attempts_at_most=3)
+    setup.transport.findings = [Finding.BROKEN]
+    await setup.request()
+    assert len(setup.transport.sent) == 3
+
+
+async def test_targets_without_a_connection_do_not_count_as_attempts(setup):
+    setup.adopt(type=RouteType.UNSAFE, attempts_at_most=1)
+    setup.transport.findings = [
+        Finding.UNREACHABLE,
+        Finding.UNREACHABLE,
+        Finding.SERVED,
+    ]
+    assert (await setup.request()).status == 200
+
+
+async def test_when_no_target_accepts_a_connection_nothing_has_run(setup):
+    setup.adopt(type=RouteType.UNSAFE)
+    setup.transport.findings = [Finding.UNREACHABLE]
+    verdict = await setup.request()
+    assert isinstance(verdict, NotRun)
+    assert verdict.retry_after_seconds > 0
+
+
+async def test_repeats_stay_within_the_hosts_share_of_the_budget(setup):
+    setup.transport.findings = [Finding.BROKEN]
+    requests = 400
+    for _ in range(requests):
+        await setup.request()
+    repeats = len(setup.transport.sent) - requests
+    assert 0 < repeats <= 0.2 * requests + 60 / 12
+
+
+async def test_the_time_left_is_passed_on_and_bounded_by_the_route(setup):
+    setup.adopt(timeout_seconds=0.8)
+    await setup.request(patience=0.5)
+    await setup.request(patience=5.0)
+    await setup.request()
+    assert [round(left, 3) for _, left in setup.transport.sent] == [0.5, 0.8, 0.8]
+
+
+async def test_a_second_attempt_is_told_only_what_is_left(setup):
+    setup.transport.seconds = 0.3
+    setup.transport.findings = [Finding.BROKEN, Finding.SERVED]
+    await setup.request(patience=1.0)
+    assert [round(left, 2) for _, left in setup.transport.sent] == [1.0, 0.7]
+
+
+@pytest.mark.parametrize("type_", list(RouteType))
+async def test_an_answer_comes_by_the_routes_timeout(setup, type_):
+    setup.adopt(type=type_, timeout_seconds=0.4)
+    setup.transport.seconds = 9.0
+    setup.transport.findings = [Finding.LATE]
+    verdict = await setup.request(patience=3.0)
+    assert verdict == MayHaveRun(Reason.DEADLINE_EXCEEDED)
+    assert now() <= 0.41
+
+
+async def test_a_service_without_targets_is_refused_at_once(setup):
+    setup.place()
+    verdict = await setup.request()
+    assert verdict.reason is Reason.NO_TARGET
+    assert verdict.retry_after_seconds > 0
+    assert now() == 0
+
+
+async def test_a_split_does_not_move_what_a_part_refuses(setup):
+    setup.adopt(backends=(Backend("s", 1.0), Backend("other", 1.0)))
+    outcomes = [await setup.request() for _ in range(20)]
+    assert sum(isinstance(one, NotRun) for one in outcomes) == 10
+
+
+async def test_the_own_zone_is_preferred_while_it_has_room(setup):
+    setup.place(target("near"), target("far", zone="z2"))
+    for _ in range(20):
+        await setup.request()
+    assert {name for name, _ in setup.transport.sent} == {"near"}
+
+
+async def test_a_full_zone_spills_over(setup):
+    setup.place(target("near", capacity=1), target("far", zone="z2"))
+    setup.transport.seconds = 0.1
+    await setup.request()
+    await asyncio.gather(*(setup.request() for _ in range(6)))
+    assert {name for name, _ in setup.transport.sent} == {"near", "far"}
+
+
+async def test_a_keyed_request_goes_to_its_owner(setup):
+    setup.adopt(backends=(Backend("k", 1.0),))
+    setup.place(target("i-1", "k"), target("i-2", "k"))
+    setup.owners.change("i-2")
+    for key in range(5):
+        assert (await setup.request(key=key)).status == 200
+    assert {name for name, _ in setup.transport.sent} == {"i-2"}
+
+
+async def test_a_request_waits_for_a_move_that_ends_soon(setup):
+    setup.adopt(backends=(Backend("k", 1.0),))
+    setup.place(target("i-1", "k"))
+    setup.owners.change("i-1", is_ready=False, ready_at=now() + 0.1)
+    waiting = asyncio.create_task(setup.request(key=1))
+    await asyncio.sleep(0.12)
+    setup.owners.change("i-1")
+    assert (await waiting).status == 200
+
+
+async def test_a_request_for_a_key_that_nobody_can_hold_soon_is_refused_at_once(
+    setup,
+):
+    setup.adopt(backends=(Backend("k", 1.0),))
+    setup.place(target("i-1", "k"))
+    setup.owners.change("i-1", is_ready=False, ready_at=now() + 3.0)
+    verdict = await setup.request(key=1)
+    assert isinstance(verdict, NotRun)
+    assert verdict.retry_after_seconds > 1.0
+    assert now() == 0
+    assert not setup.transport.sent
+
+
+async def test_a_key_that_its_owner_does_not_hold_is_asked_for_again(setup):
+    setup.adopt(backends=(Backend("k", 1.0),), type=RouteType.UNSAFE)
+    setup.place(target("i-1", "k"))
+    setup.owners.change("i-1")
+    setup.transport.findings = [Finding.KEY_NOT_HELD, Finding.SERVED]
+    assert (await setup.request(key=1)).status == 200
+    assert setup.owners.doubts == ["i-1"]
+
+
+async def test_another_run_of_the_owner_does_not_count_as_it(setup):
+    setup.adopt(backends=(Backend("k", 1.0),))
+    setup.place(target("i-1", "k"))
+    setup.owners.change("i-1", incarnation=2)
+    assert isinstance(await setup.request(key=1), NotRun)
+    assert not setup.transport.sent
+
+
+async def test_a_caller_that_leaves_frees_the_target(setup):
+    setup.transport.seconds = 5.0
+    request = asyncio.create_task(setup.request())
+    await asyncio.sleep(0.1)
+    request.cancel()
+    await asyncio.gather(request, return_exceptions=True)
+    assert all(state.in_flight == 0 for state in setup.targets.all())
--- /dev/null
+++ b/tests/platform/test_decoders.py
@@ -0,0 +1,126 @@
+from __future__ import annotations
+
+import json
+
+import pytest
+
+from balsamway.outcome import Malformed
+from balsamway.platform.configuration_decoder import decode_routing
+from balsamway.platform.target_decoder import decode_target
+from balsamway.routing import Backend, RouteType
+
+ENTRY = {
+    "service": "s",
+    "address": "10.128.0.9:8080",
+    "zone": "z1",
+    "version": "v1",
+    "capacity": 3,
+    "state": "ready",
+    "warmupLeftMs": 1500,
+    "sequence": 4,
+    "born": 1700000000123,
+}
+CONFIGURATION = {
+    "version": 7,
+    "services": [
+        {"name": "s", "maxConnections": 110, "sharded": True, "warmS": 5.0},
+        {"name": "t", "maxConnections": 51, "healthPath": "/health"},
+    ],
+    "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 9, "idleTimeoutMs": 15000},
+    "hosts": [
+        {
+            "host": "H.example",
+            "paths": [
+                {
+                    "name": "r1",
+                    "pathPrefix": "/a/",
+                    "routeType": "safe",
+                    "timeoutMs": 1200,
+                    "targetLatencyMs": 300,
+                    "priority": 2,
+                    "backends": [
+                        {"service": "s", "weight": 90},
+                        {"service": "t", "weight": 10},
+                    ],
+                    "maxAttempts": 2,
+                },
+                {
+                    "name": "r2",
+                    "pathPrefix": "/b/",
+                    "routeType": "unsafe",
+                    "timeoutMs": 800,
+                    "service": "t",
+                },
+            ],
+        }
+    ],
+}
+
+
+def test_an_entry_is_read():
+    found = decode_target("i-1", json.dumps(ENTRY).encode())
+    assert found.key == ("i-1", 1700000000123)
+    assert (found.service, found.address, found.capacity) == ("s", "10.128.0.9:8080", 3)
+    assert not found.is_draining
+    assert found.warmup_seconds == 1.5
+
+
+def test_a_draining_entry_is_told():
+    assert decode_target(
+        "i", json.dumps(ENTRY | {"state": "draining"}).encode()
+    ).is_draining
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"service": None},
+        {"service": 4},
+        {"address": "10.128.0.9"},
+        {"address": "host:80"},
+        {"address": "10.128.0.9:0"},
+        {"address": "10.128.0.9:port"},
+        {"capacity": "3"},
+        {"capacity": 0},
+        {"state": "resting"},
+        {"sequence": "one"},
+        {"born": 1.5},
+        {"warmupLeftMs": -1},
+        {"zone": []},
+    ],
+    ids=str,
+)
+def test_a_forged_entry_names_no_target(change):
+    assert decode_target("i", json.dumps(ENTRY | change).encode()) is None
+
+
+@pytest.mark.parametrize("field", ["service", "address", "capacity", "state"])
+def test_an_entry_without_a_field_names_no_target(field):
+    found = {name: value for name, value in ENTRY.items() if name != field}
+    assert decode_target("i", json.dumps(found).encode()) is None
+
+
+@pytest.mark.parametrize("body", [b"", b"\xff\xfe", b"[]", b"null", b'"text"'])
+def test_bytes_that_are_no_entry_name_no_target(body):
+    assert decode_target("i", body) is None
+
+
+def test_a_configuration_is_read():
+    found = decode_routing(json.dumps(CONFIGURATION).encode())
+    first, second = found.routes
+    assert found.version == 7
+    assert first.host == "h.example"
+    assert first.type is RouteType.SAFE
+    assert first.backends == (Backend("s", 90), Backend("t", 10))
+    assert (first.timeout_seconds, first.objective_seconds) == (1.2, 0.3)
+    assert second.type is RouteType.UNSAFE
+    assert second.backends == (Backend("t", 1.0),)
+    assert second.attempts_at_most == 1
+    assert found.keyed_services == ("s",)
+    assert found.services["t"].connections_at_most == 51
+    assert found.limits.body_bytes == 9
+
+
+@pytest.mark.parametrize("body", [b"", b"{}", b'{"version":"x"}', b"[1]"])
+def test_what_is_no_configuration_is_told(body):
+    assert isinstance(decode_routing(body), Malformed)
--- /dev/null
+++ b/tests/platform/test_target_transport.py
@@ -0,0 +1,241 @@
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from balsamway.forwarding.attempt_result import Finding
+from balsamway.outcome import Completed, MayHaveRun, NotRun
+from tests.fakes.scripted_target import answer, reset
+from tests.platform.conftest import entry_request
+
+
+def id_of(received):
+    return received.headers["balsamway-request-id"]
+
+
+async def test_an_answer_is_passed_on_unchanged(scripted, send):
+    async def script(received, writer, number):
+        writer.write(answer(id_of(received), b"bytes", extra="X-Own: yes"))
+
+    target = await scripted(script)
+    result = await send(target, entry_request("POST", body=b"order"))
+    assert result.finding is Finding.SERVED
+    assert isinstance(result.verdict, Completed)
+    assert (result.verdict.status, result.verdict.body) == (200, b"bytes")
+    assert result.verdict.headers["Balsamway-Response-Signature"] == "sig"
+    assert result.verdict.headers["X-Own"] == "yes"
+    received = target.received[0]
+    assert (received.method, received.path, received.body) == ("POST", "/a/b", b"order")
+    assert received.headers["balsamway-target-instance"] == "i-1"
+    assert 0 < int(received.headers["balsamway-request-deadline"]) <= 500
+
+
+@pytest.mark.parametrize("method", ["GET", "PUT", "DELETE", "HEAD", "POST"])
+async def test_a_kept_connection_that_is_reset_does_not_repeat_the_request(
+    scripted, send, method
+):
+    async def script(received, writer, number):
+        if number == 1:
+            writer.write(answer(id_of(received)))
+        else:
+            reset(writer)
+
+    target = await scripted(script)
+    await send(target, entry_request("GET", "first"))
+    result = await send(target, entry_request(method, "second"))
+    assert isinstance(result.verdict, MayHaveRun)
+    await asyncio.sleep(0.05)
+    assert [id_of(one) for one in target.received] == ["first", "second"]
+
+
+async def test_an_extra_answer_goes_to_no_later_request(scripted, send):
+    async def script(received, writer, number):
+        writer.write(answer(id_of(received), b"own"))
+        if number == 1:
+            writer.write(answer(id_of(received), b"extra"))
+
+    target = await scripted(script)
+    for number in range(3):
+        result = await send(target, entry_request(request_id=f"r{number}"))
+        assert result.verdict.body == b"own"
+        assert result.verdict.headers["Balsamway-Request-Id"] == f"r{number}"
+
+
+async def test_a_late_extra_answer_is_told_by_its_id_and_the_own_one_awaited(
+    scripted, send
+):
+    async def script(received, writer, number):
+        if number == 2:
+            writer.write(answer("r1", b"again"))
+            await writer.drain()
+            await asyncio.sleep(0.02)
+        writer.write(answer(id_of(received), b"own"))
+
+    target = await scripted(script)
+    await send(target, entry_request(request_id="r1"))
+    result = await send(target, entry_request("PUT", "r2"))
+    assert result.verdict.body == b"own"
+    assert target.connections == 1
+    await send(target, entry_request(request_id="r3"))
+    assert target.connections == 2
+
+
+async def test_bytes_on_an_idle_connection_close_it(scripted, send):
+    async def script(received, writer, number):
+        writer.write(answer(id_of(received)))
+        if number == 1:
+            await writer.drain()
+            await asyncio.sleep(0.02)
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx")
+
+    target = await scripted(script)
+    await send(target)
+    await asyncio.sleep(0.06)
+    result = await send(target, entry_request(request_id="r2"))
+    assert result.verdict.headers["Balsamway-Request-Id"] == "r2"
+    assert target.connections == 2
+
+
+@pytest.mark.parametrize(
+    "spoilt",
+    [
+        answer("r1", b"shor", length=5),
+        b"\x00\x01 no answer\r\n\r\n",
+        answer(None),
+        answer("r1", signature=None),
+        answer("r1", extra="Content-Encoding: gzip"),
+        b"HTTP/1.1 200 X\r\nBalsamway-Request-Id: r1\r\n"
+        b"Balsamway-Response-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n"
+        b"5\r\nwho",
+    ],
+    ids=["short", "rubbish", "no id", "no signature", "encoded", "cut chunk"],
+)
+async def test_a_spoilt_answer_is_not_passed_on(scripted, send, spoilt):
+    async def script(received, writer, number):
+        writer.write(spoilt)
+        await writer.drain()
+        writer.close()
+
+    target = await scripted(script)
+    result = await send(target)
+    assert isinstance(result.verdict, MayHaveRun)
+    assert result.finding is Finding.BROKEN
+
+
+async def test_an_answer_without_a_length_ends_with_its_connection(scripted, send):
+    head = (
+        b"HTTP/1.1 200 X\r\nBalsamway-Request-Id: r1\r\n"
+        b"Balsamway-Response-Signature: s\r\n\r\n"
+    )
+
+    async def closes(received, writer, number):
+        writer.write(head + b"all of it")
+        await writer.drain()
+        writer.close()
+
+    async def resets(received, writer, number):
+        writer.write(head + b"all of")
+        await writer.drain()
+        await asyncio.sleep(0.02)
+        reset(writer)
+
+    result = await send(await scripted(closes))
+    assert result.verdict.body == b"all of it"
+    result = await send(await scripted(resets))
+    assert isinstance(result.verdict, MayHaveRun)
+
+
+@pytest.mark.parametrize(
+    ("status", "extra", "finding"),
+    [
+        (503, "Balsamway-Not-Executed: 1", Finding.SHED),
+        (429, "Balsamway-Not-Executed: 1", Finding.SHED),
+        (421, "Balsamway-Not-Executed: 1", Finding.KEY_NOT_HELD),
+        (421, "Balsamway-Instance-Id: i-1", Finding.KEY_NOT_HELD),
+        (421, "Balsamway-Instance-Id: i-2", Finding.OTHER_TARGET),
+    ],
+)
+async def test_a_refusal_says_that_the_request_did_not_run(
+    scripted, send, status, extra, finding
+):
+    async def script(received, writer, number):
+        writer.write(answer(id_of(received), b"", status, None, extra))
+
+    result = await send(await scripted(script))
+    assert isinstance(result.verdict, NotRun)
+    assert result.finding is finding
+
+
+@pytest.mark.parametrize("status", [500, 503, 504])
+async def test_a_failure_of_the_target_itself_is_its_answer(scripted, send, status):
+    async def script(received, writer, number):
+        writer.write(answer(id_of(received), b"failed", status))
+
+    result = await send(await scripted(script))
+    assert result.finding is Finding.FAILED
+    assert (result.verdict.status, result.verdict.body) == (status, b"failed")
+
+
+async def test_a_target_that_does_not_answer_may_have_run_it(scripted, send):
+    async def script(received, writer, number):
+        await asyncio.sleep(1)
+
+    result = await send(await scripted(script), timeout=0.05)
+    assert isinstance(result.verdict, MayHaveRun)
+    assert result.finding is Finding.LATE
+
+
+async def test_a_refused_connection_is_not_a_run(scripted, send):
+    async def script(received, writer, number):
+        pass
+
+    target = await scripted(script)
+    await target.stop()
+    result = await send(target)
+    assert isinstance(result.verdict, NotRun)
+    assert result.finding is Finding.UNREACHABLE
+
+
+async def test_a_cancelled_attempt_resets_its_connection(scripted, send):
+    ended = asyncio.Event()
+
+    async def script(received, writer, number):
+        try:
+            await asyncio.wait_for(writer.wait_closed(), 1)
+        except OSError:
+            pass
+        ended.set()
+
+    target = await scripted(script)
+    attempt = asyncio.create_task(send(target, timeout=5))
+    while not target.received:
+        await asyncio.sleep(0.005)
+    attempt.cancel()
+    await asyncio.wait_for(ended.wait(), 0.5)
+
+
+async def test_an_early_answer_to_a_long_body_does_not_reuse_the_connection(
+    scripted, send
+):
+    body = b"x" * 8_000_000
+    got = []
+
+    async def early(reader, writer):
+        head = await reader.readuntil(b"\r\n\r\n")
+        request_id = head.split(b"Balsamway-Request-Id: ")[1].split(b"\r\n")[0]
+        writer.write(answer(request_id.decode(), b"early", 500))
+        await writer.drain()
+        await asyncio.sleep(0.05)
+        got.append((head, await reader.read(-1)))
+
+    server = await asyncio.start_server(early, "127.0.0.1", 0, limit=1 << 16)
+
+    class Early:
+        address = "{}:{}".format(*server.sockets[0].getsockname())
+
+    first = await send(Early, entry_request("POST", "r1", body))
+    assert first.verdict.body == b"early"
+    second = await send(Early, entry_request("POST", "r2", b"y"))
+    assert second.verdict.headers["Balsamway-Request-Id"] == "r2"
+    server.close()
