Let hosts take over from their peers what the store does not tell them

Cause: a store that turns some hosts away leaves them with the targets and the configuration of before, and a host that starts meanwhile with none.

--- a/src/balsamway/keyspace/messages.py
+++ b/src/balsamway/keyspace/messages.py
@@ -53,6 +53,8 @@
 
     epoch: int
     leader: str
+    address: str
+    """Where the leader listens for its peers."""
     hosts: int
     """How many entry hosts there are."""
     targets: dict[str, tuple[float, float]]
--- a/src/balsamway/node/entry_node.py
+++ b/src/balsamway/node/entry_node.py
@@ -28,6 +28,7 @@
 from balsamway.node.configuration_handler import ConfigurationHandler
 from balsamway.node.directory_handler import DirectoryHandler
 from balsamway.node.load_reporter import LoadReporter
+from balsamway.node.object_relay import ObjectRelay
 from balsamway.node.readiness_listener import ReadinessListener
 from balsamway.outcome import Malformed
 from balsamway.peers.stream_peers import StreamPeers
@@ -154,6 +155,19 @@
             self._rng,
         )
 
+        self._relay = ObjectRelay(
+            self._peers,
+            self._peer_addresses,
+            settings.seeds,
+            settings.peers_address,
+            {
+                surroundings.configuration_kind: self._configuration_watch,
+                surroundings.targets_kind: self._targets_watch,
+            },
+            self._reporter,
+            self._rng,
+        )
+
     def is_ready(self) -> bool:
         """Tells whether this host takes new connections."""
         return (
@@ -173,6 +187,7 @@
             self.lease,
             self.leader,
             self._reporter,
+            self._relay,
             self._listener,
         ):
             await self.add_runtime_dependency(part)
--- a/src/balsamway/node/load_reporter.py
+++ b/src/balsamway/node/load_reporter.py
@@ -63,10 +63,26 @@
         self._lease = lease
         self._board = board
         self.leader: KeyLeader | None = None
+        self._heard: tuple[int, str, str] | None = None
         peers.handle(LoadNotice, self._on_load)
         peers.handle(FleetNotice, self._on_fleet)
         peers.handle(KeyMapNotice, self._on_key_map)
 
+    @property
+    def known_leader(self) -> tuple[int, str, str] | None:
+        """The epoch, name and peer address of the leader, as far as known."""
+        found = [one for one in (self._lease.leader, self._heard) if one is not None]
+        return max(found, default=None)
+
+    def on_leader_named(self, leader: tuple[int, str, str]) -> None:
+        """Notes whom a peer takes for the leader.
+
+        Args:
+            leader: The epoch, the name and the peer address.
+        """
+        if self._heard is None or leader > self._heard:
+            self._heard = leader
+
     def publish(self, notice: KeyMapNotice) -> None:
         """Tells all hosts who holds which keys.
 
@@ -87,7 +103,7 @@
                 self._board.add(notice)
                 self._tell_fleet(self._lease.epoch)
                 continue
-            leader = self._lease.leader
+            leader = self.known_leader
             if leader is not None and leader[1] != self._host:
                 self._addresses[leader[1]] = leader[2]
                 self._peers.send(leader[1], notice)
@@ -120,7 +136,9 @@
             for name, load in self._board.targets().items()
             if load.service_seconds
         }
-        notice = FleetNotice(epoch, self._host, len(self._board.hosts), targets)
+        notice = FleetNotice(
+            epoch, self._host, self._address, len(self._board.hosts), targets
+        )
         self._take_fleet(notice)
         for host in self._board.hosts:
             if host != self._host:
@@ -142,6 +160,7 @@
         self._view.on_notice(notice)
 
     def _take_fleet(self, notice: FleetNotice) -> None:
+        self.on_leader_named((notice.epoch, notice.leader, notice.address))
         self._view.on_leader_heard()
         self._forwarder.set_hosts(notice.hosts)
         for state in self._targets.all():
--- a/src/balsamway/store/kind_watch.py
+++ b/src/balsamway/store/kind_watch.py
@@ -78,6 +78,8 @@
         self._revision: int | None = None
         self._answered_at: float | None = None
         self._failing_since: float | None = None
+        self._objects: dict[str, StoredObject] = {}
+        self._known_revision = -1
 
     @property
     def label(self) -> str:
@@ -89,6 +91,31 @@
         """How long ago the store last answered; None if it never did."""
         return None if self._answered_at is None else now() - self._answered_at
 
+    @property
+    def known_revision(self) -> int:
+        """The revision of the store up to which changes are known."""
+        return self._known_revision
+
+    @property
+    def objects(self) -> tuple[StoredObject, ...]:
+        """The objects as last known, which a peer may take over."""
+        return tuple(self._objects.values())
+
+    def take_over(self, objects: tuple[StoredObject, ...], revision: int) -> None:
+        """Takes over what a peer read, where the store does not answer here.
+
+        Args:
+            objects: All objects of the kind.
+            revision: The revision as of which the peer knows them.
+        """
+        if not self.is_failing or revision <= self._known_revision:
+            return
+        logger.info(
+            "objects-taken-from-peer",
+            extra={"kind": self._kind, "revision": revision, "n": len(objects)},
+        )
+        self._put_all(objects, revision)
+
     @property
     def is_failing(self) -> bool:
         """Whether the last call failed."""
@@ -106,7 +133,7 @@
         match await self._store.list(self._kind):
             case Listing(objects=objects, revision=revision):
                 self._on_answer()
-                self._handler.on_listing(objects)
+                self._put_all(objects, revision)
                 self._revision = revision
             case Unavailable(reason=reason):
                 await self._on_failure(reason)
@@ -116,10 +143,12 @@
             case Changes(changed=changed, removed=removed, revision=revision):
                 self._on_answer()
                 for name in removed:
+                    self._objects.pop(name, None)
                     self._handler.on_removed(name)
                 for found in changed:
+                    self._objects[found.name] = found
                     self._handler.on_changed(found)
-                self._revision = revision
+                self._revision = self._known_revision = revision
                 if changed or removed:
                     await self.sleep(self._rearm_seconds)
             case HistoryGone():
@@ -130,6 +159,11 @@
                 self._revision = None
                 await self._on_failure(reason)
 
+    def _put_all(self, objects: tuple[StoredObject, ...], revision: int) -> None:
+        self._objects = {one.name: one for one in objects}
+        self._known_revision = revision
+        self._handler.on_listing(objects)
+
     def _on_answer(self) -> None:
         since = self._failing_since
         if since is not None:
