Give keys new tokens with each leadership, and test who holds keys

Cause: a test that mixes faults found a target that had started again taking keys with the token of its run before, where the new leader had not seen the restart. Each leadership now renews all tokens in the write that it makes anyway. The first leader of a deployment no longer waits for grants of earlier ones, and a keeper whose renewal was due at this very moment does not spin.

--- a/src/balsamway/keyspace/key_leader.py
+++ b/src/balsamway/keyspace/key_leader.py
@@ -157,10 +157,14 @@
                 stored: int | None = version
             case Absent():
                 record, stored = KeyRecord(epoch, 1, ()), None
+                granted_until = now()
             case _:
                 await self.sleep(RETRY_SECONDS)
                 return
-        record = replace(record, epoch=epoch)
+        # A target may have started again unnoticed, and its new run must not
+        # get the tokens of the one before.
+        same = {one.keys: one.holder for one in record.segments}
+        record = replace(record.reassign(same), epoch=epoch)
         match await write_record(self._store, service, record, stored, may_act):
             case RecordWritten(version=version):
                 pass
--- a/src/balsamway/keyspace/leader_lease.py
+++ b/src/balsamway/keyspace/leader_lease.py
@@ -37,6 +37,8 @@
 POLL_SECONDS = 0.6
 """How often the others read the lease, from a copy that may be old."""
 RETRY_SECONDS = 0.1
+UNREADABLE = "?"
+"""Stands for the holder of a lease that cannot be read."""
 READ_TRIES = 8
 ASIDE_SECONDS = 4.0
 """How long a host that stood down leaves the lease to others."""
@@ -305,4 +307,4 @@
         return msgspec.json.decode(found.body, type=_Lease)
     except msgspec.MsgspecError as error:
         logger.warning("lease-unreadable", extra={"reason": str(error)})
-        return _Lease(0, "", "", 0)
+        return _Lease(0, UNREADABLE, "", 0)
--- a/src/balsamway/keyspace/placement.py
+++ b/src/balsamway/keyspace/placement.py
@@ -63,7 +63,8 @@
     reached = 0.0
     for place, one in enumerate(targets):
         reached += one.speed
-        last = KEYS - 1 if place == len(targets) - 1 else int(KEYS * reached / total)
+        is_last = place == len(targets) - 1
+        last = KEYS - 1 if is_last else int(KEYS * reached / total) - 1
         if last >= first:
             parts.append((first, last, one.holder))
             first = last + 1
--- a/src/balsamway/keyspace/target_keeper.py
+++ b/src/balsamway/keyspace/target_keeper.py
@@ -34,6 +34,7 @@
 ORDER_SECONDS = 0.7
 """The longest time for an order; a target answers in a few ms."""
 RETRY_SECONDS = 0.2
+LEAST_WAIT_SECONDS = 0.001
 GIVE_UP_SECONDS = 1.0
 """After orders failed for this long no more are sent, since each would extend
 the time after which the keys can go to another target."""
@@ -96,7 +97,7 @@
             answered = await self._send_all(is_renewal)
             wait = renew_at - now() if answered else RETRY_SECONDS
             try:
-                async with asyncio.timeout(max(0.0, wait)):
+                async with asyncio.timeout(max(LEAST_WAIT_SECONDS, wait)):
                     await self._kicked.wait()
             except TimeoutError:
                 pass
--- /dev/null
+++ b/tests/keyspace/test_key_leader.py
@@ -0,0 +1,276 @@
+from __future__ import annotations
+
+import asyncio
+import random
+
+import pytest
+
+from balsamway.discovery import TargetDirectory
+from balsamway.keyspace.key_leader import KeyLeader
+from balsamway.keyspace.key_view import KeyView
+from balsamway.keyspace.leader_lease import LeaderLease
+from balsamway.keyspace.load_board import LoadBoard
+from balsamway.keyspace.messages import LoadNotice
+from tests.fakes.keyed_targets import GRAIN, KeyedTargets
+from tests.fakes.memory_store import MemoryStore
+
+pytestmark = pytest.mark.looptime
+
+RESERVED_SECONDS = 5.0
+"""A key is served again within this time of a loss."""
+
+
+class Host:
+    """An entry host, as far as leading goes."""
+
+    def __init__(self, deployment, name):
+        self.board = LoadBoard()
+        self.view = KeyView()
+        self.lease = LeaderLease(
+            deployment.store, name, f"{name}:1", lambda: True, random.Random(name)
+        )
+        self.leader = KeyLeader(
+            deployment.store,
+            self.lease,
+            deployment.directory,
+            self.board,
+            deployment.targets,
+            lambda: ("k",),
+            self.view.on_notice,
+        )
+
+    async def start(self):
+        await self.lease.start()
+        await self.leader.start()
+
+    async def stop(self):
+        """Ends as a process does that is killed."""
+        await self.leader.stop()
+        await self.lease.stop()
+
+
+class Deployment:
+    def __init__(self, *names):
+        self.store = MemoryStore()
+        self.targets = KeyedTargets(*names)
+        self.directory = TargetDirectory()
+        self.hosts = {}
+
+    def list(self, draining=(), without=()):
+        self.directory.replace(
+            [
+                one.entry(one.name in draining)
+                for one in self.targets.all.values()
+                if one.name not in without
+            ]
+        )
+
+    async def start(self, *names):
+        if not self.hosts:
+            self.list()
+        for name in names:
+            self.hosts[name] = Host(self, name)
+            await self.hosts[name].start()
+        await asyncio.sleep(4)
+
+    def leading(self):
+        return next(one for one in self.hosts.values() if one.lease.epoch is not None)
+
+    def report(self, rates, seconds=0.4):
+        """Reports requests by key, as the gateways do."""
+        counts = {key: max(1, int(rate * seconds)) for key, rate in rates.items()}
+        for host in self.hosts.values():
+            host.board.add(LoadNotice("g", "z", "g:1", {}, {"k": counts}, {}))
+            host.board.fade({name: 3 for name in self.targets.all})
+
+    async def unowned_seconds(self, seconds, keys=range(0, 65536, GRAIN)):
+        """Lets time pass; gives the longest time that a key had no holder."""
+        longest = 0.0
+        since = {}
+        for _ in range(int(seconds / 0.05)):
+            await asyncio.sleep(0.05)
+            now = asyncio.get_running_loop().time()
+            unowned = set(self.targets.unowned(keys))
+            since = {key: since.get(key, now) for key in unowned}
+            longest = max([longest, *(now - at for at in since.values())])
+        return longest
+
+    def check(self):
+        assert self.targets.broken == []
+
+
+@pytest.fixture
+async def deployment():
+    deployment = Deployment("t1", "t2", "t3", "t4")
+    yield deployment
+    for host in deployment.hosts.values():
+        await host.stop()
+
+
+async def test_keys_are_given_out_once_the_list_stands_still(deployment):
+    await deployment.start("a", "b")
+    assert deployment.targets.unowned() == []
+    shares = [deployment.targets.owner(key) for key in range(0, 65536, 16384)]
+    assert sorted(shares) == ["t1", "t2", "t3", "t4"]
+    view = deployment.leading().view
+    assert view.owner("k", 5).name == deployment.targets.owner(GRAIN)
+    assert await deployment.unowned_seconds(20) == 0.0
+    deployment.check()
+
+
+async def test_a_draining_target_hands_its_keys_over(deployment):
+    await deployment.start("a")
+    deployment.list(draining=["t2"])
+    assert await deployment.unowned_seconds(3) < 0.3
+    assert not any(deployment.targets.all["t2"].holding(k) for k in range(0, 65536, 64))
+    assert deployment.targets.handovers > 0
+    deployment.check()
+
+
+async def test_keys_of_a_lost_target_are_held_again_within_five_seconds(deployment):
+    await deployment.start("a")
+    deployment.targets.all["t2"].up = False
+    assert 0 < await deployment.unowned_seconds(7) < RESERVED_SECONDS
+    deployment.check()
+
+
+async def test_keys_of_a_target_that_is_cut_off_go_only_after_their_time(deployment):
+    await deployment.start("a")
+    deployment.targets.all["t2"].silent = True
+    assert await deployment.unowned_seconds(8) < 1.0
+    deployment.check()
+    deployment.targets.all["t2"].silent = False
+    assert await deployment.unowned_seconds(12) < 1.0
+    deployment.check()
+
+
+async def test_a_target_that_started_again_gets_new_tokens(deployment):
+    await deployment.start("a")
+    deployment.targets.restart("t2")
+    deployment.list()
+    assert await deployment.unowned_seconds(3) < 1.0
+    assert deployment.targets.unowned() == []
+    deployment.check()
+
+
+async def test_another_target_at_the_address_shows_that_the_old_one_ended(
+    deployment,
+):
+    await deployment.start("a")
+    target = deployment.targets.all["t2"]
+    target.name, target.holds = "other", {}
+    assert await deployment.unowned_seconds(3) < 2.0
+    deployment.check()
+
+
+async def test_a_lost_leader_costs_no_key_anything(deployment):
+    await deployment.start("a")
+    await deployment.start("b")
+    await deployment.hosts.pop("a").stop()
+    assert await deployment.unowned_seconds(8) == 0.0
+    deployment.check()
+
+
+async def test_a_leader_and_a_target_lost_together(deployment):
+    await deployment.start("a")
+    await deployment.start("b")
+    deployment.targets.all["t3"].up = False
+    await deployment.hosts.pop("a").stop()
+    await deployment.unowned_seconds(16)
+    assert deployment.targets.unowned() == []
+    deployment.check()
+
+
+async def test_an_outage_of_eight_seconds_costs_no_key_anything(deployment):
+    await deployment.start("a", "b")
+    deployment.store.down = True
+    assert await deployment.unowned_seconds(8) == 0.0
+    deployment.store.down = False
+    assert await deployment.unowned_seconds(8) == 0.0
+    deployment.check()
+
+
+@pytest.mark.parametrize("seconds", [2.0, 4.0, 9.0])
+async def test_a_grant_that_is_applied_late_makes_no_second_holder(deployment, seconds):
+    await deployment.start("a")
+    deployment.targets.fates.extend([("late", seconds)] * 3)
+    await asyncio.sleep(1.5)
+    deployment.list(draining=["t1"])
+    await deployment.unowned_seconds(14)
+    assert deployment.targets.unowned() == []
+    deployment.check()
+
+
+async def test_a_leader_that_reaches_few_targets_stands_down(deployment):
+    await deployment.start("a")
+    leader = deployment.leading()
+    for name in ("t1", "t2", "t3"):
+        deployment.targets.all[name].silent = True
+    await asyncio.sleep(2.0)
+    assert leader.lease.epoch is None
+
+
+async def test_a_key_that_fills_a_target_is_left_alone_on_one(deployment):
+    await deployment.start("a")
+    rates = {key: 2.0 for key in range(20_000, 20_020)} | {20_010: 60.0}
+    for _ in range(20):
+        deployment.report(rates)
+        await asyncio.sleep(0.4)
+    hot = deployment.leading().view.owner("k", 20_010).name
+    others = [deployment.leading().view.owner("k", key).name for key in rates]
+    assert others.count(hot) == 1
+    deployment.check()
+
+
+@pytest.mark.parametrize("seed", range(12))
+async def test_keys_keep_one_holder_through_mixed_faults(deployment, seed):
+    rng = random.Random(seed)
+    await deployment.start("a", "b", "c")
+    names = list(deployment.targets.all)
+    gone = set()
+    for _ in range(14):
+        fault = rng.choice(
+            ["drain", "crash", "silent", "restart", "late", "lost", "store", "leader"]
+        )
+        name = rng.choice(names)
+        target = deployment.targets.all[name]
+        match fault:
+            case "drain":
+                deployment.list(draining=[name])
+            case "crash" if len(gone) < 2:
+                target.up = False
+                gone.add(name)
+            case "silent":
+                target.silent = True
+                asyncio.get_running_loop().call_later(
+                    rng.uniform(0.5, 6), setattr, target, "silent", False
+                )
+            case "restart":
+                deployment.targets.restart(name)
+                gone.discard(name)
+                deployment.list(without=gone)
+            case "late":
+                deployment.targets.fates.extend(
+                    ("late", rng.uniform(1, 12)) for _ in range(rng.randint(1, 4))
+                )
+            case "lost":
+                deployment.targets.fates.extend(["lost"] * rng.randint(1, 3))
+            case "store":
+                deployment.store.write_fates.extend(
+                    rng.choice(["lost", "refused", ("late", rng.uniform(0.1, 5))])
+                    for _ in range(rng.randint(1, 4))
+                )
+            case "leader":
+                leader = next(
+                    (n for n, h in deployment.hosts.items() if h.lease.epoch), None
+                )
+                if leader is not None:
+                    await deployment.hosts.pop(leader).stop()
+                    deployment.hosts[leader] = Host(deployment, leader)
+                    await deployment.hosts[leader].start()
+        await asyncio.sleep(rng.uniform(0.05, 3.0))
+        deployment.check()
+    deployment.list(without=gone)
+    await asyncio.sleep(25)
+    deployment.check()
+    assert deployment.targets.unowned() == []
--- /dev/null
+++ b/tests/keyspace/test_leader_lease.py
@@ -0,0 +1,195 @@
+from __future__ import annotations
+
+import asyncio
+import random
+
+import pytest
+
+from balsamway.keyspace.leader_lease import (
+    ASIDE_SECONDS,
+    LEASE_KIND,
+    LEASE_SECONDS,
+    LeaderLease,
+)
+from tests.fakes.memory_store import MemoryStore
+
+pytestmark = pytest.mark.looptime
+
+
+class Hosts:
+    """Some hosts with a lease each, on one store."""
+
+    def __init__(self):
+        self.store = MemoryStore()
+        self.leases = {}
+        self.reached = set("abc")
+
+    async def start(self, *names, address=""):
+        for name in names:
+            lease = LeaderLease(
+                self.store,
+                name,
+                address or f"{name}:1",
+                lambda name=name: name in self.reached,
+                random.Random(ord(name)),
+            )
+            self.leases[name] = lease
+            await lease.start()
+
+    def leading(self):
+        return [
+            name
+            for name, one in self.leases.items()
+            if one.epoch is not None and one.has_authority(one.epoch)
+        ]
+
+    async def watch(self, seconds):
+        """Lets time pass, and gives the most leaders seen at a time."""
+        most = 0
+        for _ in range(int(seconds / 0.02)):
+            await asyncio.sleep(0.02)
+            most = max(most, len(self.leading()))
+        return most
+
+
+@pytest.fixture
+async def hosts():
+    hosts = Hosts()
+    yield hosts
+    for lease in hosts.leases.values():
+        await lease.stop()
+
+
+async def test_one_of_many_leads_and_keeps_leading(hosts):
+    await hosts.start("a", "b", "c")
+    await asyncio.sleep(1)
+    first = hosts.leading()
+    assert await hosts.watch(20) == 1
+    assert hosts.leading() == first
+    assert hosts.leases[first[0]].epoch == 1
+
+
+async def test_a_lost_leader_is_followed_by_another_within_four_seconds(hosts):
+    await hosts.start("a")
+    await asyncio.sleep(1)
+    await hosts.start("b", "c")
+    await asyncio.sleep(2)
+    await hosts.leases.pop("a").stop()
+    await asyncio.sleep(4)
+    (leader,) = hosts.leading()
+    assert hosts.leases[leader].epoch == 2
+
+
+async def test_a_leader_cut_from_the_store_loses_authority_before_another_has_it(
+    hosts,
+):
+    await hosts.start("a")
+    await asyncio.sleep(1)
+    cut = MemoryStore(objects=hosts.store.objects, down=True)
+    hosts.leases["a"]._store = cut
+    await hosts.start("b")
+    assert await hosts.watch(10) == 1
+    assert hosts.leading() == ["b"]
+
+
+async def test_a_leader_that_stood_still_has_no_authority(hosts):
+    await hosts.start("a")
+    await asyncio.sleep(1)
+    lease = hosts.leases["a"]
+    epoch = lease.epoch
+    # The loop does not run while the host is suspended; its clock goes on.
+    lease._authority_until = asyncio.get_running_loop().time() - 0.001
+    assert not lease.has_authority(epoch)
+
+
+@pytest.mark.parametrize("fate", ["lost", "refused", ("late", 0.4), ("late", 5.0)])
+@pytest.mark.parametrize("failing", [1, 2])
+async def test_renewals_whose_answers_are_lost_make_no_second_leader(
+    hosts, fate, failing
+):
+    await hosts.start("a")
+    await asyncio.sleep(1)
+    await hosts.start("b")
+    hosts.store.write_fates.extend([fate] * failing)
+    assert await hosts.watch(8) == 1
+    assert len(hosts.leading()) == 1
+
+
+@pytest.mark.parametrize("fate", ["lost", ("late", 0.4), ("late", 3.0)])
+async def test_a_claim_whose_answer_is_lost_makes_one_leader(hosts, fate):
+    hosts.store.write_fates.append(fate)
+    await hosts.start("a", "b", "c")
+    assert await hosts.watch(9) <= 1
+    assert len(hosts.leading()) == 1
+
+
+async def test_an_outage_ends_authority_and_its_end_brings_it_back(hosts):
+    await hosts.start("a", "b")
+    await asyncio.sleep(1)
+    hosts.store.down = True
+    await asyncio.sleep(LEASE_SECONDS + 0.1)
+    assert hosts.leading() == []
+    await asyncio.sleep(5)
+    hosts.store.down = False
+    await asyncio.sleep(2)
+    assert len(hosts.leading()) == 1
+
+
+async def test_a_leader_that_resigns_is_followed_at_once(hosts):
+    await hosts.start("a")
+    await asyncio.sleep(1)
+    await hosts.start("b")
+    await asyncio.sleep(1)
+    await hosts.leases["a"].resign()
+    await asyncio.sleep(1)
+    assert hosts.leading() == ["b"]
+
+
+async def test_a_host_that_stood_down_leaves_the_lease_to_another(hosts):
+    await hosts.start("a")
+    await asyncio.sleep(1)
+    await hosts.start("b")
+    await asyncio.sleep(1)
+    await hosts.leases["a"].stand_down("most targets do not answer")
+    assert await hosts.watch(ASIDE_SECONDS) == 1
+    assert hosts.leading() == ["b"]
+
+
+async def test_a_host_that_reaches_few_targets_claims_only_if_nobody_else_does(
+    hosts,
+):
+    hosts.reached.clear()
+    await hosts.start("a")
+    await asyncio.sleep(1)
+    await hosts.leases["a"].resign()
+    await hosts.start("b")
+    await asyncio.sleep(2)
+    assert hosts.leading() == []
+    await asyncio.sleep(ASIDE_SECONDS)
+    assert hosts.leading() == ["b"]
+
+
+async def test_a_process_that_replaced_the_leader_on_its_host_claims_at_once(hosts):
+    await hosts.start("a")
+    await asyncio.sleep(1)
+    await hosts.leases["a"].stop()
+    await hosts.start("a")
+    await asyncio.sleep(0.2)
+    assert hosts.leading() == ["a"]
+    assert hosts.leases["a"].epoch == 2
+
+
+async def test_a_host_of_the_same_name_at_another_address_waits(hosts):
+    await hosts.start("a")
+    await asyncio.sleep(1)
+    await hosts.leases["a"].stop()
+    await hosts.start("a", address="other:1")
+    await asyncio.sleep(1)
+    assert hosts.leading() == []
+
+
+async def test_a_lease_that_cannot_be_read_is_claimed_after_it_stood_still(hosts):
+    hosts.store.put(LEASE_KIND, "keys", b'"rubbish"')
+    await hosts.start("a")
+    await asyncio.sleep(4)
+    assert hosts.leading() == ["a"]
