Drop targets that left in an outage before the bound on leaving holds again

A host that was cut off learnt a second late that the store was back, and then waited 2.3 s more for entries that may return; by then it counted as in touch. Now it waits 1.8 s and asks at least twice a second, so that all of it ends within three seconds.

--- a/src/balsamway/discovery/target_directory.py
+++ b/src/balsamway/discovery/target_directory.py
@@ -12,9 +12,11 @@
 
     from balsamway.discovery.target_entry import TargetEntry
 
-RETURN_SECONDS = 2.3
-"""How long entries that lapsed in an outage of the store may take to return;
-the platform names about two seconds."""
+RETURN_SECONDS = 1.8
+"""How long entries that lapsed in an outage of the store may take to return.
+Live targets are back within about two seconds, and one that returns later is
+taken in again; one that left must get nothing three seconds after the outage,
+of which this host may learn the end a second late."""
 
 logger = logging.getLogger(__name__)
 
--- a/src/balsamway/forwarding/target_choice.py
+++ b/src/balsamway/forwarding/target_choice.py
@@ -16,6 +16,9 @@
 paid for, by more than a short wait in the own zone costs the caller."""
 UNKNOWN_SERVICE_SECONDS = 0.1
 """How long a request is taken to last at a target without any answer yet."""
+UNTRIED_SHARE = 0.3
+"""What a target without any request yet is taken to need, of the usual time;
+one that joined is tried, though others may be known to be fast."""
 FAILURE_SECONDS = 0.5
 """What a certain failure would count in waiting time."""
 
@@ -75,7 +78,10 @@
         state: The target.
         usual: What to take where the target has not answered yet.
     """
-    seconds = state.service_seconds or state.latency_seconds or usual
+    known = state.service_seconds or state.latency_seconds
+    if known is None and not state.in_flight:
+        return UNTRIED_SHARE * usual
+    seconds = known or usual
     capacity = max(1, state.entry.capacity)
     present = state.in_flight + state.others_in_flight
     waiting = max(1.0, (present + 1.0) / capacity)
--- a/src/balsamway/keyspace/placement.py
+++ b/src/balsamway/keyspace/placement.py
@@ -211,7 +211,9 @@
         giver = max(self._targets, key=self._surplus)
         taker = min(self._targets, key=self._surplus)
         surplus, deficit = self._surplus(giver), -self._surplus(taker)
-        if surplus < self._slack(giver) and deficit < self._slack(taker):
+        is_idle = not self._loads[taker]
+        is_even = surplus < self._slack(giver) and deficit < self._slack(taker)
+        if is_even and not is_idle:
             return False
         amount = min(surplus, deficit)
         mean = self._total / len(self._targets)
--- a/src/balsamway/platform/store_client.py
+++ b/src/balsamway/platform/store_client.py
@@ -28,6 +28,8 @@
 CALL_SECONDS = 1.0
 """The longest time for a call; the store answers in 4 ms, and in a quarter
 of a second when slow."""
+LIST_SECONDS = 0.6
+"""The longest time for a listing; bounds how late an outage's end is seen."""
 CONNECTIONS = 8
 PAGES_AT_MOST = 1_000
 
@@ -52,7 +54,9 @@
         after: str | None = None
         for _ in range(PAGES_AT_MOST):
             query: dict[str, str] = {} if after is None else {"after": after}
-            page = await self._get(_path(kind, query=query), "list", wire.Page)
+            page = await self._get(
+                _path(kind, query=query), "list", wire.Page, LIST_SECONDS
+            )
             if isinstance(page, Unavailable | Absent):
                 return Unavailable(str(page))
             found.extend(one.stored() for one in page.items)
@@ -67,7 +71,10 @@
         """Waits for changes among the objects of a kind; see `ObjectStore`."""
         query = {"watch": str(after_revision), "waitMs": str(int(wait_seconds * 1000))}
         found = await self._get(
-            _path(kind, query=query), "watch", wire.WatchPage, wait_seconds
+            _path(kind, query=query),
+            "watch",
+            wire.WatchPage,
+            wait_seconds + CALL_SECONDS,
         )
         match found:
             case wire.WatchPage(events=events, revision=revision):
@@ -109,10 +116,10 @@
         return result
 
     async def _get(
-        self, path: str, operation: str, cls: type, wait_seconds: float = 0.0
+        self, path: str, operation: str, cls: type, seconds: float = CALL_SECONDS
     ) -> Any:
         request = HttpRequest("GET", path, ((b"Host", self._host),))
-        answer = await self._call(request, CALL_SECONDS + wait_seconds)
+        answer = await self._call(request, seconds)
         result: Any
         match answer:
             case HttpAnswer(status=200, body=body):
--- a/src/balsamway/store/kind_watch.py
+++ b/src/balsamway/store/kind_watch.py
@@ -21,6 +21,8 @@
 OUTAGE_SECONDS = 1.0
 """Calls that fail for longer than this mean that the store is away; one
 broken connection is mended sooner."""
+LONGEST_BACKOFF_SECONDS = 0.5
+"""Bounds how late the end of an outage is noticed."""
 
 logger = logging.getLogger(__name__)
 
@@ -74,7 +76,9 @@
         self._handler = handler
         self._wait_seconds = wait_seconds
         self._rearm_seconds = rearm_seconds
-        self._backoff = Backoff(rng, first_seconds=0.1, longest_seconds=0.8)
+        self._backoff = Backoff(
+            rng, first_seconds=0.1, longest_seconds=LONGEST_BACKOFF_SECONDS
+        )
         self._revision: int | None = None
         self._answered_at: float | None = None
         self._failing_since: float | None = None
