Write logs from a thread of their own, and serve metrics

Requests, attempts and what the host believes are counted and measured on the operators' address and on port 9464.

--- a/src/balsamway/forwarding/forwarder.py
+++ b/src/balsamway/forwarding/forwarder.py
@@ -15,11 +15,12 @@
 
 if TYPE_CHECKING:
     import random
+    from collections.abc import Sequence
 
     from balsamway.entry import EntryRequest
     from balsamway.forwarding.forwarding_settings import ForwardingSettings
     from balsamway.forwarding.key_owner import KeyOwners
-    from balsamway.forwarding.request_log import RequestLog
+    from balsamway.forwarding.request_observer import RequestObserver
     from balsamway.forwarding.service_targets import ServiceTargets
     from balsamway.forwarding.target_transport import TargetTransport
     from balsamway.outcome import Verdict
@@ -41,7 +42,7 @@
         owners: KeyOwners,
         transport: TargetTransport,
         settings: ForwardingSettings,
-        log: RequestLog,
+        observers: Sequence[RequestObserver],
         rng: random.Random,
     ) -> None:
         """Makes a forwarder without a configuration.
@@ -52,7 +53,7 @@
             owners: The owners of keys.
             transport: Carries the attempts.
             settings: The bounds on repeats.
-            log: Notes what became of each request.
+            observers: Hear what became of each request.
             rng: Draws targets and waits.
         """
         self.zone = zone
@@ -60,7 +61,7 @@
         self.owners = owners
         self.transport = transport
         self.rng = rng
-        self.log = log
+        self._observers = observers
         self._settings = settings
         self._configuration: RoutingConfiguration | None = None
         self._table = RouteTable(())
@@ -157,7 +158,8 @@
             counts[request.key] = counts.get(request.key, 0) + 1
         run = RequestRun(self, request, route, service, budget)
         verdict = await self._run(run, request, route)
-        self.log.on_finished(run, verdict)
+        for observer in self._observers:
+            observer.on_finished(run, verdict)
         return verdict
 
     def take_key_counts(self) -> dict[str, dict[int, int]]:
@@ -189,7 +191,8 @@
         except TimeoutError:
             return run.late()
         except asyncio.CancelledError:
-            self.log.on_given_up(run, now() - request.arrived)
+            for observer in self._observers:
+                observer.on_given_up(run, now() - request.arrived)
             raise
 
     def dump(self) -> dict[str, object]:
--- /dev/null
+++ b/src/balsamway/forwarding/request_metrics.py
@@ -0,0 +1,92 @@
+"""Counts requests and attempts, and measures how long they take."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from prometheus_client import Counter, Histogram
+
+from balsamway.clock import now
+from balsamway.outcome import Completed, NotRun
+
+if TYPE_CHECKING:
+    from prometheus_client import CollectorRegistry
+
+    from balsamway.forwarding.request_run import RequestRun
+    from balsamway.outcome import Verdict
+
+BUCKETS_SECONDS = (0.01, 0.03, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2.0, 4.0, 8.0)
+
+
+class RequestMetrics:
+    """Implements `RequestObserver`; labels are services and fixed words."""
+
+    def __init__(self, registry: CollectorRegistry) -> None:
+        """Registers the metrics.
+
+        Args:
+            registry: Where to register.
+        """
+        self._requests = Counter(
+            "balsamway_entry_requests",
+            "Requests of callers, by service, outcome and reason.",
+            ("service", "outcome", "reason"),
+            registry=registry,
+        )
+        self._seconds = Histogram(
+            "balsamway_entry_request_seconds",
+            "From the arrival of a request to its verdict.",
+            ("service",),
+            buckets=BUCKETS_SECONDS,
+            registry=registry,
+        )
+        self._waits = Histogram(
+            "balsamway_entry_first_attempt_seconds",
+            "From the arrival of a request to its first attempt.",
+            ("service",),
+            buckets=BUCKETS_SECONDS,
+            registry=registry,
+        )
+        self._attempts = Counter(
+            "balsamway_entry_attempts",
+            "Attempts at targets, by service and finding.",
+            ("service", "finding"),
+            registry=registry,
+        )
+        self._connections = Counter(
+            "balsamway_entry_connections_opened",
+            "Connections opened to targets.",
+            registry=registry,
+        )
+
+    def on_connection_opened(self) -> None:
+        """Counts a connection to a target."""
+        self._connections.inc()
+
+    def on_finished(self, run: RequestRun, verdict: Verdict) -> None:
+        """Counts a verdict; see `RequestObserver`."""
+        match verdict:
+            case Completed(status=status):
+                outcome, reason = "completed", f"{status // 100}xx"
+            case NotRun(reason=why):
+                outcome, reason = "not-run", str(why)
+            case _:
+                outcome, reason = "may-have-run", str(verdict.reason)
+        self._count(run, outcome, reason, now() - run.request.arrived)
+
+    def on_given_up(self, run: RequestRun, seconds: float) -> None:
+        """Counts a caller that left; see `RequestObserver`."""
+        self._count(run, "given-up", "cancelled", seconds)
+
+    def _count(
+        self, run: RequestRun, outcome: str, reason: str, seconds: float
+    ) -> None:
+        service = run.service.name
+        self._requests.labels(service, outcome, reason).inc()
+        self._seconds.labels(service).observe(seconds)
+        if run.attempts:
+            began = run.attempts[0][1] - run.request.arrived
+            self._waits.labels(service).observe(began)
+        for _, _, finding in run.attempts:
+            name = finding.value if finding is not None else "open"
+            self._attempts.labels(service, name).inc()
--- a/src/balsamway/node/entry_node.py
+++ b/src/balsamway/node/entry_node.py
@@ -8,7 +8,6 @@
 from typing import TYPE_CHECKING
 
 import mode
-from prometheus_client import CollectorRegistry
 
 from balsamway.clock import now
 from balsamway.daemon.health import Health
@@ -18,6 +17,7 @@
 from balsamway.forwarding.forwarder import Forwarder
 from balsamway.forwarding.forwarding_settings import ForwardingSettings
 from balsamway.forwarding.request_log import RequestLog
+from balsamway.forwarding.request_metrics import RequestMetrics
 from balsamway.forwarding.service_targets import ServiceTargets
 from balsamway.keyspace.key_leader import KeyLeader
 from balsamway.keyspace.key_record import decode_record
@@ -28,6 +28,7 @@
 from balsamway.node.configuration_handler import ConfigurationHandler
 from balsamway.node.directory_handler import DirectoryHandler
 from balsamway.node.load_reporter import LoadReporter
+from balsamway.node.node_metrics import NodeMetrics
 from balsamway.node.object_relay import ObjectRelay
 from balsamway.node.readiness_listener import ReadinessListener
 from balsamway.outcome import Malformed
@@ -36,6 +37,8 @@
 from balsamway.store.store import StoredObject
 
 if TYPE_CHECKING:
+    from prometheus_client import CollectorRegistry
+
     from balsamway.node.node_settings import NodeSettings
     from balsamway.node.surroundings import Surroundings
     from balsamway.routing import RoutingConfiguration
@@ -60,22 +63,28 @@
 class EntryNode(mode.Service):
     """Runs the gateway, and the leader's part where this host is elected."""
 
-    def __init__(self, settings: NodeSettings, surroundings: Surroundings) -> None:
+    def __init__(
+        self,
+        settings: NodeSettings,
+        surroundings: Surroundings,
+        registry: CollectorRegistry,
+    ) -> None:
         """Puts the parts together; nothing runs yet.
 
         Args:
             settings: The addresses and bounds of this host.
             surroundings: The implementations of what is outside.
+            registry: Where metrics are registered.
         """
         super().__init__()
         self._settings = settings
         self._rng = random.Random()
         self._is_draining = False
-        self._registry = CollectorRegistry()
         store = surroundings.store
         self._store = store
         self.directory = TargetDirectory()
-        self.targets = ServiceTargets(self.directory, lambda: None)
+        metrics = RequestMetrics(registry)
+        self.targets = ServiceTargets(self.directory, metrics.on_connection_opened)
         self.view = KeyView()
         bounds = settings.bounds
         self.forwarder = Forwarder(
@@ -84,7 +93,7 @@
             self.view,
             surroundings.transport,
             ForwardingSettings(bounds.repeat_ratio, bounds.repeat_burst),
-            RequestLog(),
+            (RequestLog(), metrics),
             self._rng,
         )
         self._peer_addresses: dict[str, str] = {}
@@ -132,8 +141,12 @@
             settings.readiness_address, surroundings.readiness_path, self.is_ready
         )
         self._operators = OperatorListener(
-            settings.operators_address, self._registry, self.state, self._health
+            settings.operators_address, registry, self.state, self._health
+        )
+        self._metrics_listener = OperatorListener(
+            settings.metrics_address, registry, self.state, self._health
         )
+        NodeMetrics(registry, self)
         self._configuration_watch = KindWatch(
             store,
             surroundings.configuration_kind,
@@ -181,6 +194,7 @@
         for part in (
             self._readiness,
             self._operators,
+            self._metrics_listener,
             self._peers,
             self._configuration_watch,
             self._targets_watch,
@@ -225,6 +239,21 @@
             "peers": self._peers.dump(),
         }
 
+    @property
+    def configuration_age_seconds(self) -> float | None:
+        """How long ago the store last told of the configuration."""
+        return self._configuration_watch.age_seconds
+
+    @property
+    def targets_age_seconds(self) -> float | None:
+        """How long ago the store last told of the targets."""
+        return self._targets_watch.age_seconds
+
+    @property
+    def in_progress(self) -> int:
+        """How many callers' requests are in progress."""
+        return self._listener.in_progress
+
     def _health(self) -> Health:
         version = self.forwarder.dump()["version"]
         configurations = {"routes": version} if isinstance(version, int) else {}
--- a/src/balsamway/node/node_settings.py
+++ b/src/balsamway/node/node_settings.py
@@ -32,6 +32,8 @@
     operators_address: str
     peers_address: str
     store_address: str
+    metrics_address: str
+    """Where metrics are served, beside the operators' address."""
     seeds: tuple[str, ...] = ()
     """The peer addresses of some hosts, which may be out of date."""
     bounds: Bounds = field(default_factory=Bounds)
--- a/src/balsamway/observe/json_logs.py
+++ b/src/balsamway/observe/json_logs.py
@@ -9,8 +9,10 @@
 import mode
 from pythonjsonlogger.json import JsonFormatter
 
+from balsamway.observe.log_queue import start_writer
+
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Callable, Mapping
 
 LIBRARY_LEVEL = logging.WARNING
 """What other libraries log below this level is left out."""
@@ -24,8 +26,12 @@
 
 
 def set_up_json_logs(
-    host: str, zone: str, level: int = logging.INFO, stream: TextIO | None = None
-) -> None:
+    host: str,
+    zone: str,
+    level: int = logging.INFO,
+    stream: TextIO | None = None,
+    in_thread: bool = False,
+) -> Callable[[], None]:
     """Sends every log record as one line of JSON.
 
     Args:
@@ -33,6 +39,11 @@
         zone: The availability zone of this host, given with each line.
         level: The lowest level of this package's records to write.
         stream: Where to write; None for standard error.
+        in_thread: Whether a thread of its own writes, so that a reader that
+            stalls delays nothing else.
+
+    Returns:
+        To be called at the end, so that no line is left unwritten.
     """
     formatter = JsonFormatter(
         " ".join(f"%({name})s" for name in FIELDS),
@@ -45,5 +56,11 @@
     mode.Service.mundane_level = "debug"
     root = logging.getLogger()
     root.handlers = [handler]
+    flush: Callable[[], None] = handler.flush
+    if in_thread:
+        queue_handler, writer = start_writer(handler)
+        root.handlers = [queue_handler]
+        flush = writer.finish
     root.setLevel(LIBRARY_LEVEL)
     logging.getLogger("balsamway").setLevel(level)
+    return flush
--- a/src/balsamway/platform/main.py
+++ b/src/balsamway/platform/main.py
@@ -8,6 +8,8 @@
 import sys
 from typing import TYPE_CHECKING
 
+from prometheus_client import CollectorRegistry
+
 from balsamway.boot_time_loop import BootTimeLoop
 from balsamway.node.entry_node import EntryNode
 from balsamway.node.surroundings import Surroundings
@@ -43,14 +45,19 @@
     except SettingsError as error:
         print(f"balsamway: {error}", file=sys.stderr)
         return USAGE_EXIT_STATUS
-    set_up_json_logs(settings.host, settings.zone, stream=sys.stdout)
-    with asyncio.Runner(loop_factory=BootTimeLoop) as runner:
-        return runner.run(_serve(settings))
+    flush = set_up_json_logs(
+        settings.host, settings.zone, stream=sys.stdout, in_thread=True
+    )
+    try:
+        with asyncio.Runner(loop_factory=BootTimeLoop) as runner:
+            return runner.run(_serve(settings))
+    finally:
+        flush()
 
 
-def _surroundings(settings: NodeSettings) -> Surroundings:
+def _surroundings(settings: NodeSettings, registry: CollectorRegistry) -> Surroundings:
     return Surroundings(
-        store=StoreClient(settings.store_address, CallCounts()),
+        store=StoreClient(settings.store_address, CallCounts(registry)),
         codec=PlatformCallerCodec(),
         transport=PlatformTargetTransport(),
         control=PlatformTargetControl(),
@@ -69,7 +76,8 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     loop.add_signal_handler(signal.SIGHUP, _on_settings_changed)
-    node = EntryNode(settings, _surroundings(settings))
+    registry = CollectorRegistry()
+    node = EntryNode(settings, _surroundings(settings, registry), registry)
     await node.start()
     logger.info("started")
     stopping = asyncio.create_task(stop.wait())
--- a/src/balsamway/platform/settings.py
+++ b/src/balsamway/platform/settings.py
@@ -13,6 +13,8 @@
 from balsamway.settings import SettingsError
 
 SETTINGS_VARIABLE = "BALSAMWAY_NODE_FILE"
+METRICS_PORT = 9464
+"""The port that deploy/system.toml names for metrics."""
 DEFAULT_PATH = "/etc/balsamway/settings.toml"
 
 Positive = Annotated[float, msgspec.Meta(gt=0)]
@@ -107,6 +109,7 @@
             f"{seed.rpartition(':')[0]}:{first_port}" for seed in found.network.seeds
         ),
         store_address=found.platform.platform.address,
+        metrics_address=f"{found.self.ip}:{METRICS_PORT}",
         bounds=Bounds(
             drain_seconds=bounds.drain_ms / 1000,
             grace_seconds=bounds.grace_s,
--- a/tests/forwarding/conftest.py
+++ b/tests/forwarding/conftest.py
@@ -81,7 +81,7 @@
             self.owners,
             self.transport,
             ForwardingSettings(0.2, 60, 12),
-            RequestLog(),
+            (RequestLog(),),
             random.Random(1),
         )
         self._number = 0
