--- a/src/balsamway/forwarding/request_run.py
+++ b/src/balsamway/forwarding/request_run.py
@@ -228,9 +228,6 @@
             result = await self._forwarder.transport.send(
                 state.pool, state.entry, self.request, self.seconds_left
             )
-        except asyncio.CancelledError:
-            state.observe_unfinished(now() - began, was_prompt)
-            raise
         finally:
             state.in_flight -= 1
         seconds = now() - began
--- a/src/balsamway/forwarding/target_state.py
+++ b/src/balsamway/forwarding/target_state.py
@@ -131,25 +131,8 @@
                 self._unreachable_in_a_row = 0
                 self._add_failure(1.0)
                 self._add_latency(seconds, was_prompt)
-            case Finding.LATE:
+            case Finding.BROKEN | Finding.LATE:
                 self._add_failure(1.0)
-                self.observe_unfinished(seconds, was_prompt)
-            case Finding.BROKEN:
-                self._add_failure(1.0)
-
-    def observe_unfinished(self, seconds: float, was_prompt: bool) -> None:
-        """Takes in that a request was not answered for some time.
-
-        A target that has turned so slow that nobody waits for its answers
-        would else be taken to be as fast as it was.
-
-        Args:
-            seconds: How long the attempt had lasted when it was ended.
-            was_prompt: Whether a slot seemed free when it was sent.
-        """
-        known = self.service_seconds or self.latency_seconds
-        if known is not None and seconds > known:
-            self._add_latency(seconds, was_prompt)
 
     def _on_unreachable(self) -> None:
         self._unreachable_in_a_row += 1
