Give a target that joins some keys, and spread those of one that left

Tests of the planner found both: where all others are even, a slow target that joined got nothing, and the keys of one that left went to two. Ruled out: the slack, which an idle target already went around.

--- a/src/balsamway/keyspace/placement.py
+++ b/src/balsamway/keyspace/placement.py
@@ -30,6 +30,9 @@
 """Moves that bring less than this of a mean share are left out."""
 MOVES_AT_MOST = 16
 """Ranges moved at a time."""
+FIRST_SHARE = 0.25
+"""What a target that holds nothing gets at first, of a mean share, and about
+what each gets of the keys of one that left."""
 HOT_SHARE = 0.3
 """A key with this part of a mean share is placed on its own."""
 FASTER = 1.5
@@ -195,8 +198,8 @@
             taker = min(self._targets, key=self._surplus)
             room = -self._surplus(taker)
             mean = self._total / len(self._targets)
-            if rest.load > room + 0.5 * mean and self._may_split():
-                part, rest = rest.cut(max(room, 0.25 * mean))
+            if rest.load > room + FIRST_SHARE * mean and self._may_split():
+                part, rest = rest.cut(max(room, FIRST_SHARE * mean))
             else:
                 part, rest = rest, None
             self._moves[(part.first, part.last)] = taker
@@ -217,6 +220,8 @@
             return False
         amount = min(surplus, deficit)
         mean = self._total / len(self._targets)
+        if is_idle:
+            amount = max(amount, min(deficit, FIRST_SHARE * mean))
         if amount < LEAST_MOVE_SHARE * mean:
             return False
         part = self._take(giver, amount)
