Send nothing to a draining owner of keys after its time

The leader was refused by the store just as a target began to drain, so its keys stayed with it for 2.3 s, and the gateways went on sending. Ruled out: late news; all hosts knew within 0.6 s. A gateway now stops by itself 1.2 s after it learnt of the drain, and no request waits longer than 0.5 s for a connection to a target chosen before.

--- a/src/balsamway/forwarding/request_run.py
+++ b/src/balsamway/forwarding/request_run.py
@@ -183,6 +183,8 @@
             expected_at = hold_until
             if owner is not None:
                 state = self._forwarder.targets.find(owner.name, owner.incarnation)
+                if state is not None and state.has_left:
+                    state = None
                 expected_at = owner.ready_at
             if owner is not None and owner.is_ready and state is not None:
                 if not state.is_avoided:
--- a/src/balsamway/forwarding/service_targets.py
+++ b/src/balsamway/forwarding/service_targets.py
@@ -22,13 +22,20 @@
 class ServiceTargets:
     """Keeps a state for each target that is known."""
 
-    def __init__(self, directory: TargetDirectory, on_open: Callable[[], None]) -> None:
+    def __init__(
+        self,
+        directory: TargetDirectory,
+        on_open: Callable[[], None],
+        drain_seconds: float,
+    ) -> None:
         """Follows a directory.
 
         Args:
             directory: The targets that exist.
             on_open: Called for each connection that was opened.
+            drain_seconds: How soon a draining target must get nothing new.
         """
+        self._drain_seconds = drain_seconds
         self._directory = directory
         self._on_open = on_open
         self._states: dict[tuple[str, int], TargetState] = {}
@@ -88,7 +95,7 @@
             pool = ConnectionPool(
                 entry.address, self._limit(entry.service), self._on_open
             )
-            self._states[key] = TargetState(entry, pool)
+            self._states[key] = TargetState(entry, pool, self._drain_seconds)
         services = {entry.service for entry in known.values()}
         self._usable = {
             service: tuple(
--- a/src/balsamway/forwarding/target_state.py
+++ b/src/balsamway/forwarding/target_state.py
@@ -23,6 +23,10 @@
 FIRST_AVOID_SECONDS = 0.3
 LONGEST_AVOID_SECONDS = 2.0
 """How long a target without a connection is passed over, doubling."""
+DRAIN_SHARE = 0.6
+"""The part of its time to drain, from when this host learnt of it, in which a
+target still gets requests for the keys that it holds; the rest allows for how
+late that is learnt."""
 COLD_FACTOR = 2.0
 """How much slower a target is taken to be during its warm-up."""
 
@@ -30,13 +34,18 @@
 class TargetState:
     """Counts what is in flight and follows latency and failures."""
 
-    def __init__(self, entry: TargetEntry, pool: ConnectionPool) -> None:
+    def __init__(
+        self, entry: TargetEntry, pool: ConnectionPool, drain_seconds: float
+    ) -> None:
         """Starts without any observation.
 
         Args:
             entry: The target.
             pool: The connections to it.
+            drain_seconds: How soon it must get nothing new once it drains.
         """
+        self._drain_seconds = drain_seconds
+        self._draining_since = now() if entry.is_draining else None
         self.entry = entry
         self.pool = pool
         self.in_flight = 0
@@ -57,6 +66,12 @@
         self.prompt_seconds = 0.0
         """The latencies of those, summed."""
 
+    @property
+    def has_left(self) -> bool:
+        """Whether it has drained for so long that it must get nothing."""
+        since = self._draining_since
+        return since is not None and now() - since > DRAIN_SHARE * self._drain_seconds
+
     @property
     def is_avoided(self) -> bool:
         """Whether it is passed over where another target can serve."""
@@ -96,6 +111,8 @@
         Args:
             entry: The entry as it is now.
         """
+        if entry.is_draining and self._draining_since is None:
+            self._draining_since = now()
         if entry.warmup_seconds != self.entry.warmup_seconds:
             self._warm_at = now() + entry.warmup_seconds
         self.entry = entry
--- a/src/balsamway/node/entry_node.py
+++ b/src/balsamway/node/entry_node.py
@@ -84,7 +84,11 @@
         self._store = store
         self.directory = TargetDirectory()
         metrics = RequestMetrics(registry)
-        self.targets = ServiceTargets(self.directory, metrics.on_connection_opened)
+        self.targets = ServiceTargets(
+            self.directory,
+            metrics.on_connection_opened,
+            settings.bounds.drain_seconds,
+        )
         self.view = KeyView()
         bounds = settings.bounds
         self.forwarder = Forwarder(
--- a/src/balsamway/platform/target_transport.py
+++ b/src/balsamway/platform/target_transport.py
@@ -16,6 +16,10 @@
     from balsamway.entry import EntryRequest
     from balsamway.exchange import ConnectionPool, HttpAnswer
 
+ACQUIRE_SECONDS = 0.5
+"""The longest wait for a connection; meanwhile the target may begin to drain,
+and must get nothing new two seconds after that."""
+
 
 class PlatformTargetTransport:
     """Implements `TargetTransport` with the platform's header names."""
@@ -31,7 +35,7 @@
         loop = asyncio.get_running_loop()
         deadline = loop.time() + timeout_seconds
         try:
-            async with asyncio.timeout_at(deadline):
+            async with asyncio.timeout(min(timeout_seconds, ACQUIRE_SECONDS)):
                 connection = await pool.acquire()
         except TimeoutError:
             refusal = NotRun(Reason.OVERLOADED, "no free connection to the target")
--- a/tests/forwarding/conftest.py
+++ b/tests/forwarding/conftest.py
@@ -72,7 +72,7 @@
 class Setup:
     def __init__(self):
         self.directory = TargetDirectory()
-        self.targets = ServiceTargets(self.directory, lambda: None)
+        self.targets = ServiceTargets(self.directory, lambda: None, 2.0)
         self.owners = Owners()
         self.transport = ScriptedTransport()
         self.forwarder = Forwarder(
--- a/tests/forwarding/test_forwarder.py
+++ b/tests/forwarding/test_forwarder.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 
 import pytest
 
@@ -220,3 +221,32 @@
     request.cancel()
     await asyncio.gather(request, return_exceptions=True)
     assert all(state.in_flight == 0 for state in setup.targets.all())
+
+
+async def test_an_owner_that_drains_gets_nothing_after_its_time(setup):
+    setup.adopt(backends=(Backend("k", 1.0),))
+    owner = target("i-1", "k")
+    setup.place(owner)
+    setup.owners.change("i-1")
+    setup.directory.update(replace(owner, is_draining=True))
+    await asyncio.sleep(1.0)
+    assert (await setup.request(key=1)).status == 200
+    await asyncio.sleep(0.5)
+    verdict = await setup.request(key=1)
+    assert isinstance(verdict, NotRun)
+    assert len(setup.transport.sent) == 1
+
+
+async def test_a_waiting_request_does_not_go_to_an_owner_that_drained_meanwhile(
+    setup,
+):
+    setup.adopt(backends=(Backend("k", 1.0),), timeout_seconds=9.0)
+    owner = target("i-1", "k")
+    setup.place(owner)
+    setup.owners.change("i-1", is_ready=False, ready_at=now() + 2.0)
+    setup.directory.update(replace(owner, is_draining=True))
+    waiting = asyncio.create_task(setup.request(key=1))
+    await asyncio.sleep(1.9)
+    setup.owners.change("i-1")
+    assert isinstance(await waiting, NotRun)
+    assert not setup.transport.sent
--- a/tests/forwarding/test_target_choice.py
+++ b/tests/forwarding/test_target_choice.py
@@ -15,7 +15,9 @@
 
 def state(name, seconds=0.1, in_flight=0, zone="z1", capacity=3):
     found = TargetState(
-        target(name, zone=zone, capacity=capacity), ConnectionPool("127.0.0.1:1", 9)
+        target(name, zone=zone, capacity=capacity),
+        ConnectionPool("127.0.0.1:1", 9),
+        2.0,
     )
     found.service_seconds = seconds
     found.in_flight = in_flight
--- a/tests/platform/test_target_transport.py
+++ b/tests/platform/test_target_transport.py
@@ -239,3 +239,23 @@
     second = await send(Early, entry_request("POST", "r2", b"y"))
     assert second.verdict.headers["Balsamway-Request-Id"] == "r2"
     server.close()
+
+
+async def test_a_request_does_not_wait_long_for_a_connection(scripted, send):
+    async def script(received, writer, number):
+        await asyncio.sleep(5)
+
+    target = await scripted(script)
+    busy = [
+        asyncio.create_task(send(target, entry_request(request_id=f"b{n}"), 5.0))
+        for n in range(4)
+    ]
+    while len(target.received) < 4:
+        await asyncio.sleep(0.005)
+    began = asyncio.get_running_loop().time()
+    result = await send(target, entry_request(request_id="r1"), 5.0)
+    assert isinstance(result.verdict, NotRun)
+    assert asyncio.get_running_loop().time() - began < 1.0
+    for task in busy:
+        task.cancel()
+    await asyncio.gather(*busy, return_exceptions=True)
