--- /dev/null
+++ b/tests/node/test_entry_node.py
@@ -0,0 +1,281 @@
+"""The whole path over sockets: callers, an entry host, targets, a store."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import urllib.error
+import urllib.request
+
+import pytest
+from prometheus_client import CollectorRegistry
+
+from balsamway.node.entry_node import EntryNode
+from balsamway.node.node_settings import Bounds, NodeSettings
+from balsamway.node.surroundings import Surroundings
+from balsamway.platform import names
+from balsamway.platform.caller_codec import PlatformCallerCodec
+from balsamway.platform.configuration_decoder import decode_routing
+from balsamway.platform.target_control import PlatformTargetControl
+from balsamway.platform.target_decoder import decode_target
+from balsamway.platform.target_transport import PlatformTargetTransport
+from tests.fakes.memory_store import MemoryStore
+from tests.fakes.scripted_target import ScriptedTarget, answer, read_answer
+from tests.process_deployment import free_ports
+
+CONFIGURATION = {
+    "version": 3,
+    "services": [
+        {"name": "keyed", "maxConnections": 50, "sharded": True},
+        {"name": "plain", "maxConnections": 50},
+    ],
+    "hosts": [
+        {
+            "host": "h.example",
+            "paths": [
+                {
+                    "name": "k",
+                    "pathPrefix": "/k/",
+                    "routeType": "safe",
+                    "timeoutMs": 2000,
+                    "service": "keyed",
+                    "maxAttempts": 2,
+                },
+                {
+                    "name": "p",
+                    "pathPrefix": "/p/",
+                    "routeType": "unsafe",
+                    "timeoutMs": 2000,
+                    "service": "plain",
+                },
+            ],
+        }
+    ],
+}
+
+
+class Target:
+    """A target that grants itself what it is told to hold."""
+
+    def __init__(self, name, service):
+        self.name, self.service = name, service
+        self.held = []
+        self.ran = []
+        self.server = ScriptedTarget(self.script)
+
+    async def script(self, received, writer, number):
+        if received.path == "/grant":
+            order = json.loads(received.body)
+            self.held.append((order["from"], order["to"]))
+            writer.write(answer(None, b"", 200, None))
+        elif received.path == "/release":
+            order = json.loads(received.body)
+            keys = (order["from"], order["to"])
+            self.held = [one for one in self.held if one != keys]
+            extra = "Balsamway-Handover: h1"
+            writer.write(answer(None, b"", 200, None, extra))
+        else:
+            self.ran.append(received)
+            request_id = received.headers["balsamway-request-id"]
+            writer.write(answer(request_id, self.name.encode()))
+
+    def holds(self, key):
+        return any(first <= key <= last for first, last in self.held)
+
+    def entry(self, state="ready"):
+        return json.dumps(
+            {
+                "service": self.service,
+                "address": self.server.address,
+                "zone": "z1",
+                "version": "v1",
+                "capacity": 3,
+                "state": state,
+                "warmupLeftMs": 0,
+                "sequence": 1,
+                "born": 1700000000000,
+            }
+        ).encode()
+
+
+class Deployment:
+    def __init__(self):
+        self.store = MemoryStore()
+        self.targets = {}
+        self.nodes = {}
+
+    async def add_target(self, name, service):
+        target = self.targets[name] = Target(name, service)
+        await target.server.start()
+        self.store.put("servers", name, target.entry())
+        return target
+
+    async def add_node(self, name, seeds=(), store=None):
+        ports = free_ports(5)
+        addresses = [f"127.0.0.1:{port}" for port in ports]
+        settings = NodeSettings(
+            name,
+            "z1",
+            *addresses[:4],
+            "-",
+            addresses[4],
+            seeds,
+            Bounds(grace_seconds=2),
+        )
+        registry = CollectorRegistry()
+        node = EntryNode(
+            settings,
+            Surroundings(
+                store or self.store,
+                PlatformCallerCodec(),
+                PlatformTargetTransport(),
+                PlatformTargetControl(),
+                names.READINESS_PATH,
+                names.CONFIGURATION_KIND,
+                names.CONFIGURATION_NAME,
+                names.TARGETS_KIND,
+                decode_routing,
+                decode_target,
+            ),
+            registry,
+        )
+        self.nodes[name] = (node, settings)
+        await node.start()
+        return node, settings
+
+    async def stop(self):
+        for node, _ in self.nodes.values():
+            await node.stop()
+        for target in self.targets.values():
+            await target.server.stop()
+
+
+@pytest.fixture
+async def deployment():
+    deployment = Deployment()
+    deployment.store.put("config", "main", json.dumps(CONFIGURATION).encode())
+    yield deployment
+    await deployment.stop()
+
+
+async def until(is_done, seconds=8.0):
+    for _ in range(int(seconds / 0.02)):
+        if is_done():
+            return
+        await asyncio.sleep(0.02)
+    raise AssertionError("not in time")
+
+
+async def request(settings, path, key=None, request_id="r1"):
+    ip, port = settings.callers_address.split(":")
+    reader, writer = await asyncio.open_connection(ip, int(port))
+    extra = f"Balsamway-Shard-Key: {key}\r\n" if key is not None else ""
+    writer.write(
+        f"GET {path} HTTP/1.1\r\nHost: h.example\r\n{extra}"
+        f"Balsamway-Request-Id: {request_id}\r\n\r\n".encode()
+    )
+    found = await read_answer(reader)
+    writer.close()
+    return found
+
+
+async def fetch(address, path):
+    def get():
+        try:
+            with urllib.request.urlopen(f"http://{address}{path}", timeout=5) as found:
+                return found.status, found.read().decode()
+        except urllib.error.HTTPError as error:
+            return error.code, ""
+
+    return await asyncio.to_thread(get)
+
+
+async def test_requests_reach_targets_and_the_owners_of_their_keys(deployment):
+    one = await deployment.add_target("i-1", "keyed")
+    two = await deployment.add_target("i-2", "keyed")
+    plain = await deployment.add_target("i-3", "plain")
+    node, settings = await deployment.add_node("n1")
+    await until(node.is_ready)
+    assert (await request(settings, "/p/x"))[2] == b"i-3"
+    await until(lambda: one.held and two.held)
+    for key in (5, 60_000):
+        owner = one if one.holds(key) else two
+        status, _, body = await request(settings, "/k/x", key)
+        assert (status, body) == (200, owner.name.encode())
+    assert (await request(settings, "/none/"))[0] == 404
+    assert len(plain.ran) == 1
+
+
+async def test_two_hosts_agree_through_store_and_streams(deployment):
+    one = await deployment.add_target("i-1", "keyed")
+    two = await deployment.add_target("i-2", "keyed")
+    _, first = await deployment.add_node("n1")
+    _, second = await deployment.add_node("n2")
+    await until(lambda: one.held and two.held)
+    views = [node.view for node, _ in deployment.nodes.values()]
+    await until(lambda: all(view.owner("keyed", 5) for view in views))
+    await until(lambda: all(view.owner("keyed", 5).is_ready for view in views))
+    assert len({view.owner("keyed", 5).name for view in views}) == 1
+    for settings in (first, second):
+        assert (await request(settings, "/k/x", 5))[0] == 200
+    leading = [node.lease.epoch for node, _ in deployment.nodes.values()]
+    assert leading.count(None) == 1
+
+
+async def test_a_draining_target_hands_over_and_gets_nothing(deployment):
+    one = await deployment.add_target("i-1", "keyed")
+    two = await deployment.add_target("i-2", "keyed")
+    _, settings = await deployment.add_node("n1")
+    await until(lambda: one.held and two.held)
+    deployment.store.put("servers", "i-1", one.entry("draining"))
+    await until(lambda: not one.held)
+    await until(lambda: two.holds(5) and two.holds(60_000))
+    await asyncio.sleep(0.1)
+    for key in (5, 60_000):
+        assert (await request(settings, "/k/x", key))[2] == b"i-2"
+
+
+async def test_a_host_that_the_store_turns_away_learns_from_its_peers(deployment):
+    await deployment.add_target("i-3", "plain")
+    node, settings = await deployment.add_node("n1")
+    await until(node.is_ready)
+    away = MemoryStore(down=True)
+    late, late_settings = await deployment.add_node(
+        "n2", (settings.peers_address,), away
+    )
+    await until(late.is_ready)
+    assert (await request(late_settings, "/p/x"))[2] == b"i-3"
+
+
+async def test_without_a_configuration_a_host_is_not_ready(deployment):
+    deployment.store.delete("config", "main")
+    _, settings = await deployment.add_node("n1")
+    assert (await fetch(settings.readiness_address, "/readiness"))[0] == 503
+    assert (await request(settings, "/p/x"))[0] == 503
+
+
+async def test_a_stopping_host_says_so_and_ends_in_time(deployment):
+    await deployment.add_target("i-3", "plain")
+    node, settings = await deployment.add_node("n1")
+    await until(node.is_ready)
+    assert (await fetch(settings.readiness_address, "/readiness"))[0] == 200
+    draining = asyncio.create_task(node.drain())
+    await asyncio.sleep(0.05)
+    assert (await fetch(settings.readiness_address, "/readiness"))[0] == 503
+    status, headers, _ = await request(settings, "/p/x")
+    assert (status, headers["connection"]) == (200, "close")
+    await asyncio.wait_for(draining, 2)
+
+
+async def test_metrics_and_state_are_served(deployment):
+    await deployment.add_target("i-3", "plain")
+    node, settings = await deployment.add_node("n1")
+    await until(node.is_ready)
+    await request(settings, "/p/x")
+    for address in (settings.metrics_address, settings.operators_address):
+        status, text = await fetch(address, "/metrics")
+        assert status == 200
+        assert 'balsamway_entry_requests_total{outcome="completed"' in text
+        assert "balsamway_entry_configuration_version 3.0" in text
+    status, text = await fetch(settings.operators_address, "/state")
+    assert json.loads(text)["forwarding"]["version"] == 3
