--- a/src/balsamway/entry/answer_writer.py
+++ b/src/balsamway/entry/answer_writer.py
@@ -7,43 +7,16 @@
 
 import msgspec
 
-from balsamway.outcome import Completed, MayHaveRun, NotRun, Reason
+from balsamway.outcome import Completed, NotRun
+from balsamway.outcome.status import status_of
 from balsamway.targets import header_names
 
 if TYPE_CHECKING:
     from balsamway.outcome import Verdict
 
-_NOT_RUN_STATUSES = {
-    Reason.BAD_REQUEST: 400,
-    Reason.NO_ROUTE: 404,
-    Reason.BODY_TOO_LARGE: 413,
-    Reason.TOO_MANY_REQUESTS: 429,
-    Reason.HEADERS_TOO_LARGE: 431,
-}
 _BODILESS = frozenset({204, 304})
 
 
-def status_of(verdict: Verdict) -> int:
-    """Gives the status that tells a caller the verdict.
-
-    Args:
-        verdict: The verdict on its request.
-
-    Returns:
-        The target's own status, or 503 for what did not run and can be sent
-        again, 504 or 502 for what may have run.
-    """
-    match verdict:
-        case Completed(status=status):
-            return status
-        case NotRun(reason=reason):
-            return _NOT_RUN_STATUSES.get(reason, 503)
-        case MayHaveRun(reason=Reason.DEADLINE_EXCEEDED):
-            return 504
-        case _:
-            return 502
-
-
 def encode_answer(
     verdict: Verdict, request_id: str | None, method: str, closes: bool
 ) -> bytes:
--- a/src/balsamway/entry/entry_listener.py
+++ b/src/balsamway/entry/entry_listener.py
@@ -10,8 +10,10 @@
 
 from balsamway.clock import now
 from balsamway.entry.caller_connection import CallerConnection
+from balsamway.observe.line_limit import LineLimit
 from balsamway.outcome import NotRun, Reason
 from balsamway.routing import CallerLimits
+from balsamway.targets import header_names
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -25,6 +27,7 @@
 BACKLOG = 1024
 STOPPING_RETRY_SECONDS = 0.05
 """When to come back, which is to another host, after a refusal at the end."""
+REFUSAL_LINES_PER_SECOND = 50
 SWEEP_SECONDS = 0.5
 """How often connections are checked for their idle time."""
 
@@ -59,6 +62,7 @@
         """Whether each connection ends after its next answer."""
         self._in_progress = 0
         self._is_refusing = False
+        self._limit = LineLimit(logger, REFUSAL_LINES_PER_SECOND)
 
     @property
     def address(self) -> str:
@@ -128,16 +132,31 @@
         """
         if self._is_refusing:
             # It may last longer than this host, and others are there for it.
-            return NotRun(Reason.STOPPING, retry_after_seconds=STOPPING_RETRY_SECONDS)
+            refusal = NotRun(
+                Reason.STOPPING, retry_after_seconds=STOPPING_RETRY_SECONDS
+            )
+            return self._refuse(head, refusal)
         request = self._codec.read_request(head, body, arrived)
         if isinstance(request, NotRun):
-            return request
+            return self._refuse(head, request)
         self._in_progress += 1
         try:
             return await self._forward(request)
         finally:
             self._in_progress -= 1
 
+    def _refuse(self, head: RawRequestMessage, refusal: NotRun) -> NotRun:
+        if self._limit.has_room():
+            logger.info(
+                "request-refused",
+                extra={
+                    "request_id": head.headers.get(header_names.REQUEST_ID),
+                    "reason": refusal.reason,
+                    "detail": refusal.detail,
+                },
+            )
+        return refusal
+
     def on_connected(self, connection: CallerConnection) -> None:
         """Takes in a new connection."""
         self._connections.add(connection)
--- a/src/balsamway/forwarding/forwarder.py
+++ b/src/balsamway/forwarding/forwarder.py
@@ -138,19 +138,13 @@
         """
         configuration = self._configuration
         if configuration is None:
-            return NotRun(
-                Reason.NO_CONFIGURATION, retry_after_seconds=UNREADY_RETRY_SECONDS
-            )
+            return self._refuse(request, Reason.NO_CONFIGURATION)
         route = self._table.find(request.host, request.path)
         if route is None:
-            return NotRun(Reason.NO_ROUTE)
+            return self._refuse(request, Reason.NO_ROUTE)
         service = configuration.services.get(self._splits[route.name].next())
         if service is None:
-            return NotRun(
-                Reason.NO_TARGET,
-                "the service is not configured",
-                UNREADY_RETRY_SECONDS,
-            )
+            return self._refuse(request, Reason.NO_TARGET)
         budget = self.budget(service.name)
         budget.on_request()
         if service.is_keyed and request.key is not None:
@@ -182,6 +176,13 @@
             self._budgets[service] = found
         return found
 
+    def _refuse(self, request: EntryRequest, reason: Reason) -> NotRun:
+        retry = None if reason is Reason.NO_ROUTE else UNREADY_RETRY_SECONDS
+        refusal = NotRun(reason, retry_after_seconds=retry)
+        for observer in self._observers:
+            observer.on_refused(request, refusal)
+        return refusal
+
     async def _run(
         self, run: RequestRun, request: EntryRequest, route: Route
     ) -> Verdict:
--- a/src/balsamway/forwarding/request_log.py
+++ b/src/balsamway/forwarding/request_log.py
@@ -6,14 +6,18 @@
 from typing import TYPE_CHECKING
 
 from balsamway.clock import now
+from balsamway.observe.line_limit import LineLimit
 from balsamway.outcome import Completed, MayHaveRun, NotRun
 
 if TYPE_CHECKING:
+    from balsamway.entry import EntryRequest
     from balsamway.forwarding.request_run import RequestRun
-    from balsamway.outcome import Verdict
+    from balsamway.observe.line_limit import LineLimit
+from balsamway.outcome import Verdict
 
 SERVED_SAMPLE = 64
 """One served request in so many gets a line."""
+PATH_CHARACTERS = 200
 LINES_PER_SECOND = 100
 """How many lines of requests a second are written; others are counted."""
 
@@ -25,9 +29,7 @@
 
     def __init__(self) -> None:
         self._served = 0
-        self._second = 0
-        self._lines = 0
-        self._left_out = 0
+        self._limit = LineLimit(logger, LINES_PER_SECOND)
 
     def on_finished(self, run: RequestRun, verdict: Verdict) -> None:
         """Notes the end of a request.
@@ -49,6 +51,19 @@
                 outcome, reason = "may-have-run", str(why)
         self._write(run, outcome, reason, detail, now() - run.request.arrived)
 
+    def on_refused(self, request: EntryRequest, refusal: NotRun) -> None:
+        """Notes a request that has no route here; see `RequestObserver`."""
+        if self._limit.has_room():
+            logger.info(
+                "request-refused",
+                extra={
+                    "request_id": request.request_id,
+                    "reason": refusal.reason,
+                    "caller_host": request.host,
+                    "path": request.path[:PATH_CHARACTERS],
+                },
+            )
+
     def on_given_up(self, run: RequestRun, seconds: float) -> None:
         """Notes that a caller left.
 
@@ -61,7 +76,7 @@
     def _write(
         self, run: RequestRun, outcome: str, reason: str, detail: str, seconds: float
     ) -> None:
-        if not self._has_room():
+        if not self._limit.has_room():
             return
         began = run.request.arrived
         logger.info(
@@ -86,15 +101,3 @@
                 ],
             },
         )
-
-    def _has_room(self) -> bool:
-        second = int(now())
-        if second != self._second:
-            if self._left_out:
-                logger.warning("request-lines-left-out", extra={"n": self._left_out})
-            self._second, self._lines, self._left_out = second, 0, 0
-        self._lines += 1
-        if self._lines > LINES_PER_SECOND:
-            self._left_out += 1
-            return False
-        return True
--- a/src/balsamway/forwarding/request_metrics.py
+++ b/src/balsamway/forwarding/request_metrics.py
@@ -12,6 +12,7 @@
 if TYPE_CHECKING:
     from prometheus_client import CollectorRegistry
 
+    from balsamway.entry import EntryRequest
     from balsamway.forwarding.request_run import RequestRun
     from balsamway.outcome import Verdict
 
@@ -63,6 +64,10 @@
         """Counts a connection to a target."""
         self._connections.inc()
 
+    def on_refused(self, request: EntryRequest, refusal: NotRun) -> None:
+        """Counts a request without a route; see `RequestObserver`."""
+        self._requests.labels("", "not-run", str(refusal.reason)).inc()
+
     def on_finished(self, run: RequestRun, verdict: Verdict) -> None:
         """Counts a verdict; see `RequestObserver`."""
         match verdict:
--- a/src/balsamway/forwarding/request_observer.py
+++ b/src/balsamway/forwarding/request_observer.py
@@ -5,12 +5,22 @@
 from typing import TYPE_CHECKING, Protocol
 
 if TYPE_CHECKING:
+    from balsamway.entry import EntryRequest
     from balsamway.forwarding.request_run import RequestRun
-    from balsamway.outcome import Verdict
+    from balsamway.outcome import NotRun, Verdict
 
 
 class RequestObserver(Protocol):
-    """Hears what became of each request that had a route."""
+    """Hears what became of each request."""
+
+    def on_refused(self, request: EntryRequest, refusal: NotRun) -> None:
+        """Hears of a request that has no route here.
+
+        Args:
+            request: The request.
+            refusal: Why it was refused.
+        """
+        ...
 
     def on_finished(self, run: RequestRun, verdict: Verdict) -> None:
         """Hears of a verdict.
--- a/src/balsamway/gateway/answer.py
+++ b/src/balsamway/gateway/answer.py
@@ -8,8 +8,8 @@
 import msgspec
 from aiohttp import web
 
-from balsamway.gateway.status import status_of
 from balsamway.outcome import Completed, MayHaveRun, NotRun
+from balsamway.outcome.status import status_of
 from balsamway.targets import header_names
 
 if TYPE_CHECKING:
--- a/src/balsamway/gateway/status.py
+++ b/src/balsamway/outcome/status.py
@@ -4,14 +4,16 @@
 
 from typing import TYPE_CHECKING
 
-from balsamway.outcome import Completed, MayHaveRun, NotRun, Reason
+from balsamway.outcome.reason import Reason
+from balsamway.outcome.verdict import Completed, MayHaveRun, NotRun
 
 if TYPE_CHECKING:
-    from balsamway.outcome import Verdict
+    from balsamway.outcome.verdict import Verdict
 
 _NOT_RUN_STATUSES = {
     Reason.BAD_REQUEST: 400,
     Reason.UNAUTHORIZED: 401,
+    Reason.NO_ROUTE: 404,
     Reason.UNKNOWN_SERVICE: 404,
     Reason.UNKNOWN_KIND: 404,
     Reason.BODY_TOO_LARGE: 413,
--- /dev/null
+++ b/tests/test_explain.py
@@ -0,0 +1,67 @@
+from __future__ import annotations
+
+import json
+
+from balsamway.commands.main import main
+
+ID = "9c41d07be2a35f68"
+
+
+def entry(seconds, event, host="n1", **fields):
+    time = f"2026-12-04 10:00:{seconds:06.3f}".replace(".", ",")
+    return {"time": time, "event": event, "host": host, "zone": "z", **fields}
+
+
+ENTRIES = [
+    entry(10.0, "request-ended", request_id="other", ms=5.0),
+    entry(8.0, "keys-moved", "n2", moves=["0-99>i-1", "100-200>i-2"]),
+    entry(8.0, "keys-moved", "n2", moves=["300-400>i-1"]),
+    entry(8.5, "target-unanswering", "n2", target="i-1", reason="refused"),
+    entry(8.5, "target-unanswering", "n2", target="i-9", reason="refused"),
+    entry(1.0, "target-gone", "n2", target="i-1"),
+    entry(9.0, "store-lost", "n1", kind="servers"),
+    entry(9.0, "store-lost", "n3", kind="servers"),
+    entry(9.2, "leadership-taken", "n3", epoch=4),
+    entry(
+        9.9,
+        "request-ended",
+        request_id=ID,
+        key=50,
+        ms=400.0,
+        reason="moving",
+        detail="i-1",
+        attempts=[],
+    ),
+]
+
+
+def explained(tmp_path, capsys, request_id=ID):
+    log = tmp_path / "log"
+    lines = [f"  1.5 n1 {json.dumps(one)}" for one in ENTRIES]
+    log.write_text("\n".join(["no json", "{broken", *lines]))
+    status = main(["explain", request_id, str(log)])
+    return status, capsys.readouterr().out.splitlines()
+
+
+def test_a_request_is_told_with_what_concerns_it(tmp_path, capsys):
+    status, lines = explained(tmp_path, capsys)
+    assert status == 0
+    assert [line.split(" ")[2:4] for line in lines] == [
+        ["n2", "keys-moved"],
+        ["n2", "target-unanswering"],
+        ["n1", "store-lost"],
+        ["n3", "leadership-taken"],
+        ["n1", "request-ended"],
+    ]
+    assert '"0-99>i-1"' in lines[0]
+    assert 'reason="moving"' in lines[-1]
+
+
+def test_an_unknown_request_is_an_error(tmp_path, capsys):
+    status, lines = explained(tmp_path, capsys, "unknown")
+    assert (status, lines) == (2, [])
+
+
+def test_a_file_that_is_missing_is_an_error(tmp_path, capsys):
+    assert main(["explain", ID, str(tmp_path / "none")]) == 2
+    assert "none" in capsys.readouterr().err
