--- a/src/balsamway/exchange/target_connection.py
+++ b/src/balsamway/exchange/target_connection.py
@@ -52,12 +52,9 @@
         self._parser: HttpResponseParser | None = None
         self._reusable = True
         self._closed = False
-        self._got_bytes = False
         self._ends_in_order = False
         self.idle_until = now() + KEPT_SECONDS
         """Until when the connection may be kept without a request."""
-        self.exchanges = 0
-        """How many exchanges it has carried."""
 
     @property
     def is_usable(self) -> bool:
@@ -69,11 +66,6 @@
         """Whether it ended though neither side had said so in an answer."""
         return not self._reusable and not self._ends_in_order
 
-    @property
-    def has_answered(self) -> bool:
-        """Whether bytes came since the exchange began."""
-        return self._got_bytes
-
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Bounds the silence of the new connection."""
         super().connection_made(transport)
@@ -85,7 +77,6 @@
             if data:
                 self.abort()
             return
-        self._got_bytes = True
         try:
             messages, upgraded, tail = self._parser.feed_data(data)
         except (HttpProcessingError, ValueError) as error:
@@ -155,8 +146,6 @@
             self.transport.close()
 
     def _begin(self, request: HttpRequest) -> None:
-        self.exchanges += 1
-        self._got_bytes = False
         self._payload = None
         self._parser = HttpResponseParser(
             self,
--- a/src/balsamway/forwarding/key_owner.py
+++ b/src/balsamway/forwarding/key_owner.py
@@ -39,13 +39,3 @@
     def changed(self) -> asyncio.Future[None]:
         """Gives a future that is done at the next change of owners."""
         ...
-
-    def on_not_held(self, service: str, key: int, owner: KeyOwner) -> None:
-        """Notes that a target does not hold a key that is said to be its.
-
-        Args:
-            service: The name of the service.
-            key: The key.
-            owner: The owner that refused.
-        """
-        ...
--- a/src/balsamway/forwarding/request_run.py
+++ b/src/balsamway/forwarding/request_run.py
@@ -239,17 +239,8 @@
             self._may_have_run = may_have_run_before
         if result.finding not in (Finding.STALE_CONNECTION, Finding.KEY_NOT_HELD):
             self._tried.add(state.entry.name)
-        self._note_owner(state, result.finding)
         return result
 
-    def _note_owner(self, state: TargetState, finding: Finding) -> None:
-        key = self.request.key
-        if finding is not Finding.KEY_NOT_HELD or key is None:
-            return
-        owner = self._forwarder.owners.owner(self.service.name, key)
-        if owner is not None and owner.name == state.entry.name:
-            self._forwarder.owners.on_not_held(self.service.name, key, owner)
-
     def _may_follow_refusal(self, finding: Finding) -> bool:
         self._arrivals += 1
         if finding is Finding.KEY_NOT_HELD:
--- a/src/balsamway/keyspace/key_view.py
+++ b/src/balsamway/keyspace/key_view.py
@@ -33,8 +33,6 @@
         self._views: dict[str, _ServiceView] = {}
         self._changed: asyncio.Future[None] | None = None
         self._noticed_at = float("-inf")
-        self.doubted = False
-        """Whether a target refused a key that it should hold."""
 
     @property
     def is_stale(self) -> bool:
@@ -58,10 +56,6 @@
             self._changed = asyncio.get_running_loop().create_future()
         return self._changed
 
-    def on_not_held(self, service: str, key: int, owner: KeyOwner) -> None:
-        """Notes that the view may be out of date; see `KeyOwners`."""
-        self.doubted = True
-
     def on_leader_heard(self) -> None:
         """Notes that the leader is alive, without a change."""
         self._noticed_at = now()
@@ -79,7 +73,6 @@
                 self._noticed_at = now()
             return
         self._noticed_at = now()
-        self.doubted = False
         owners = tuple(
             KeyOwner(*notice.holders[place], ready, now() + wait)
             for place, ready, wait in zip(
--- a/src/balsamway/keyspace/placement.py
+++ b/src/balsamway/keyspace/placement.py
@@ -11,8 +11,11 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from balsamway.keyspace._piece import Piece
+from balsamway.keyspace.key_record import KEYS
+
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Mapping, Sequence
+    from collections.abc import Mapping, Sequence
 
     from balsamway.keyspace.holder import Holder
     from balsamway.keyspace.segment import Segment
@@ -39,7 +42,6 @@
 """A hot key changes to a target that is faster by this factor."""
 SEGMENTS_AT_MOST = 400
 """Above this number nothing is split any more."""
-KEYS = 65_536
 
 
 @dataclass(frozen=True, slots=True)
@@ -95,17 +97,17 @@
         prior = max(PRIOR_PER_SECOND, PRIOR_SHARE * total)
         self._per_key = prior / KEYS
         self._total = total + prior
-        self._pieces: dict[Holder, list[_Piece]] = defaultdict(list)
+        self._pieces: dict[Holder, list[Piece]] = defaultdict(list)
         self._loads: dict[Holder, float] = defaultdict(float)
         keys = sorted(rates)
         at = 0
-        self._homeless: list[_Piece] = []
+        self._homeless: list[Piece] = []
         for segment in segments:
             begin = at
             while at < len(keys) and keys[at] <= segment.last:
                 at += 1
             busy = [(key, rates[key]) for key in keys[begin:at]]
-            piece = _Piece(segment.first, segment.last, busy, self._per_key)
+            piece = Piece(segment.first, segment.last, busy, self._per_key)
             if segment.holder not in self._targets:
                 self._homeless.append(piece)
                 continue
@@ -161,7 +163,7 @@
             else:
                 piece.is_settled = False
 
-    def _move(self, piece: _Piece, giver: Holder, taker: Holder) -> None:
+    def _move(self, piece: Piece, giver: Holder, taker: Holder) -> None:
         self._moves[(piece.first, piece.last)] = taker
         self._loads[giver] -= piece.load
         self._loads[taker] += piece.load
@@ -187,13 +189,13 @@
         noise = NOISE_DEVIATIONS * math.sqrt(max(wanted, 1.0) / NOISE_SECONDS)
         return SLACK_SHARE * wanted + noise
 
-    def _add(self, holder: Holder, piece: _Piece) -> None:
+    def _add(self, holder: Holder, piece: Piece) -> None:
         self._pieces[holder].append(piece)
         self._loads[holder] += piece.load
 
-    def _house(self, piece: _Piece) -> None:
+    def _house(self, piece: Piece) -> None:
         """Gives away keys whose holder must not keep them."""
-        rest: _Piece | None = piece
+        rest: Piece | None = piece
         while rest is not None:
             taker = min(self._targets, key=self._surplus)
             room = -self._surplus(taker)
@@ -230,7 +232,7 @@
         self._move(part, giver, taker)
         return True
 
-    def _take(self, giver: Holder, amount: float) -> _Piece | None:
+    def _take(self, giver: Holder, amount: float) -> Piece | None:
         """Takes about that much load from a target."""
         pieces = [one for one in self._pieces[giver] if one.is_settled]
         whole = [one for one in pieces if 0.6 * amount <= one.load <= 1.1 * amount]
@@ -255,104 +257,3 @@
             return None
         self._pieces[giver].remove(found)
         return found
-
-
-class _Piece:
-    """A range of keys with the load on it."""
-
-    def __init__(
-        self,
-        first: int,
-        last: int,
-        busy: Sequence[tuple[int, float]],
-        per_key: float,
-    ) -> None:
-        self.first = first
-        self.last = last
-        self.is_settled = True
-        self._busy = busy
-        self._per_key = per_key
-        self.load = _sum(busy) + per_key * (last - first + 1)
-
-    @property
-    def density(self) -> float:
-        """The load for each key."""
-        return self.load / (self.last - self.first + 1)
-
-    def cut_densest(self, amount: float) -> tuple[_Piece, _Piece | None]:
-        """Cuts about an amount of load off the side with the busier keys.
-
-        Args:
-            amount: The load wanted.
-
-        Returns:
-            The keys cut off, and the rest if there is any.
-        """
-        part, rest = self.cut(amount)
-        other, last = self.cut(self.load - amount)
-        if last is None or rest is None:
-            return part, rest
-        return (part, rest) if part.density >= last.density else (last, other)
-
-    def isolate(self, rate: float) -> list[_Piece]:
-        """Cuts out each key that is busier than a rate.
-
-        Args:
-            rate: Requests a second.
-
-        Returns:
-            The parts in the order of keys; this piece alone if it has no such
-            key.
-        """
-        parts: list[_Piece] = []
-        first, begin = self.first, 0
-        for place, (key, found) in enumerate(self._busy):
-            if found < rate:
-                continue
-            if first < key:
-                before = self._busy[begin:place]
-                parts.append(_Piece(first, key - 1, before, self._per_key))
-            parts.append(_Piece(key, key, [(key, found)], self._per_key))
-            first, begin = key + 1, place + 1
-        if not parts:
-            return [self]
-        if first <= self.last:
-            parts.append(_Piece(first, self.last, self._busy[begin:], self._per_key))
-        return parts
-
-    def cut(self, amount: float) -> tuple[_Piece, _Piece | None]:
-        """Cuts off the first keys that carry about an amount of load.
-
-        Args:
-            amount: The load wanted.
-
-        Returns:
-            The keys cut off, and the rest if there is any.
-        """
-        reached = 0.0
-        before = self.first
-        border = None
-        for key, rate in self._busy:
-            gap = (key - before) * self._per_key
-            if reached + gap >= amount:
-                border = before + max(0, int((amount - reached) / self._per_key))
-                break
-            reached += gap + rate
-            before = key
-            if reached >= amount:
-                border = key
-                break
-        if border is None:
-            border = before + int((amount - reached) / self._per_key)
-        border = min(max(border, self.first), self.last)
-        if border == self.last:
-            return self, None
-        left = [one for one in self._busy if one[0] <= border]
-        return (
-            _Piece(self.first, border, left, self._per_key),
-            _Piece(border + 1, self.last, self._busy[len(left) :], self._per_key),
-        )
-
-
-def _sum(busy: Iterable[tuple[int, float]]) -> float:
-    return sum(rate for _, rate in busy)
--- a/src/balsamway/keyspace/service_keys.py
+++ b/src/balsamway/keyspace/service_keys.py
@@ -133,17 +133,6 @@
         self._handovers.pop(segment.keys, None)
         self._on_changed()
 
-    def on_not_confirmed(self, holder: Holder) -> None:
-        """Notes that a holder may have lost its grants.
-
-        Args:
-            holder: The holder.
-        """
-        for segment in self.record.segments:
-            if segment.holder == holder:
-                self._confirmed.discard((segment.first, segment.last, segment.token))
-        self._on_changed()
-
     def on_vacated(self, one: Vacating, how: str, handover: str | None) -> None:
         """Notes that a previous holder no longer holds a segment's keys.
 
--- a/src/balsamway/platform/caller_codec.py
+++ b/src/balsamway/platform/caller_codec.py
@@ -6,6 +6,7 @@
 
 from balsamway.entry import EntryRequest
 from balsamway.entry.hop_headers import end_to_end
+from balsamway.keyspace.key_record import KEYS
 from balsamway.outcome import NotRun, Reason
 from balsamway.platform import names
 
@@ -52,4 +53,4 @@
     if text is None or not text.strip().isdecimal():
         return None
     key = int(text)
-    return key if key < names.KEYS else None
+    return key if key < KEYS else None
--- a/src/balsamway/platform/names.py
+++ b/src/balsamway/platform/names.py
@@ -18,6 +18,3 @@
 NOT_EXECUTED = "Balsamway-Not-Executed"
 SIGNATURE = "Balsamway-Response-Signature"
 HANDOVER = "Balsamway-Handover"
-
-KEYS = 65_536
-"""Keys are the numbers below this."""
--- a/src/balsamway/platform/settings.py
+++ b/src/balsamway/platform/settings.py
@@ -42,7 +42,6 @@
 
 class _Store(msgspec.Struct, frozen=True, rename="camel"):
     address: Address
-    history_s: Positive = 20.0
 
 
 class _Platform(msgspec.Struct, frozen=True):
@@ -53,7 +52,6 @@
     drain_ms: Positive = 2_000.0
     grace_s: Positive = 6.0
     retry_budget_ratio: Annotated[float, msgspec.Meta(ge=0)] = 0.2
-    retry_window_s: Positive = 10.0
     retry_slack: Annotated[float, msgspec.Meta(ge=0)] = 50.0
     hold_max_ms: Positive = 10_000.0
 
