Refuse for the wait at a target, not for the work of other routes

A configuration led an urgent route, whose requests take 84 ms, to a service whose other route takes 480 ms. The time that a target needs was taken from both, so that every urgent request seemed to need 0.9 s, and was refused while slots were free. Ruled out: load; the targets were idle at that moment. A request that finds a free slot is never refused now, and its own work is learnt for each route.

--- a/src/balsamway/forwarding/request_run.py
+++ b/src/balsamway/forwarding/request_run.py
@@ -9,7 +9,7 @@
 from balsamway.forwarding.attempt_result import AttemptResult, Finding
 from balsamway.forwarding.target_choice import (
     choose_target,
-    expected_seconds,
+    expected_wait,
     usual_seconds,
 )
 from balsamway.outcome import Completed, MayHaveRun, NotRun, Reason
@@ -42,6 +42,8 @@
 latency objective, by the route's priority."""
 LEAST_PATIENCE = 1.1
 """The same for the priorities below those."""
+WORK_SHARE = 0.6
+"""The most that a request's work counts for in that, of the objective."""
 
 _ARRIVED = frozenset({Finding.SHED, Finding.KEY_NOT_HELD, Finding.OTHER_TARGET})
 """Refusals that count as an arrival at the service."""
@@ -158,18 +160,24 @@
     def _admit(self, state: TargetState, usual: float) -> TargetState | NotRun:
         """Refuses what would wait so long that its answer is worth little.
 
+        A request that finds a free slot is never refused.
+
         Under overload a target serves as many requests with a long queue as
         with a short one, but late. Less urgent routes give way first.
         """
-        expected = expected_seconds(state, usual)
+        wait = expected_wait(state, usual)
+        objective = self.route.objective_seconds
         patience = PATIENCE.get(self.route.priority, LEAST_PATIENCE)
-        limit = max(patience * self.route.objective_seconds, 1.5 * usual)
-        if expected <= limit:
+        # Routes to one service differ in work, so the time without a wait is
+        # the route's own and not the target's.
+        own = min(self._forwarder.work_seconds(self.route), WORK_SHARE * objective)
+        limit = patience * objective - own
+        if wait <= limit:
             return state
         return NotRun(
             Reason.OVERLOADED,
-            f"{state.entry.name} would take {expected:.3f} s",
-            self._jitter(max(RETRY_SECONDS, expected - limit)),
+            f"{state.entry.name} has a wait of {wait:.3f} s",
+            self._jitter(max(RETRY_SECONDS, wait - limit)),
         )
 
     async def _owner(self) -> TargetState | NotRun:
@@ -234,6 +242,8 @@
             state.in_flight -= 1
         seconds = now() - began
         state.observe(result.finding, seconds, was_prompt)
+        if result.finding is Finding.SERVED and was_prompt:
+            self._forwarder.learn_work(self.route, seconds)
         self.attempts[place] = (state.entry.name, began, result.finding)
         if isinstance(result.verdict, NotRun):
             self._may_have_run = may_have_run_before
--- a/src/balsamway/forwarding/target_choice.py
+++ b/src/balsamway/forwarding/target_choice.py
@@ -71,6 +71,19 @@
     return sum(found) / len(found) if found else UNKNOWN_SERVICE_SECONDS
 
 
+def expected_wait(state: TargetState, usual: float) -> float:
+    """Gives how long a request is expected to wait for a slot at a target.
+
+    Args:
+        state: The target.
+        usual: What to take where the target has not answered yet.
+    """
+    seconds = state.service_seconds or state.latency_seconds or usual
+    capacity = max(1, state.entry.capacity)
+    queued = state.in_flight + state.others_in_flight + 1.0 - capacity
+    return max(0.0, queued) * seconds * state.cold_factor / capacity
+
+
 def expected_seconds(state: TargetState, usual: float) -> float:
     """Gives how long a request is expected to take at a target.
 
--- a/tests/forwarding/test_forwarder.py
+++ b/tests/forwarding/test_forwarder.py
@@ -250,3 +250,38 @@
     setup.owners.change("i-1")
     assert isinstance(await waiting, NotRun)
     assert not setup.transport.sent
+
+
+async def test_a_short_request_is_not_refused_for_the_long_work_of_other_routes(
+    setup,
+):
+    setup.adopt(objective_seconds=0.25, timeout_seconds=0.8, priority=0)
+    for state in setup.targets.all():
+        state.service_seconds = 0.9
+    for _ in range(20):
+        assert (await setup.request()).status == 200
+
+
+async def test_a_request_that_would_wait_far_beyond_its_objective_is_refused_at_once(
+    setup,
+):
+    setup.adopt(objective_seconds=0.25, timeout_seconds=2.0, priority=2)
+    for state in setup.targets.all():
+        state.service_seconds = 0.2
+        state.others_in_flight = 12.0
+    verdict = await setup.request()
+    assert isinstance(verdict, NotRun)
+    assert verdict.reason is Reason.OVERLOADED
+    assert now() == 0
+
+
+async def test_urgent_requests_are_let_wait_longer(setup):
+    outcomes = []
+    setup.place(target("j-1"), target("j-2"))
+    for priority in (0, 1, 2):
+        setup.adopt(objective_seconds=0.25, timeout_seconds=2.0, priority=priority)
+        for state in setup.targets.all():
+            state.service_seconds = 0.2
+            state.others_in_flight = 7.0
+        outcomes.append(isinstance(await setup.request(), Completed))
+    assert outcomes == [True, True, False]
