Check authority right before each grant, and renew tokens whole

Found by reading: a planner's move of part of a segment took the place of the renewal of its token, so that the rest kept the token of a run that may have ended; a grant could wait for a connection past the leader's time; a target that was cut off for two seconds lost its keys though it was back in time; a refusal without a request id was believed, and one for want of a connection did not say when to come back. Each has a test that failed before.

--- a/src/balsamway/forwarding/request_run.py
+++ b/src/balsamway/forwarding/request_run.py
@@ -32,6 +32,7 @@
 HELD_SHARE = 0.4
 """The part of the time left for which a request waits for its key's owner."""
 RECHECK_SECONDS = 0.05
+"""How long a change of owner is waited for before looking again."""
 NOT_HELD_ATTEMPTS = 3
 """How often a request follows a key that has moved."""
 UNREACHABLE_ATTEMPTS = 4
@@ -85,7 +86,6 @@
         )
         self.attempts: list[tuple[str, float, Finding | None]] = []
         """The target, start and finding of each attempt so far."""
-        self._sent = 0
         self._arrivals = 0
         self._may_have_run = False
         self._tried: set[str] = set()
@@ -133,9 +133,11 @@
                     if not self._may_follow_refusal(finding):
                         return self._refuse(verdict)
                     if finding is Finding.KEY_NOT_HELD:
-                        await self._wait_for_owner(0.05)
+                        await self._wait_for_owner(RECHECK_SECONDS)
                 case _:
-                    if not self._may_repeat(verdict):
+                    if isinstance(verdict, NotRun):
+                        return self._refuse(verdict)
+                    if not self._may_repeat():
                         return verdict
 
     async def _next_target(self) -> TargetState | NotRun:
@@ -229,7 +231,6 @@
         began = now()
         place = len(self.attempts)
         self.attempts.append((state.entry.name, began, None))
-        self._sent += 1
         may_have_run_before = self._may_have_run
         self._may_have_run = True
         was_prompt = state.has_free_slot
@@ -261,9 +262,7 @@
             allowed = self._arrivals < self.route.attempts_at_most
         return allowed and self._has_time() and self._budget.take()
 
-    def _may_repeat(self, verdict: Verdict) -> bool:
-        if isinstance(verdict, NotRun):
-            return False
+    def _may_repeat(self) -> bool:
         self._arrivals += 1
         return (
             self.is_safe
--- a/src/balsamway/keyspace/service_leader.py
+++ b/src/balsamway/keyspace/service_leader.py
@@ -173,19 +173,32 @@
         if not urgent and now() < self._plan_at:
             return
         self._plan_at = now() + PLAN_SECONDS
-        moves = self._plan()
-        moves.update(
-            {
-                one.keys: one.holder
-                for one in self._keys.record.segments
-                if one.holder in self._keys.renew_tokens_of and one.keys not in moves
-            }
-        )
-        moves = _without_overlaps(moves)
+        moves = self._with_renewals(self._plan())
         if moves:
             settled = self._keys.record.settle(self._keys.settled())
             await self._record(settled.reassign(moves), moves)
 
+    def _with_renewals(
+        self, moves: dict[tuple[int, int], Holder]
+    ) -> dict[tuple[int, int], Holder]:
+        """Adds the segments that need new tokens, whole, in place of moves.
+
+        A part that kept its token would be renewed at a target that may have
+        started again. Segments whose holder must not keep them move anyway.
+        """
+        placed = {one.holder for one in self._placed()}
+        renewed = {
+            one.keys: one.holder
+            for one in self._keys.record.segments
+            if one.holder in self._keys.renew_tokens_of and one.holder in placed
+        }
+        kept = {
+            (first, last): holder
+            for (first, last), holder in moves.items()
+            if all(last < begin or end < first for begin, end in renewed)
+        }
+        return kept | renewed
+
     async def _give_out(self, entries: tuple[TargetEntry, ...]) -> None:
         """Gives out all keys for the first time."""
         still = now() - self._directory.changed_at
@@ -354,14 +367,3 @@
     def _has_started_again(self, holder: Holder) -> bool:
         entry = self._directory.find(holder.name)
         return entry is not None and entry.incarnation != holder.incarnation
-
-
-def _without_overlaps(
-    moves: Mapping[tuple[int, int], Holder],
-) -> dict[tuple[int, int], Holder]:
-    """Leaves out ranges that another range is part of."""
-    kept: dict[tuple[int, int], Holder] = {}
-    for first, last in sorted(moves, key=lambda one: one[1] - one[0]):
-        if all(last < begin or end < first for begin, end in kept):
-            kept[(first, last)] = moves[(first, last)]
-    return kept
--- a/src/balsamway/keyspace/target_control.py
+++ b/src/balsamway/keyspace/target_control.py
@@ -5,6 +5,8 @@
 from typing import TYPE_CHECKING, Protocol
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from balsamway.exchange import ConnectionPool
     from balsamway.keyspace.order_result import GrantResult, ReleaseResult
 
@@ -21,6 +23,7 @@
         hold_seconds: float,
         handover: str | None,
         timeout_seconds: float,
+        may_send: Callable[[], bool],
     ) -> GrantResult:
         """Lets a target hold keys for a time from the order's arrival.
 
@@ -32,6 +35,8 @@
             hold_seconds: For how long.
             handover: What the last holder gave for the next.
             timeout_seconds: The longest time to wait for an answer.
+            may_send: Asked right before the order is written, since a
+                connection may have been waited for.
 
         Returns:
             What became of the order.
--- a/src/balsamway/keyspace/target_keeper.py
+++ b/src/balsamway/keyspace/target_keeper.py
@@ -36,8 +36,8 @@
 RETRY_SECONDS = 0.2
 LEAST_WAIT_SECONDS = 0.001
 GIVE_UP_SECONDS = 1.0
-"""After orders failed for this long no more are sent, since each would extend
-the time after which the keys can go to another target."""
+"""After orders were lost for this long no more are sent, since each would
+extend the time after which the keys can go to another target."""
 
 logger = logging.getLogger(__name__)
 
@@ -72,6 +72,8 @@
         self._in_outage = in_outage
         self._kicked = asyncio.Event()
         self._failing_since: float | None = None
+        self._lost_orders = 0
+        """The orders in a row that may have taken effect unanswered."""
         self.has_ended = False
         """Whether another target was found at its address."""
 
@@ -106,7 +108,7 @@
     async def _send_all(self, is_renewal: bool) -> bool:
         if self._line.was_broken():
             self._ask_for_tokens("a connection broke")
-        if self.failing_seconds > GIVE_UP_SECONDS:
+        if self._lost_orders > 1 and self.failing_seconds > GIVE_UP_SECONDS:
             return True
         for segment in self._keys.segments_of(self._holder):
             if not is_renewal and self._keys.is_confirmed(segment):
@@ -141,6 +143,7 @@
                 hold,
                 handover,
                 ORDER_SECONDS,
+                lambda: self._may_send(segment),
             )
         finally:
             if isinstance(result, OrderNotSent | Outdated | OtherTarget):
@@ -162,6 +165,7 @@
                 self.has_ended = True
                 return False
             case OrderLost(reason=reason):
+                self._lost_orders += 1
                 self._ask_for_tokens(reason)
                 self._on_failed(reason)
                 return False
@@ -170,6 +174,7 @@
         return False
 
     def _on_accepted(self, segment: Segment) -> None:
+        self._lost_orders = 0
         if self._failing_since is not None:
             logger.info(
                 "target-regained",
--- a/src/balsamway/keyspace/vacate.py
+++ b/src/balsamway/keyspace/vacate.py
@@ -16,6 +16,7 @@
     from balsamway.keyspace.target_control import TargetControl
 
 RETRY_SECONDS = 0.2
+LEAST_WAIT_SECONDS = 0.001
 RELEASE_SECONDS = 2.0
 """How long one call waits for running work to end before it is repeated."""
 
@@ -74,4 +75,5 @@
             keys.on_vacated(one, how, handover)
             on_done()
             return
-        await asyncio.sleep(max(0.0, min(RETRY_SECONDS, one.until - now())))
+        left = min(RETRY_SECONDS, one.until - now())
+        await asyncio.sleep(max(LEAST_WAIT_SECONDS, left))
--- a/src/balsamway/platform/target_control.py
+++ b/src/balsamway/platform/target_control.py
@@ -19,6 +19,8 @@
 from balsamway.platform import names
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from balsamway.exchange import ConnectionPool
     from balsamway.keyspace.order_result import GrantResult, ReleaseResult
 
@@ -35,6 +37,7 @@
         hold_seconds: float,
         handover: str | None,
         timeout_seconds: float,
+        may_send: Callable[[], bool],
     ) -> GrantResult:
         """Lets a target hold keys for a time; see `TargetControl`."""
         order: dict[str, Any] = {
@@ -45,7 +48,9 @@
         }
         if handover is not None:
             order["handover"] = handover
-        answer = await _order(pool, target, names.GRANT_PATH, order, timeout_seconds)
+        answer = await _order(
+            pool, target, names.GRANT_PATH, order, timeout_seconds, may_send
+        )
         match answer:
             case HttpAnswer(status=200):
                 return Accepted()
@@ -82,6 +87,7 @@
     path: str,
     order: dict[str, Any],
     timeout_seconds: float,
+    may_send: Callable[[], bool] = lambda: True,
 ) -> HttpAnswer | OtherTarget | OrderLost | OrderNotSent:
     request = HttpRequest(
         "POST",
@@ -99,6 +105,8 @@
             if isinstance(connection, NotSent):
                 return OrderNotSent(connection.reason)
             try:
+                if not may_send():
+                    return OrderNotSent("no longer allowed")
                 answer = await connection.exchange(request)
             finally:
                 pool.release(connection)
--- a/src/balsamway/platform/target_transport.py
+++ b/src/balsamway/platform/target_transport.py
@@ -80,10 +80,15 @@
 
 def _judge(answer: HttpAnswer, target: TargetEntry) -> AttemptResult:
     headers = answer.headers
-    if answer.status == 421 or names.NOT_EXECUTED in headers:
-        return _judge_refusal(answer, target)
+    if answer.status == 421 and headers.get(names.ANSWERED_BY, target.name) != (
+        target.name
+    ):
+        refusal = NotRun(Reason.NO_TARGET, f"{headers[names.ANSWERED_BY]} is there")
+        return AttemptResult(refusal, Finding.OTHER_TARGET)
     if names.REQUEST_ID not in headers:
         return _untrusted(Reason.ANSWER_MISMATCHED, "the answer names no request")
+    if answer.status == 421 or names.NOT_EXECUTED in headers:
+        return _judge_refusal(answer)
     if "Content-Encoding" in headers:
         return _untrusted(Reason.ANSWER_MISMATCHED, "the answer is encoded")
     if answer.status < 300 and names.SIGNATURE not in headers:
@@ -99,12 +104,8 @@
     return AttemptResult(Completed(answer.status, passed, answer.body), finding)
 
 
-def _judge_refusal(answer: HttpAnswer, target: TargetEntry) -> AttemptResult:
-    answered_by = answer.headers.get(names.ANSWERED_BY)
+def _judge_refusal(answer: HttpAnswer) -> AttemptResult:
     if answer.status == 421:
-        if answered_by is not None and answered_by != target.name:
-            refusal = NotRun(Reason.NO_TARGET, f"{answered_by} has the address")
-            return AttemptResult(refusal, Finding.OTHER_TARGET)
         return AttemptResult(NotRun(Reason.NO_OWNER), Finding.KEY_NOT_HELD)
     if answer.status in (429, 503):
         return AttemptResult(NotRun(Reason.TARGET_SHED), Finding.SHED)
--- a/tests/fakes/keyed_targets.py
+++ b/tests/fakes/keyed_targets.py
@@ -89,12 +89,22 @@
         return found[0] if found else None
 
     async def grant(
-        self, pool, target, keys, token, hold_seconds, handover, timeout_seconds
+        self,
+        pool,
+        target,
+        keys,
+        token,
+        hold_seconds,
+        handover,
+        timeout_seconds,
+        may_send,
     ):
         found = self._at(pool)
         answer = await self._reach(found, target, timeout_seconds)
         if answer is None and self._was_reset(pool, found):
             answer = OrderNotSent("the connection was closed")
+        if answer is None and not may_send():
+            answer = OrderNotSent("no longer allowed")
         if answer is not None:
             return answer
         arrived = now()
--- a/tests/fakes/scripted_transport.py
+++ b/tests/fakes/scripted_transport.py
@@ -27,11 +27,14 @@
 
     findings: list = field(default_factory=lambda: [Finding.SERVED])
     seconds: float = 0.01
+    no_connection: bool = False
     sent: list = field(default_factory=list)
     """The target and the timeout of each attempt."""
 
     async def send(self, pool, target, request, timeout_seconds):
         self.sent.append((target.name, timeout_seconds))
+        if self.no_connection:
+            return AttemptResult(NotRun(Reason.OVERLOADED), Finding.LATE)
         finding = self.findings[min(len(self.sent), len(self.findings)) - 1]
         await asyncio.sleep(min(self.seconds, timeout_seconds))
         return AttemptResult(VERDICTS[finding], finding)
--- a/tests/forwarding/test_forwarder.py
+++ b/tests/forwarding/test_forwarder.py
@@ -285,3 +285,11 @@
             state.others_in_flight = 7.0
         outcomes.append(isinstance(await setup.request(), Completed))
     assert outcomes == [True, True, False]
+
+
+async def test_a_refusal_for_want_of_a_connection_says_when_to_come_back(setup):
+    setup.adopt(type=RouteType.UNSAFE)
+    setup.transport.no_connection = True
+    verdict = await setup.request()
+    assert isinstance(verdict, NotRun)
+    assert verdict.retry_after_seconds > 0
--- a/tests/keyspace/test_key_leader.py
+++ b/tests/keyspace/test_key_leader.py
@@ -222,6 +222,34 @@
     deployment.check()
 
 
+async def test_a_target_that_is_back_before_its_time_keeps_its_keys(deployment):
+    await deployment.start("a")
+    before = [deployment.targets.owner(key) for key in range(0, 65536, GRAIN)]
+    deployment.targets.all["t2"].silent = True
+    await asyncio.sleep(2.0)
+    deployment.targets.all["t2"].silent = False
+    assert await deployment.unowned_seconds(5) == 0.0
+    assert [deployment.targets.owner(key) for key in range(0, 65536, GRAIN)] == before
+    deployment.check()
+
+
+async def test_a_target_that_may_have_started_again_gets_no_old_token_for_any_part(
+    deployment,
+):
+    await deployment.start("a")
+    leader = deployment.leading().leader._leaders["k"]
+    rates = {key: 3.0 for key in range(20_000, 20_040)}
+    deployment.report(rates)
+    owner = leader._keys.record.find(20_000).holder
+    tokens = {one.token for one in leader._keys.record.segments if one.holder == owner}
+    leader._keys.renew_tokens_of.add(owner)
+    leader._plan_at = 0.0
+    await asyncio.sleep(0.3)
+    left = {one.token for one in leader._keys.record.segments if one.holder == owner}
+    assert not tokens & left
+    deployment.check()
+
+
 @pytest.mark.parametrize("seed", range(12))
 async def test_keys_keep_one_holder_through_mixed_faults(deployment, seed):
     rng = random.Random(seed)
--- a/tests/platform/test_target_transport.py
+++ b/tests/platform/test_target_transport.py
@@ -259,3 +259,13 @@
     for task in busy:
         task.cancel()
     await asyncio.gather(*busy, return_exceptions=True)
+
+
+@pytest.mark.parametrize("status", [503, 429, 421])
+async def test_a_refusal_that_names_no_request_promises_nothing(scripted, send, status):
+    async def script(received, writer, number):
+        extra = "Balsamway-Not-Executed: 1"
+        writer.write(answer(None, b"", status, None, extra))
+
+    result = await send(await scripted(script))
+    assert isinstance(result.verdict, MayHaveRun)
