--- a/tests/entry/test_caller_connection.py
+++ b/tests/entry/test_caller_connection.py
@@ -251,3 +251,13 @@
     reader, writer = await connect()
     writer.write(get("r1"))
     assert (await read_answer(reader))[0] == 502
+
+
+async def test_a_body_that_follows_the_head_of_a_last_request_is_read(connect, gateway):
+    reader, writer = await connect()
+    whole = post("r1", b"body", "Connection: close\r\n")
+    writer.write(whole[:-4])
+    await asyncio.sleep(0.02)
+    writer.write(whole[-4:])
+    status, headers, body = await asyncio.wait_for(read_answer(reader), 1)
+    assert (status, headers["connection"], body) == (200, "close", b"body")
