Read the body that follows the head of a connection's last request

Cause: the head's 'Connection: close' set the flag that also ended reading, so a body in a later segment was never read and its request got no answer. Ruled out: the parser, which gives the body as it comes.

--- a/src/balsamway/entry/caller_connection.py
+++ b/src/balsamway/entry/caller_connection.py
@@ -52,6 +52,9 @@
         self._answers: collections.deque[PendingAnswer] = collections.deque()
         self._payloads: list[StreamReader] = []
         self._closing = False
+        """Whether the connection ends with the answers that are due."""
+        self._reads = True
+        """Whether bytes that come are taken, as long as a request may follow."""
         self.active_at = now()
         """When a byte last came or went."""
         self._head_began: float | None = None
@@ -66,6 +69,10 @@
         """When the head that is not whole yet began to arrive."""
         return self._head_began
 
+    @property
+    def _is_body_due(self) -> bool:
+        return any(not payload.is_eof() for payload in self._payloads)
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Registers the connection."""
         super().connection_made(transport)
@@ -89,7 +96,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Starts the requests that the bytes complete."""
-        if self._closing:
+        if not self._reads or (self._closing and not self._is_body_due):
             return
         self.active_at = now()
         try:
@@ -101,7 +108,7 @@
             self._head_began = None
             self._start(head, payload)
         if upgraded:
-            self._closing = True
+            self._end_reading()
         if data and not messages and self.is_idle and self._head_began is None:
             self._head_began = self.active_at
         if len(self._answers) >= PIPELINED_AT_MOST:
@@ -109,7 +116,7 @@
 
     def close(self) -> None:
         """Closes the connection in order."""
-        self._closing = True
+        self._end_reading()
         if self.transport is not None:
             self.transport.close()
 
@@ -132,6 +139,10 @@
         self._answers.append(PendingAnswer(task, request_id, head.method))
         task.add_done_callback(self._on_answered)
 
+    def _end_reading(self) -> None:
+        self._closing = True
+        self._reads = False
+
     def _continue(self) -> None:
         if self.transport is not None and self.is_idle:
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
@@ -153,7 +164,7 @@
         while part := await payload.readany():
             size += len(part)
             if size > limit:
-                self._closing = True
+                self._end_reading()
                 return None
             parts.append(part)
         return b"".join(parts)
@@ -190,7 +201,7 @@
             self.close()
 
     def _refuse_malformed(self, error: Exception) -> None:
-        self._closing = True
+        self._end_reading()
         reason = Reason.BAD_REQUEST
         if isinstance(error, LineTooLong) or "Too many headers" in str(error):
             reason = Reason.HEADERS_TOO_LARGE
