Let the leader follow the store on behalf of all entry hosts

Ruled out: longer watches alone, since a connection that goes silent would hide a change beyond its bound; a serializable read, which may be seconds old. Change: the leader's watch waits a second at most; it hands each change on and tells each 0.4 s how far it follows the store. A host that knows all of it makes no call for 1.6 s from the store's answer to the leader, counted with the time that a notice was held up, and watches by itself again as soon as a notice is missing or late or tells of changes that it did not get. The notice carries the lease's version too, so that followers need not read it; one who gives the lease up says so. Also, by reading: of several events of an object in one answer the last counts (one that was written and then removed stayed known), and a list of several pages is watched on from its first page's revision.

--- a/src/balsamway/keyspace/leader_lease.py
+++ b/src/balsamway/keyspace/leader_lease.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from balsamway.clock import now
+from balsamway.keyspace.stored_lease import StoredLease
 from balsamway.store.store import (
     Absent,
     Conflict,
@@ -36,6 +37,9 @@
 rate by less."""
 POLL_SECONDS = 0.6
 """How often the others read the lease, from a copy that may be old."""
+HEARD_SECONDS = 1.0
+"""How long others do not read the lease after the leader told of it."""
+HEARD_STEP_SECONDS = 0.1
 RETRY_SECONDS = 0.1
 UNREADABLE = "?"
 """Stands for the holder of a lease that cannot be read."""
@@ -97,6 +101,17 @@
         self._may_claim = True
         self._aside_until = float("-inf")
         self._is_first_look = True
+        self._heard_at = float("-inf")
+        self.on_given_up: Callable[[StoredLease], None] = _ignore
+        """Called with the lease that this host stored when it gave it up."""
+
+    @property
+    def stored(self) -> StoredLease | None:
+        """The lease as last stored by this host, while it leads."""
+        if self._epoch is None or self._known is None:
+            return None
+        version, lease = self._known
+        return StoredLease(version, lease.epoch, lease.host, lease.address, lease.beat)
 
     @property
     def epoch(self) -> int | None:
@@ -140,6 +155,21 @@
         self.elected.clear()
         self._known = None
 
+    def on_heard(self, stored: StoredLease) -> None:
+        """Takes over what the leader says that it stored.
+
+        Args:
+            stored: The lease, which others then need not read.
+        """
+        if self._epoch is not None:
+            return
+        lease = _Lease(stored.epoch, stored.host, stored.address, stored.beat)
+        if self._known is None or stored.version > self._known[0]:
+            self._known = (stored.version, lease)
+            self._known_since = now()
+            self._is_first_look = False
+            self._heard_at = now() if lease.host else float("-inf")
+
     async def resign(self) -> None:
         """Gives the lease up, so that another host need not wait for it."""
         self._may_claim = False
@@ -159,8 +189,11 @@
         if epoch is None or known is None:
             return
         self.abandon(reason)
-        body = msgspec.json.encode(_Lease(epoch, "", "", self._beat + 1))
-        await self._store.write(LEASE_KIND, LEASE_NAME, body, known[0])
+        free = _Lease(epoch, "", "", self._beat + 1)
+        body = msgspec.json.encode(free)
+        match await self._store.write(LEASE_KIND, LEASE_NAME, body, known[0]):
+            case Written(version=version):
+                self.on_given_up(StoredLease(version, epoch, "", "", free.beat))
 
     @mode.Service.task
     async def _run(self) -> None:
@@ -171,6 +204,9 @@
                 await self._renew(self._epoch)
 
     async def _follow(self) -> None:
+        if now() - self._heard_at < HEARD_SECONDS:
+            await self.sleep(HEARD_STEP_SECONDS)
+            return
         found = await self._store.read(LEASE_KIND, LEASE_NAME, may_be_old=True)
         match found:
             case Absent() if self._may_claim:
@@ -302,6 +338,10 @@
         return self._beat
 
 
+def _ignore(stored: StoredLease) -> None:
+    """Stands in until somebody wants to know."""
+
+
 def _decode(found: StoredObject) -> _Lease:
     try:
         return msgspec.json.decode(found.body, type=_Lease)
--- a/src/balsamway/node/entry_node.py
+++ b/src/balsamway/node/entry_node.py
@@ -31,6 +31,7 @@
 from balsamway.node.node_metrics import NodeMetrics
 from balsamway.node.object_relay import ObjectRelay
 from balsamway.node.readiness_listener import ReadinessListener
+from balsamway.node.watch_relay import WATCH_SECONDS, WatchRelay
 from balsamway.outcome import Malformed
 from balsamway.peers.stream_peers import StreamPeers
 from balsamway.store.kind_watch import KindWatch
@@ -43,9 +44,6 @@
     from balsamway.node.surroundings import Surroundings
     from balsamway.routing import RoutingConfiguration
 
-WATCH_SECONDS = 2.0
-"""How long a watch waits at most. It bounds how long a connection that went
-silent hides a change, which must be in force two seconds later."""
 TARGETS_REARM_SECONDS = 0.3
 """The pause after a change of targets, in which more changes gather."""
 CONFIGURATION_REARM_SECONDS = 0.05
@@ -171,19 +169,22 @@
             TARGETS_REARM_SECONDS,
             self._rng,
         )
-
+        watches = {
+            surroundings.configuration_kind: self._configuration_watch,
+            surroundings.targets_kind: self._targets_watch,
+        }
         self._relay = ObjectRelay(
             self._peers,
             self._peer_addresses,
             settings.seeds,
             settings.peers_address,
-            {
-                surroundings.configuration_kind: self._configuration_watch,
-                surroundings.targets_kind: self._targets_watch,
-            },
+            watches,
             self._reporter,
             self._rng,
         )
+        self._watch_relay = WatchRelay(
+            settings.host, self._peers, lambda: board.hosts, watches, self.lease
+        )
 
     def is_ready(self) -> bool:
         """Tells whether this host takes new connections."""
@@ -206,6 +207,7 @@
             self.leader,
             self._reporter,
             self._relay,
+            self._watch_relay,
             self._listener,
         ):
             await self.add_runtime_dependency(part)
--- a/src/balsamway/node/messages.py
+++ b/src/balsamway/node/messages.py
@@ -1,9 +1,10 @@
-"""Messages by which hosts help each other where the store does not answer."""
+"""Messages by which hosts tell each other what the store told them."""
 
 from __future__ import annotations
 
 from dataclasses import dataclass
 
+from balsamway.keyspace.stored_lease import StoredLease
 from balsamway.peers.codec import message
 
 
@@ -28,3 +29,33 @@
     """The epoch, name and peer address of the leader."""
     peers: dict[str, str]
     """The peer addresses that the asked host knows."""
+
+
+@message("objects-changed")
+@dataclass(frozen=True, slots=True)
+class ObjectsChanged:
+    """Changes of one kind that the leader's watch found."""
+
+    epoch: int
+    """The leader's epoch."""
+    kind: str
+    since: int
+    """The revision on which the changes follow."""
+    revision: int
+    """The revision up to which these are all changes."""
+    changed: list[tuple[str, int, bytes]]
+    """The name, version and body of each object that was written."""
+    removed: list[str]
+
+
+@message("store-progress")
+@dataclass(frozen=True, slots=True)
+class StoreProgress:
+    """How far the leader follows the store."""
+
+    sent_at: float
+    """The leader's clock; only differences between notices mean anything."""
+    lease: StoredLease
+    kinds: dict[str, tuple[int, int, float]]
+    """For each kind the revision after which no change is known, the revision
+    up to which all changes are known, and the seconds since the store told."""
--- /dev/null
+++ b/src/balsamway/node/watch_relay.py
@@ -0,0 +1,135 @@
+"""Lets the leader follow the store on behalf of the other entry hosts."""
+
+from __future__ import annotations
+
+import functools
+from typing import TYPE_CHECKING, Any
+
+import mode
+
+from balsamway.clock import now
+from balsamway.node.messages import ObjectsChanged, StoreProgress
+from balsamway.store.batch import Batch
+from balsamway.store.store import StoredObject
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable, Mapping
+
+    from balsamway.keyspace.leader_lease import LeaderLease
+    from balsamway.keyspace.stored_lease import StoredLease
+    from balsamway.peers.peers import Peers
+    from balsamway.store.kind_watch import KindWatch
+
+WATCH_SECONDS = 2.0
+"""How long a watch waits at most. It bounds how long a connection that went
+silent hides a change, which must be in force two seconds later."""
+LEADER_WATCH_SECONDS = 1.0
+"""The same for the leader, so that its answers are fresh enough to vouch for
+the others until its next notice; see `VOUCH_SECONDS`."""
+PROGRESS_SECONDS = 0.4
+"""How often the leader vouches; twice within what an answer is relied on
+after the longest wait of its watch, with room for a late notice."""
+
+
+class WatchRelay(mode.Service):
+    """Hands the leader's finds on, and takes them over on the other hosts.
+
+    A host whose leader vouches for it makes no calls to the store. It makes
+    its own again as soon as a notice is missing, is late, or tells of changes
+    that it did not get.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        peers: Peers,
+        hosts: Callable[[], Iterable[str]],
+        watches: Mapping[str, KindWatch],
+        lease: LeaderLease,
+    ) -> None:
+        """Prepares the relay.
+
+        Args:
+            host: The name of this host.
+            peers: The other entry hosts.
+            hosts: Gives the hosts that are known to the leader.
+            watches: The watch of each kind.
+            lease: Says who leads.
+        """
+        super().__init__()
+        self._host = host
+        self._peers = peers
+        self._hosts = hosts
+        self._watches = watches
+        self._lease = lease
+        self._epoch = 0
+        self._least_delay = float("inf")
+        lease.on_given_up = self._on_given_up
+        for kind, watch in watches.items():
+            watch.listen(functools.partial(self._on_found, kind))
+        peers.handle(ObjectsChanged, self._on_changed)
+        peers.handle(StoreProgress, self._on_progress)
+
+    @mode.Service.task
+    async def _run(self) -> None:
+        while not self.should_stop:
+            stored = self._lease.stored
+            for watch in self._watches.values():
+                watch.wait_seconds = (
+                    WATCH_SECONDS if stored is None else LEADER_WATCH_SECONDS
+                )
+            if stored is not None and self._lease.has_authority(stored.epoch):
+                self._send(StoreProgress(now(), stored, self._progress()))
+            await self.sleep(PROGRESS_SECONDS)
+
+    def _progress(self) -> dict[str, tuple[int, int, float]]:
+        return {
+            kind: (watch.changed_revision, watch.known_revision, age)
+            for kind, watch in self._watches.items()
+            if not watch.is_failing and (age := watch.age_seconds) is not None
+        }
+
+    def _on_found(self, kind: str, batch: Batch) -> None:
+        epoch = self._lease.epoch
+        if epoch is None or not (batch.changed or batch.removed):
+            return
+        changed = [(one.name, one.version, one.body) for one in batch.changed]
+        self._send(
+            ObjectsChanged(
+                epoch, kind, batch.since, batch.revision, changed, list(batch.removed)
+            )
+        )
+
+    def _on_given_up(self, stored: StoredLease) -> None:
+        """Tells the others that they may claim the lease."""
+        self._send(StoreProgress(now(), stored, {}))
+
+    def _send(self, message: ObjectsChanged | StoreProgress) -> None:
+        for host in self._hosts():
+            if host != self._host:
+                self._peers.send(host, message)
+
+    async def _on_changed(self, sender: str, message: Any) -> None:
+        watch = self._watches.get(message.kind)
+        if watch is None or message.epoch < self._epoch:
+            return
+        objects = tuple(StoredObject(*one) for one in message.changed)
+        watch.on_batch(
+            Batch(message.since, message.revision, objects, tuple(message.removed))
+        )
+
+    async def _on_progress(self, sender: str, message: Any) -> None:
+        lease = message.lease
+        if lease.epoch < self._epoch or self._lease.epoch is not None:
+            return
+        delay = now() - message.sent_at
+        if lease.epoch > self._epoch:
+            self._epoch, self._least_delay = lease.epoch, delay
+        self._least_delay = min(self._least_delay, delay)
+        self._lease.on_heard(lease)
+        # A notice that a cut held up is older than it says.
+        held_up = delay - self._least_delay
+        for kind, (changed, known, age) in message.kinds.items():
+            watch = self._watches.get(kind)
+            if watch is not None:
+                watch.on_vouched(changed, known, age + held_up)
--- a/src/balsamway/platform/store_client.py
+++ b/src/balsamway/platform/store_client.py
@@ -52,6 +52,7 @@
         """Reads all objects of a kind, page by page; see `ObjectStore`."""
         found: list[StoredObject] = []
         after: str | None = None
+        revision: int | None = None
         for _ in range(PAGES_AT_MOST):
             query: dict[str, str] = {} if after is None else {"after": after}
             page = await self._get(
@@ -60,8 +61,11 @@
             if isinstance(page, Unavailable | Absent):
                 return Unavailable(str(page))
             found.extend(one.stored() for one in page.items)
+            if revision is None:
+                # Changes between the pages are watched for from the first.
+                revision = page.revision
             if not page.has_more or not page.items:
-                return Listing(tuple(found), page.revision)
+                return Listing(tuple(found), revision)
             after = page.items[-1].metadata.name
         return Unavailable("the list does not end")
 
@@ -78,9 +82,12 @@
         )
         match found:
             case wire.WatchPage(events=events, revision=revision):
-                changed = tuple(e.object.stored() for e in events if not e.removed)
-                removed = tuple(e.object.metadata.name for e in events if e.removed)
-                return Changes(changed, removed, revision)
+                last = {event.object.metadata.name: event for event in events}
+                return Changes(
+                    tuple(e.object.stored() for e in last.values() if not e.removed),
+                    tuple(name for name, e in last.items() if e.removed),
+                    revision,
+                )
             case Absent():
                 return HistoryGone()
             case _:
--- /dev/null
+++ b/src/balsamway/store/batch.py
@@ -0,0 +1,21 @@
+"""Changes of one kind that follow on one another."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from balsamway.store.store import StoredObject
+
+
+@dataclass(frozen=True, slots=True)
+class Batch:
+    """All changes after one revision of the store up to another."""
+
+    since: int
+    revision: int
+    changed: tuple[StoredObject, ...]
+    """The objects as of `revision`."""
+    removed: tuple[str, ...]
+    """The names of the objects that are not there as of `revision`."""
--- a/src/balsamway/store/kind_watch.py
+++ b/src/balsamway/store/kind_watch.py
@@ -8,12 +8,14 @@
 import mode
 
 from balsamway.clock import now
+from balsamway.store.batch import Batch
 from balsamway.store.backoff import Backoff
 from balsamway.store.object_store import Changes, HistoryGone, Listing
 from balsamway.store.store import Unavailable
 
 if TYPE_CHECKING:
     import random
+    from collections.abc import Callable
 
     from balsamway.store.object_store import ObjectStore
     from balsamway.store.store import StoredObject
@@ -21,6 +23,10 @@
 OUTAGE_SECONDS = 1.0
 """Calls that fail for longer than this mean that the store is away; one
 broken connection is mended sooner."""
+VOUCH_SECONDS = 1.6
+"""How long an answer that another host had from the store is relied on. A
+change is in force two seconds after it, though that host's connection to the
+store may go silent, or that host may end, just before the change."""
 LONGEST_BACKOFF_SECONDS = 0.5
 """Bounds how late the end of an outage is noticed."""
 
@@ -48,7 +54,11 @@
 
 
 class KindWatch(mode.Service):
-    """Lists a kind, then watches it, and begins again when cut off."""
+    """Lists a kind, then watches it, and begins again when cut off.
+
+    It rests while another host, which watches the same kind, vouches that all
+    changes are known here.
+    """
 
     def __init__(
         self,
@@ -74,7 +84,8 @@
         self._store = store
         self._kind = kind
         self._handler = handler
-        self._wait_seconds = wait_seconds
+        self.wait_seconds = wait_seconds
+        """How long the next call waits for a change."""
         self._rearm_seconds = rearm_seconds
         self._backoff = Backoff(
             rng, first_seconds=0.1, longest_seconds=LONGEST_BACKOFF_SECONDS
@@ -84,6 +95,10 @@
         self._failing_since: float | None = None
         self._objects: dict[str, StoredObject] = {}
         self._known_revision = -1
+        self._changed_revision = -1
+        self._vouched_until = float("-inf")
+        self._was_vouched = False
+        self._listeners: list[Callable[[Batch], None]] = []
 
     @property
     def label(self) -> str:
@@ -100,6 +115,16 @@
         """The revision of the store up to which changes are known."""
         return self._known_revision
 
+    @property
+    def changed_revision(self) -> int:
+        """A revision after which no change is known."""
+        return self._changed_revision
+
+    @property
+    def is_vouched(self) -> bool:
+        """Whether another host vouches that all changes are known here."""
+        return now() < self._vouched_until
+
     @property
     def objects(self) -> tuple[StoredObject, ...]:
         """The objects as last known, which a peer may take over."""
@@ -120,6 +145,44 @@
         )
         self._put_all(objects, revision)
 
+    def listen(self, listener: Callable[[Batch], None]) -> None:
+        """Has a function called with what each watch of this host finds.
+
+        Args:
+            listener: Called with the changes of one answer.
+        """
+        self._listeners.append(listener)
+
+    def on_batch(self, batch: Batch) -> None:
+        """Takes over changes that another host's watch found.
+
+        Changes that do not follow on what is known here are left out; then
+        nobody vouches for this host, and it asks the store.
+
+        Args:
+            batch: The changes.
+        """
+        if batch.since <= self._known_revision < batch.revision:
+            self._apply(batch)
+
+    def on_vouched(self, changed_revision: int, revision: int, age: float) -> None:
+        """Notes how far another host follows the store.
+
+        Args:
+            changed_revision: The revision after which it knows no change.
+            revision: The revision up to which it knows all changes.
+            age: How many seconds ago the store told it so.
+        """
+        if self._known_revision < changed_revision or age >= VOUCH_SECONDS:
+            return
+        if self.is_failing:
+            self._on_regained()
+        self._known_revision = max(self._known_revision, revision)
+        self._revision = self._known_revision
+        self._answered_at = now() - age
+        self._vouched_until = self._answered_at + VOUCH_SECONDS
+        self._was_vouched = True
+
     @property
     def is_failing(self) -> bool:
         """Whether the last call failed."""
@@ -128,7 +191,9 @@
     @mode.Service.task
     async def _follow(self) -> None:
         while not self.should_stop:
-            if self._revision is None:
+            if self.is_vouched:
+                await self.sleep(self._vouched_until - now())
+            elif self._revision is None:
                 await self._list()
             else:
                 await self._watch(self._revision)
@@ -137,54 +202,77 @@
         match await self._store.list(self._kind):
             case Listing(objects=objects, revision=revision):
                 self._on_answer()
-                self._put_all(objects, revision)
-                self._revision = revision
+                if revision >= self._known_revision:
+                    self._put_all(objects, revision)
+                self._revision = self._known_revision
             case Unavailable(reason=reason):
                 await self._on_failure(reason)
 
     async def _watch(self, revision: int) -> None:
-        match await self._store.watch(self._kind, revision, self._wait_seconds):
-            case Changes(changed=changed, removed=removed, revision=revision):
+        match await self._store.watch(self._kind, revision, self.wait_seconds):
+            case Changes(changed=changed, removed=removed, revision=found):
                 self._on_answer()
-                for name in removed:
-                    self._objects.pop(name, None)
-                    self._handler.on_removed(name)
-                for found in changed:
-                    self._objects[found.name] = found
-                    self._handler.on_changed(found)
-                self._revision = self._known_revision = revision
+                # Another host's watch may have told more meanwhile.
+                if found >= self._known_revision:
+                    batch = Batch(self._known_revision, found, changed, removed)
+                    self._apply(batch)
+                    for listener in self._listeners:
+                        listener(batch)
+                self._revision = self._known_revision
                 if changed or removed:
                     await self.sleep(self._rearm_seconds)
             case HistoryGone():
                 logger.info("store-history-gone", extra={"kind": self._kind})
                 self._revision = None
+            case Unavailable(reason=reason) if self.is_vouched:
+                logger.info(
+                    "watch-ended", extra={"kind": self._kind, "reason": reason[:200]}
+                )
             case Unavailable(reason=reason):
                 # What was missed meanwhile is listed whole.
                 self._revision = None
                 await self._on_failure(reason)
 
+    def _apply(self, batch: Batch) -> None:
+        for name in batch.removed:
+            self._objects.pop(name, None)
+            self._handler.on_removed(name)
+        for found in batch.changed:
+            self._objects[found.name] = found
+            self._handler.on_changed(found)
+        self._known_revision = batch.revision
+        if batch.changed or batch.removed:
+            self._changed_revision = batch.revision
+
     def _put_all(self, objects: tuple[StoredObject, ...], revision: int) -> None:
         self._objects = {one.name: one for one in objects}
-        self._known_revision = revision
+        self._known_revision = self._changed_revision = revision
         self._handler.on_listing(objects)
 
     def _on_answer(self) -> None:
-        since = self._failing_since
-        if since is not None:
-            self._failing_since = None
-            seconds = now() - since
-            logger.info(
-                "store-regained",
-                extra={"kind": self._kind, "seconds": round(seconds, 3)},
-            )
-            if seconds > OUTAGE_SECONDS:
-                self._handler.on_returned()
+        if self._failing_since is not None:
+            self._on_regained()
         self._answered_at = now()
+        self._was_vouched = False
         self._backoff.reset()
 
+    def _on_regained(self) -> None:
+        assert self._failing_since is not None
+        seconds = now() - self._failing_since
+        self._failing_since = None
+        logger.info(
+            "store-regained",
+            extra={"kind": self._kind, "seconds": round(seconds, 3)},
+        )
+        if seconds > OUTAGE_SECONDS:
+            self._handler.on_returned()
+
     async def _on_failure(self, reason: str) -> None:
         if self._failing_since is None:
             self._failing_since = now()
+            if self._was_vouched and self._answered_at is not None:
+                # The outage that ended the vouching began unseen by this host.
+                self._failing_since = self._answered_at
             logger.warning(
                 "store-lost", extra={"kind": self._kind, "reason": reason[:200]}
             )
