Measure the rates of keys over a shorter time, right from the first report

Cause: at the start and after each change of leader a key's rate was known to a fifth after 0.4 s and to a half after 1.2 s, since the fading count had not filled; hot keys were placed one plan after the other for three seconds. Ruled out: the time of the moves themselves (tens of ms). Change: the half-life is 0.8 s instead of 1.2 s, counts of less than that are scaled up, and the noise that a plan allows for follows from the time that was really counted. The test that noise moves no keys drew counts of one second, which vary more than the board's; it now plays the board itself, from its first report on.

--- a/src/balsamway/keyspace/load_board.py
+++ b/src/balsamway/keyspace/load_board.py
@@ -11,8 +11,15 @@
 if TYPE_CHECKING:
     from balsamway.keyspace.messages import LoadNotice
 
-HALF_LIFE_SECONDS = 1.2
+REPORT_SECONDS = 0.2
+"""How often hosts report. Requests take a tenth of a second, and a host that
+knows the others' requests of 0.4 s ago sends its own where the queue is."""
+HALF_LIFE_SECONDS = 0.8
 """How fast old requests fade; hot keys change within seconds."""
+RATE_SECONDS = 2 * HALF_LIFE_SECONDS / math.log(2)
+"""The span over which a plain count would vary as much as a fading one."""
+LEAST_COUNTED_SECONDS = 0.8
+"""Counts of a shorter time are not scaled up to a rate; they vary too much."""
 HOST_SECONDS = 20.0
 """How long an entry host counts after its last notice."""
 IN_FLIGHT_SECONDS = 1.5
@@ -90,6 +97,8 @@
         self._hosts: dict[str, tuple[float, str]] = {}
         self._targets: dict[str, TargetLoad] = {}
         self._keys: dict[str, dict[int, float]] = {}
+        self._counted_since: dict[str, float] = {}
+        """Since when the requests of a service have been counted."""
         self._faded_at = now()
 
     @property
@@ -113,6 +122,7 @@
             load.answers += answers
         for service, found in notice.keys.items():
             rates = self._keys.setdefault(service, {})
+            self._counted_since.setdefault(service, now() - REPORT_SECONDS)
             for key, count in found.items():
                 rates[key] = rates.get(key, 0.0) + count
 
@@ -141,10 +151,23 @@
         Args:
             service: The service.
         """
-        # A steady rate of r sums up to r x half life / ln 2.
-        scale = math.log(2) / HALF_LIFE_SECONDS
+        # A steady rate of r sums up to r x half life / ln 2 in the end.
+        reached = 1 - 0.5 ** (self._counted_seconds(service) / HALF_LIFE_SECONDS)
+        scale = math.log(2) / HALF_LIFE_SECONDS / reached
         return {k: n * scale for k, n in self._keys.get(service, {}).items()}
 
+    def rate_seconds(self, service: str) -> float:
+        """Gives the span of a plain count that varies as much as the rates.
+
+        Args:
+            service: The service.
+        """
+        return min(RATE_SECONDS, self._counted_seconds(service))
+
+    def _counted_seconds(self, service: str) -> float:
+        counted = now() - self._counted_since.get(service, now())
+        return max(counted, LEAST_COUNTED_SECONDS)
+
     def targets(self) -> dict[str, TargetLoad]:
         """Gives what is known of each target."""
         return self._targets
--- a/src/balsamway/keyspace/placement.py
+++ b/src/balsamway/keyspace/placement.py
@@ -13,6 +13,7 @@
 
 from balsamway.keyspace._piece import Piece
 from balsamway.keyspace.key_record import KEYS
+from balsamway.keyspace.load_board import RATE_SECONDS
 
 if TYPE_CHECKING:
     from collections.abc import Mapping, Sequence
@@ -26,8 +27,6 @@
 PRIOR_SHARE = 0.1
 SLACK_SHARE = 0.25
 """How far a target may be from its share before keys move."""
-NOISE_SECONDS = 1.2
-"""The span over which rates are measured, for the size of their noise."""
 NOISE_DEVIATIONS = 2.0
 LEAST_MOVE_SHARE = 0.04
 """Moves that bring less than this of a mean share are left out."""
@@ -84,6 +83,7 @@
         segments: Sequence[Segment],
         rates: Mapping[int, float],
         targets: Sequence[PlacedTarget],
+        rate_seconds: float = RATE_SECONDS,
     ) -> None:
         """Takes in the state to plan for.
 
@@ -91,7 +91,10 @@
             segments: The segments in force.
             rates: The requests a second for each key that has any.
             targets: The targets that may hold keys.
+            rate_seconds: The time over which the rates were counted, for the
+                size of their noise.
         """
+        self._rate_seconds = rate_seconds
         self._targets = {one.holder: one for one in targets}
         total = sum(rates.values())
         prior = max(PRIOR_PER_SECOND, PRIOR_SHARE * total)
@@ -186,7 +189,7 @@
         if holder in self._reserved:
             return LEAST_MOVE_SHARE * self._total / len(self._targets)
         wanted = self._wanted(holder)
-        noise = NOISE_DEVIATIONS * math.sqrt(max(wanted, 1.0) / NOISE_SECONDS)
+        noise = NOISE_DEVIATIONS * math.sqrt(max(wanted, 1.0) / self._rate_seconds)
         return SLACK_SHARE * wanted + noise
 
     def _add(self, holder: Holder, piece: Piece) -> None:
--- a/src/balsamway/keyspace/service_leader.py
+++ b/src/balsamway/keyspace/service_leader.py
@@ -231,6 +231,7 @@
             self._keys.record.settle(self._keys.settled()).segments,
             self._board.key_rates(self._keys.service),
             self._placed(),
+            self._board.rate_seconds(self._keys.service),
         )
         return placement.plan(balances=unsettled < RELIEF_MOVES)
 
--- a/src/balsamway/node/load_reporter.py
+++ b/src/balsamway/node/load_reporter.py
@@ -6,6 +6,7 @@
 
 import mode
 
+from balsamway.keyspace.load_board import REPORT_SECONDS
 from balsamway.keyspace.messages import FleetNotice, KeyMapNotice, LoadNotice
 
 if TYPE_CHECKING:
@@ -17,10 +18,6 @@
     from balsamway.keyspace.load_board import LoadBoard
     from balsamway.peers.peers import Peers
 
-REPORT_SECONDS = 0.2
-"""How often hosts report. Requests take a tenth of a second, and a host that
-knows the others' requests of 0.4 s ago sends its own where the queue is."""
-
 
 class LoadReporter(mode.Service):
     """Sends this host's load to the leader, and as leader tells the sums."""
--- a/tests/forwarding/test_choice_under_load.py
+++ b/tests/forwarding/test_choice_under_load.py
@@ -17,7 +17,7 @@
 from balsamway.forwarding.target_choice import choose_target
 from balsamway.forwarding.target_state import TargetState
 from balsamway.forwarding.work_estimates import WorkEstimates
-from balsamway.node.load_reporter import REPORT_SECONDS
+from balsamway.keyspace.load_board import REPORT_SECONDS
 from tests.forwarding.conftest import target
 
 pytestmark = pytest.mark.looptime
--- a/tests/keyspace/test_placement.py
+++ b/tests/keyspace/test_placement.py
@@ -1,11 +1,14 @@
 from __future__ import annotations
 
+import asyncio
 import random
 from collections import defaultdict
 
 import pytest
 
 from balsamway.keyspace.holder import Holder
+from balsamway.keyspace.load_board import REPORT_SECONDS, LoadBoard
+from balsamway.keyspace.messages import LoadNotice
 from balsamway.keyspace.placement import KEYS, PlacedTarget, Placement, even_split
 from balsamway.keyspace.segment import Segment
 
@@ -96,15 +99,32 @@
     assert spread["t1"] < spread["t2"] < spread["t3"]
 
 
-def test_noise_moves_no_keys():
+@pytest.mark.looptime
+async def test_noise_moves_no_keys():
+    """An even load, as the board measures it from its first report."""
     rng = random.Random(4)
     found = targets(*[1.0] * 12)
     segments = split(found)
-    for _ in range(40):
-        rates = defaultdict(float)
-        for _ in range(200):
-            rates[rng.randrange(KEYS)] += 1.0
-        assert Placement(segments, rates, found).plan() == {}
+    board = LoadBoard()
+    for _ in range(int(40 / REPORT_SECONDS)):
+        await asyncio.sleep(REPORT_SECONDS)
+        counts = defaultdict(int)
+        for _ in range(int(200 * REPORT_SECONDS)):
+            counts[rng.randrange(KEYS)] += 1
+        board.add(LoadNotice("h", "z", "a", {}, {"s": dict(counts)}, {}))
+        board.fade({})
+        rates, span = board.key_rates("s"), board.rate_seconds("s")
+        assert Placement(segments, rates, found, span).plan() == {}
+
+
+@pytest.mark.looptime
+async def test_rates_are_known_soon_after_the_first_report():
+    board = LoadBoard()
+    for _ in range(int(1.0 / REPORT_SECONDS)):
+        await asyncio.sleep(REPORT_SECONDS)
+        board.fade({})
+        board.add(LoadNotice("h", "z", "a", {}, {"s": {7: 20}}, {}))
+    assert board.key_rates("s")[7] == pytest.approx(20 / REPORT_SECONDS, rel=0.25)
 
 
 @pytest.mark.parametrize("speed", [0.3, 1.0, 1.6])
