--- a/src/balsamway/forwarding/target_state.py
+++ b/src/balsamway/forwarding/target_state.py
@@ -23,7 +23,7 @@
 FIRST_AVOID_SECONDS = 0.3
 LONGEST_AVOID_SECONDS = 2.0
 """How long a target without a connection is passed over, doubling."""
-DRAIN_SHARE = 0.6
+DRAIN_SHARE = 0.25
 """The part of its time to drain, from when this host learnt of it, in which a
 target still gets requests for the keys that it holds; the rest allows for how
 late that is learnt."""
--- a/src/balsamway/node/entry_node.py
+++ b/src/balsamway/node/entry_node.py
@@ -217,7 +217,8 @@
         began = now()
         self._is_draining = True
         logger.info("draining", extra={"in_progress": self._listener.in_progress})
-        await self.lease.resign()
+        # The store may leave this without an answer until the host must end.
+        self.add_future(self.lease.resign())
         grace = self._settings.bounds.grace_seconds
         await self._listener.drain(DRAIN_IDLE_SHARE * grace, DRAIN_WHOLE_SHARE * grace)
         logger.info(
--- a/src/balsamway/node/watch_relay.py
+++ b/src/balsamway/node/watch_relay.py
@@ -23,7 +23,7 @@
 WATCH_SECONDS = 2.0
 """How long a watch waits at most. It bounds how long a connection that went
 silent hides a change, which must be in force two seconds later."""
-LEADER_WATCH_SECONDS = 1.0
+LEADER_WATCH_SECONDS = 0.7
 """The same for the leader, so that its answers are fresh enough to vouch for
 the others until its next notice; see `VOUCH_SECONDS`."""
 PROGRESS_SECONDS = 0.4
--- a/src/balsamway/store/kind_watch.py
+++ b/src/balsamway/store/kind_watch.py
@@ -24,10 +24,11 @@
 OUTAGE_SECONDS = 1.0
 """Calls that fail for longer than this mean that the store is away; one
 broken connection is mended sooner."""
-VOUCH_SECONDS = 1.6
-"""How long an answer that another host had from the store is relied on. A
-change is in force two seconds after it, though that host's connection to the
-store may go silent, or that host may end, just before the change."""
+VOUCH_SECONDS = 1.3
+"""How long an answer that another host had from the store is relied on. That
+host's connection may go silent, or that host may end, just before a change;
+two seconds after it a leaving target must have had the last of what its keys
+still bring, for which `DRAIN_SHARE` leaves half a second."""
 LONGEST_BACKOFF_SECONDS = 0.5
 """Bounds how late the end of an outage is noticed."""
 
--- a/tests/node/test_entry_node.py
+++ b/tests/node/test_entry_node.py
@@ -98,6 +98,22 @@
         ).encode()
 
 
+class HangingWrites:
+    """A store whose writes get no answer from some moment on."""
+
+    def __init__(self, store):
+        self.store = store
+        self.hangs = False
+
+    def __getattr__(self, name):
+        return getattr(self.store, name)
+
+    async def write(self, *args):
+        if self.hangs:
+            await asyncio.sleep(30)
+        return await self.store.write(*args)
+
+
 class Deployment:
     def __init__(self):
         self.store = MemoryStore()
@@ -267,6 +283,22 @@
     await asyncio.wait_for(draining, 2)
 
 
+async def test_a_leader_that_the_store_leaves_hanging_stops_in_time(deployment):
+    """It resigns beside the rest, not before it."""
+    await deployment.add_target("i-3", "plain")
+    store = HangingWrites(deployment.store)
+    node, settings = await deployment.add_node("n1", store=store)
+    await until(lambda: node.lease.epoch is not None)
+    await until(node.is_ready)
+    store.hangs = True
+    draining = asyncio.create_task(node.drain())
+    await asyncio.sleep(0.05)
+    status, headers, _ = await request(settings, "/p/x")
+    assert (status, headers["connection"]) == (200, "close")
+    assert node.lease.epoch is None
+    await asyncio.wait_for(draining, 2)
+
+
 async def test_metrics_and_state_are_served(deployment):
     await deployment.add_target("i-3", "plain")
     node, settings = await deployment.add_node("n1")
--- a/tests/node/test_watch_relay.py
+++ b/tests/node/test_watch_relay.py
@@ -14,8 +14,9 @@
 
 pytestmark = pytest.mark.looptime
 
-IN_FORCE_SECONDS = 2.0
-"""How soon a change must be in force on every host."""
+IN_FORCE_SECONDS = 1.5
+"""How soon a change must be known on every host; a target that leaves still
+gets what its keys bring for half a second, and nothing after two."""
 HOSTS = "abcd"
 
 
