Split addresses in one place, hand batches on whole, and name servers so

Read over the whole change again; behaviour stays as it is. - The split of ip:port stood in nine places; split_address serves all. - The scripted rename had called two HTTP servers and a test's server targets. - ObjectsChanged carries the Batch and ObjectsAnswer the StoredObjects themselves, where each was taken apart and put together again on both ends. - The lease's end kept what was known by saving and restoring it around a call that cleared it; the part that does not clear is a method of its own. - The messages between hosts get a test through their codec, which the relay's test goes around.

--- a/src/balsamway/daemon/operator_listener.py
+++ b/src/balsamway/daemon/operator_listener.py
@@ -9,6 +9,8 @@
 from aiohttp import web
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
 
+from balsamway.address import split_address
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -58,8 +60,7 @@
         application.router.add_get("/health", self._on_health)
         self._runner = web.AppRunner(application, access_log=None)
         await self._runner.setup()
-        ip, _, port = self._address.rpartition(":")
-        await web.TCPSite(self._runner, ip, int(port)).start()
+        await web.TCPSite(self._runner, *split_address(self._address)).start()
 
     async def on_stop(self) -> None:
         """Closes the listener."""
--- a/src/balsamway/entry/entry_listener.py
+++ b/src/balsamway/entry/entry_listener.py
@@ -8,6 +8,7 @@
 
 import mode
 
+from balsamway.address import split_address
 from balsamway.clock import now
 from balsamway.entry.caller_connection import CallerConnection
 from balsamway.observe.line_limit import LineLimit
@@ -79,9 +80,9 @@
 
     async def on_start(self) -> None:
         """Starts to listen."""
-        ip, _, port = self._listen_address.rpartition(":")
+        ip, port = split_address(self._listen_address)
         self._server = await asyncio.get_running_loop().create_server(
-            lambda: CallerConnection(self), ip, int(port), backlog=BACKLOG
+            lambda: CallerConnection(self), ip, port, backlog=BACKLOG
         )
         logger.info("callers-listening", extra={"address": self.address})
 
--- a/src/balsamway/exchange/connection_pool.py
+++ b/src/balsamway/exchange/connection_pool.py
@@ -6,6 +6,7 @@
 import collections
 from typing import TYPE_CHECKING
 
+from balsamway.address import split_address
 from balsamway.clock import now
 from balsamway.exchange.not_sent import NotSent
 from balsamway.exchange.target_connection import TargetConnection
@@ -119,15 +120,13 @@
         connection.close()
 
     async def _open(self) -> TargetConnection | NotSent:
-        ip, _, port = self.address.rpartition(":")
         loop = asyncio.get_running_loop()
         self._opening += 1
         began = now()
         try:
+            ip, port = split_address(self.address)
             async with asyncio.timeout(CONNECT_SECONDS):
-                _, connection = await loop.create_connection(
-                    TargetConnection, ip, int(port)
-                )
+                _, connection = await loop.create_connection(TargetConnection, ip, port)
         except TimeoutError:
             self._wake()
             return NotSent(f"no connection after {now() - began:.3f} s")
--- a/src/balsamway/gateway/caller_listener.py
+++ b/src/balsamway/gateway/caller_listener.py
@@ -9,6 +9,7 @@
 import mode
 from aiohttp import web
 
+from balsamway.address import split_address
 from balsamway.gateway._caller_protocol import CallerServer
 from balsamway.gateway.answer import answer_of
 from balsamway.gateway.body import read_body
@@ -78,7 +79,7 @@
 
     async def on_start(self) -> None:
         """Starts to listen."""
-        target = CallerServer(
+        server = CallerServer(
             self._on_request,
             handler_cancellation=True,
             access_log=None,
@@ -87,10 +88,9 @@
             max_headers=self._limits.headers,
             lingering_time=LINGERING_SECONDS,
         )
-        runner = web.ServerRunner(target)
+        runner = web.ServerRunner(server)
         await runner.setup()
-        ip, port = self._listen_address.rsplit(":", 1)
-        self._site = web.TCPSite(runner, ip, int(port))
+        self._site = web.TCPSite(runner, *split_address(self._listen_address))
         await self._site.start()
         self._runner = runner
         logger.info("callers-listening", extra={"address": self.address})
--- a/src/balsamway/keyspace/hold_bound.py
+++ b/src/balsamway/keyspace/hold_bound.py
@@ -37,7 +37,7 @@
     @property
     def until(self) -> float:
         """When every grant that was sent has run out."""
-        return max(self._settled, *self._open.values(), self._settled)
+        return max([self._settled, *self._open.values()])
 
     def begin(self, hold_seconds: float, timeout_seconds: float) -> int:
         """Notes a grant that is about to be sent.
--- a/src/balsamway/keyspace/leader_lease.py
+++ b/src/balsamway/keyspace/leader_lease.py
@@ -124,15 +124,9 @@
         Args:
             reason: Why.
         """
-        if self._epoch is None:
-            return
-        logger.warning(
-            "leadership-lost", extra={"epoch": self._epoch, "reason": reason}
-        )
-        self._epoch = None
-        self._authority_until = float("-inf")
-        self.elected.clear()
-        self._known = None
+        if self._epoch is not None:
+            self._end_leadership(reason)
+            self._known = None
 
     def on_heard(self, stored: StoredLease) -> None:
         """Takes over what the leader says that it stored.
@@ -228,7 +222,8 @@
         lease = Lease(epoch, self._host, self._own_address, self._next_beat())
         sent = now()
         if not await self._put(lease, version):
-            self._known = None if version is None else self._known
+            if version is None:
+                self._known = None
             await self.sleep(RETRY_SECONDS * self._rng.uniform(0.5, 1.5))
             return
         if now() >= sent + LEASE_SECONDS:
@@ -271,19 +266,23 @@
                 if found == lease:
                     return True
                 if (found.epoch, found.host) != (lease.epoch, self._host):
-                    self._lose(f"{found.host or 'nobody'} holds epoch {found.epoch}")
+                    reason = f"{found.host or 'nobody'} holds epoch {found.epoch}"
+                    self._end_leadership(reason)
             case Absent():
-                self._lose("the lease was removed")
+                self._end_leadership("the lease was removed")
             case Unavailable():
                 pass
         return False
 
-    def _lose(self, reason: str) -> None:
-        if self._epoch is not None:
-            known = self._known
-            since = self._known_since
-            self.abandon(reason)
-            self._known, self._known_since = known, since
+    def _end_leadership(self, reason: str) -> None:
+        if self._epoch is None:
+            return
+        logger.warning(
+            "leadership-lost", extra={"epoch": self._epoch, "reason": reason}
+        )
+        self._epoch = None
+        self._authority_until = float("-inf")
+        self.elected.clear()
 
     def _know(self, stored: StoredLease) -> bool:
         """Takes over a version of the lease, unless it is known or older.
--- a/src/balsamway/node/messages.py
+++ b/src/balsamway/node/messages.py
@@ -6,6 +6,8 @@
 
 from balsamway.keyspace.stored_lease import StoredLease
 from balsamway.peers.codec import message
+from balsamway.store.batch import Batch
+from balsamway.store.store import StoredObject
 
 
 @message("objects-query")
@@ -23,8 +25,8 @@
     """The objects of the kinds that the asked host knows better."""
 
     revisions: dict[str, int]
-    objects: dict[str, list[tuple[str, int, bytes]]]
-    """For each kind the name, version and body of each object."""
+    objects: dict[str, tuple[StoredObject, ...]]
+    """For each kind all of its objects."""
     leader: tuple[int, str, str] | None
     """The epoch, name and peer address of the leader."""
     peers: dict[str, str]
@@ -39,13 +41,7 @@
     epoch: int
     """The leader's epoch."""
     kind: str
-    since: int
-    """The revision of the change before these."""
-    revision: int
-    """The revision up to which these are all changes."""
-    changed: list[tuple[str, int, bytes]]
-    """The name, version and body of each object that was written."""
-    removed: list[str]
+    batch: Batch
 
 
 @message("store-progress")
--- a/src/balsamway/node/object_relay.py
+++ b/src/balsamway/node/object_relay.py
@@ -8,7 +8,6 @@
 import mode
 
 from balsamway.node.messages import ObjectsAnswer, ObjectsQuery
-from balsamway.store.store import StoredObject
 
 if TYPE_CHECKING:
     import random
@@ -90,10 +89,7 @@
         for kind, objects in answer.objects.items():
             watch = self._watches.get(kind)
             if watch is not None:
-                watch.take_over(
-                    tuple(StoredObject(*one) for one in objects),
-                    answer.revisions[kind],
-                )
+                watch.take_over(objects, answer.revisions[kind])
         if answer.leader is not None:
             self._reporter.on_leader_named(answer.leader)
         for name, address in answer.peers.items():
@@ -109,10 +105,7 @@
         }
         return ObjectsAnswer(
             {kind: watch.known_revision for kind, watch in known.items()},
-            {
-                kind: [(one.name, one.version, one.body) for one in watch.objects]
-                for kind, watch in known.items()
-            },
+            {kind: watch.objects for kind, watch in known.items()},
             self._reporter.known_leader,
             dict(self._addresses),
         )
--- a/src/balsamway/node/readiness_listener.py
+++ b/src/balsamway/node/readiness_listener.py
@@ -7,6 +7,8 @@
 import mode
 from aiohttp import web
 
+from balsamway.address import split_address
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -32,8 +34,7 @@
         """Starts to listen."""
         self._runner = web.ServerRunner(web.Server(self._on_request, access_log=None))
         await self._runner.setup()
-        ip, _, port = self._address.rpartition(":")
-        await web.TCPSite(self._runner, ip, int(port)).start()
+        await web.TCPSite(self._runner, *split_address(self._address)).start()
 
     async def on_stop(self) -> None:
         """Stops to listen."""
--- a/src/balsamway/node/watch_relay.py
+++ b/src/balsamway/node/watch_relay.py
@@ -9,8 +9,6 @@
 
 from balsamway.clock import now
 from balsamway.node.messages import ObjectsChanged, StoreProgress
-from balsamway.store.batch import Batch
-from balsamway.store.store import StoredObject
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Mapping
@@ -18,6 +16,7 @@
     from balsamway.keyspace.leader_lease import LeaderLease
     from balsamway.keyspace.stored_lease import StoredLease
     from balsamway.peers.peers import Peers
+    from balsamway.store.batch import Batch
     from balsamway.store.kind_watch import KindWatch
 
 WATCH_SECONDS = 2.0
@@ -91,14 +90,8 @@
 
     def _on_found(self, kind: str, batch: Batch) -> None:
         epoch = self._lease.epoch
-        if epoch is None or not (batch.changed or batch.removed):
-            return
-        changed = [(one.name, one.version, one.body) for one in batch.changed]
-        self._send(
-            ObjectsChanged(
-                epoch, kind, batch.since, batch.revision, changed, list(batch.removed)
-            )
-        )
+        if epoch is not None and not batch.is_empty:
+            self._send(ObjectsChanged(epoch, kind, batch))
 
     def _on_given_up(self, stored: StoredLease) -> None:
         """Tells the others that they may claim the lease."""
@@ -111,12 +104,8 @@
 
     async def _on_changed(self, sender: str, message: Any) -> None:
         watch = self._watches.get(message.kind)
-        if watch is None or message.epoch < self._epoch:
-            return
-        objects = tuple(StoredObject(*one) for one in message.changed)
-        watch.on_batch(
-            Batch(message.since, message.revision, objects, tuple(message.removed))
-        )
+        if watch is not None and message.epoch >= self._epoch:
+            watch.on_batch(message.batch)
 
     async def _on_progress(self, sender: str, message: Any) -> None:
         epoch = message.stored.lease.epoch
--- a/src/balsamway/peers/peer_link.py
+++ b/src/balsamway/peers/peer_link.py
@@ -9,6 +9,7 @@
 
 import mode
 
+from balsamway.address import split_address
 from balsamway.exchange.socket_options import bound_silence
 from balsamway.peers._framing import frames
 from balsamway.peers.codec import Frame, encode
@@ -119,10 +120,10 @@
         self._disconnect()
 
     async def _connect(self, address: str) -> None:
-        ip, _, port = address.rpartition(":")
         try:
+            ip, port = split_address(address)
             async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
-                reader, writer = await asyncio.open_connection(ip, int(port))
+                reader, writer = await asyncio.open_connection(ip, port)
         except (OSError, ValueError):
             return
         bound_silence(writer.transport)
--- a/src/balsamway/peers/peer_listener.py
+++ b/src/balsamway/peers/peer_listener.py
@@ -8,6 +8,7 @@
 
 import mode
 
+from balsamway.address import split_address
 from balsamway.exchange.socket_options import bound_silence
 from balsamway.peers._framing import frames
 from balsamway.peers.codec import Frame, encode
@@ -38,26 +39,26 @@
         super().__init__()
         self._address = address
         self._dispatch = dispatch
-        self._target: asyncio.Server | None = None
+        self._server: asyncio.Server | None = None
         self._streams: set[asyncio.StreamWriter] = set()
 
     @property
     def address(self) -> str:
         """The `ip:port` that the listener is bound to."""
-        if self._target is None:
+        if self._server is None:
             return self._address
-        ip, port = self._target.sockets[0].getsockname()[:2]
+        ip, port = self._server.sockets[0].getsockname()[:2]
         return f"{ip}:{port}"
 
     async def on_start(self) -> None:
         """Binds the address."""
-        ip, _, port = self._address.rpartition(":")
-        self._target = await asyncio.start_server(self._on_stream, ip, int(port))
+        ip, port = split_address(self._address)
+        self._server = await asyncio.start_server(self._on_stream, ip, port)
 
     async def on_stop(self) -> None:
         """Closes the listener and every stream."""
-        if self._target is not None:
-            self._target.close()
+        if self._server is not None:
+            self._server.close()
         for writer in self._streams:
             writer.close()
 
--- a/src/balsamway/platform/target_decoder.py
+++ b/src/balsamway/platform/target_decoder.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from balsamway.address import split_address
 from balsamway.discovery import TargetEntry
 
 logger = logging.getLogger(__name__)
@@ -38,9 +39,9 @@
     """
     try:
         found = msgspec.json.decode(body, type=_Entry)
-        ip, _, port = found.address.rpartition(":")
+        ip, port = split_address(found.address)
         ipaddress.IPv4Address(ip)
-        if not 0 < int(port) < 65_536:
+        if not 0 < port < 65_536:
             raise ValueError(f"port {port}")
     except (msgspec.MsgspecError, ValueError) as error:
         logger.warning(
--- a/src/balsamway/standins/http_standin.py
+++ b/src/balsamway/standins/http_standin.py
@@ -8,6 +8,8 @@
 import mode
 from aiohttp import web
 
+from balsamway.address import split_address
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
@@ -73,9 +75,9 @@
         )
         await runner.setup()
         self._runner = runner
-        host, _, port = self._listen_address.rpartition(":")
+        ip, port = split_address(self._listen_address)
         loop = asyncio.get_running_loop()
-        self._listener = await loop.create_server(self._protocol, host, int(port))
+        self._listener = await loop.create_server(self._protocol, ip, port)
 
     async def on_stop(self) -> None:
         """Stops listening and closes the connections."""
--- a/src/balsamway/store/batch.py
+++ b/src/balsamway/store/batch.py
@@ -3,10 +3,8 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
 
-if TYPE_CHECKING:
-    from balsamway.store.store import StoredObject
+from balsamway.store.store import StoredObject
 
 
 @dataclass(frozen=True, slots=True)
@@ -21,3 +19,8 @@
     """The objects as of `revision`."""
     removed: tuple[str, ...]
     """The names of the objects that are not there as of `revision`."""
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether nothing changed."""
+        return not self.changed and not self.removed
--- a/src/balsamway/store/kind_watch.py
+++ b/src/balsamway/store/kind_watch.py
@@ -223,7 +223,7 @@
             self._objects[found.name] = found
             self._handler.on_changed(found)
         self._known_revision = batch.revision
-        if batch.changed or batch.removed:
+        if not batch.is_empty:
             self._changed_revision = batch.revision
 
     def _put_all(self, objects: tuple[StoredObject, ...], revision: int) -> None:
--- a/tests/fakes/configuration_platform.py
+++ b/tests/fakes/configuration_platform.py
@@ -14,19 +14,19 @@
         self.answers = []
         self.requests = []
         self.closes = False
-        self._target = None
+        self._server = None
         self._writers = []
 
     @property
     def url(self):
-        ip, port = self._target.sockets[0].getsockname()
+        ip, port = self._server.sockets[0].getsockname()
         return f"http://{ip}:{port}"
 
     async def start(self):
-        self._target = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
 
     async def stop(self):
-        self._target.close()
+        self._server.close()
         for writer in self._writers:
             writer.close()
 
--- /dev/null
+++ b/tests/node/test_messages.py
@@ -0,0 +1,36 @@
+from __future__ import annotations
+
+import msgpack
+import pytest
+
+from balsamway.keyspace.stored_lease import Lease, StoredLease
+from balsamway.node.messages import (
+    ObjectsAnswer,
+    ObjectsChanged,
+    ObjectsQuery,
+    StoreProgress,
+)
+from balsamway.peers import codec
+from balsamway.store.batch import Batch
+from balsamway.store.store import StoredObject
+
+FOUND = StoredObject("i-1", 7, b'{"a":"\xff"}')
+
+
+@pytest.mark.parametrize(
+    "message",
+    [
+        ObjectsQuery({"targets": 3}),
+        ObjectsAnswer(
+            {"targets": 7}, {"targets": (FOUND,)}, (2, "a", "a:1"), {"b": "b:1"}
+        ),
+        ObjectsAnswer({}, {}, None, {}),
+        ObjectsChanged(2, "targets", Batch(3, 7, (FOUND,), ("i-2",))),
+        StoreProgress(
+            1.5, StoredLease(9, Lease(2, "a", "a:1", 4)), {"targets": (3, 7, 0.2)}
+        ),
+    ],
+)
+def test_a_message_comes_back_as_it_was_sent(message):
+    sent = codec.encode(codec.Frame(0, False, message))
+    assert codec.decode(msgpack.unpackb(sent)).message == message
