Let fixtures read the clock that their test pauses

Cause: looptime pauses the clock for a test's body only. An asynchronous fixture read the machine's clock, which counts from its start, so that what it noted lay in the future of the test.

Ruled out: the code that the tests check. A clock that goes back by hours does not exist outside of the tests. Kept as it is, so that nothing hides the fault.

Before: tests/test_paused_clock.py failed, 2 of 2 (the fixture read 155 s, the test 0 s). After: 2 passed.

Conclusion: the fixtures of a test that is marked looptime run with the paused clock too, in one place for all of them.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import inspect
 import random
 
 import pytest
@@ -16,6 +17,27 @@
     return random.Random(20261204)
 
 
+def _is_async(function):
+    return inspect.iscoroutinefunction(function) or inspect.isasyncgenfunction(function)
+
+
+@pytest.hookimpl(wrapper=True, tryfirst=True)
+def pytest_fixture_setup(fixturedef, request):
+    """Lets the fixtures of a test with a paused clock read that clock.
+
+    looptime pauses the clock for the body of a test alone. What a fixture
+    noted by the machine's clock, which counts from its start, would lie in
+    the test's future.
+    """
+    if not _is_async(fixturedef.func) or fixturedef.scope != "function":
+        return (yield)
+    if request.node.get_closest_marker("looptime") is None:
+        return (yield)
+    loop = request.getfixturevalue("_function_scoped_runner").get_loop()
+    with loop.looptime_enabled():
+        return (yield)
+
+
 def pytest_collection_modifyitems(items):
     known_red = read_known_red()
     for item in items:
