Let a leader that gave up tell the next one what it had granted

Cause: a leader that is cut off from the targets, just as the grant of a lost target has run out, stands down; the next one knew nothing of that and blocked every slice for a whole grant, also those whose only possible holder was a target that had never got the order, or was long without a grant. A key was served again after 5.286 s (bound 5 s), or 7.08 s in a test that cuts the leader off at the very write of the activation.

Change: the next leader asks the one before, for 0.1 s and beside its first promises. A leader whose authority has ended answers who alone may hold each slice, when the grants of each target run out and when the last view ends. It notes each grant before it sends it and sends none afterwards, so the answer is complete; a lost leader gives none, and all is as before.

--- a/src/balsamway/ownership/claim.py
+++ b/src/balsamway/ownership/claim.py
@@ -43,6 +43,8 @@
     """When a majority had adopted, by the runtime's clock."""
     first: bool
     """Whether the shard had no leader before."""
+    previous: Witness | None = None
+    """The leader of the epoch before; None if that is not known."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -84,14 +86,19 @@
             Whether this host leads the shard.
         """
         if not found.roster_gone and self._won_before(found.record):
-            return await self._adopt(found.record, found.object_version or 0, False)
+            return await self._adopt(found.record, found.object_version or 0)
         record = self._next_record(found)
         if not record.roster:
             return NotClaimed("no witnesses known")
         version = await self._write(record, found.object_version)
         if version is None:
             return NotClaimed("update not won")
-        return await self._adopt(record, version, found.record is None)
+        result = await self._adopt(record, version)
+        if not isinstance(result, Claimed):
+            return result
+        if found.record is None:
+            return replace(result, first=True)
+        return replace(result, previous=found.record.leader)
 
     def _won_before(self, record: ShardRecord | None) -> TypeGuard[ShardRecord]:
         """Tells whether an update won earlier was not acted upon yet."""
@@ -160,9 +167,7 @@
             return None
         return current.version if ours else None
 
-    async def _adopt(
-        self, record: ShardRecord, object_version: int, first: bool
-    ) -> ClaimResult:
+    async def _adopt(self, record: ShardRecord, object_version: int) -> ClaimResult:
         waits = [
             asyncio.create_task(self._adopt_one(record, witness))
             for witness in record.roster
@@ -173,7 +178,7 @@
                 needed -= await done
                 if needed == 0:
                     self._led_epoch = record.leader_epoch
-                    return Claimed(record, object_version, now(), first)
+                    return Claimed(record, object_version, now(), first=False)
         finally:
             for wait in waits:
                 wait.cancel()
--- a/src/balsamway/ownership/leadership_service.py
+++ b/src/balsamway/ownership/leadership_service.py
@@ -15,7 +15,10 @@
 from balsamway.membership.workspace_zones import WorkspaceZones
 from balsamway.ownership.claim import Claim, Claimed
 from balsamway.ownership.follower import Follower
+from balsamway.ownership.last_grants import LastGrants
 from balsamway.ownership.messages import (
+    LapseAnswer,
+    LapseRequest,
     ReachAnswer,
     ReachRequest,
     ViewAnswer,
@@ -77,6 +80,8 @@
         self._loads = loads
         self._tasks: dict[ShardId, asyncio.Future[Any]] = {}
         self._leaders: dict[ShardId, ShardLeader] = {}
+        self._last_grants: dict[ShardId, LastGrants] = {}
+        """Of the last leader of each shard here whose authority has ended."""
 
     @property
     def led(self) -> tuple[LedShard, ...]:
@@ -91,6 +96,7 @@
         """Answers gateways that ask for views."""
         self._cluster.peers.handle(ViewRequest, self._on_view_request)
         self._cluster.peers.handle(ReachRequest, self._on_reach_request)
+        self._cluster.peers.handle(LapseRequest, self._on_lapse_request)
 
     async def on_stop(self) -> None:
         """Gives up every leadership."""
@@ -186,6 +192,8 @@
             await leader.wait(leader.lapsed)
         finally:
             self._leaders.pop(shard, None)
+            leader.context.authority.end()
+            self._last_grants[shard] = LastGrants(leader)
             await leader.stop()
         if leader.stood_down:
             await self.sleep(STAND_DOWN_SECONDS)
@@ -217,6 +225,20 @@
     ) -> ReachAnswer:
         return await answer_reach(self._cluster, request)
 
+    async def _on_lapse_request(
+        self, sender: str, request: LapseRequest
+    ) -> LapseAnswer | None:
+        leader = self._leaders.get(request.shard)
+        found = self._last_grants.get(request.shard)
+        if leader is not None and leader.context.authority.ended:
+            found = LastGrants(leader)
+        if found is None or (found.leader, found.epoch) != (
+            request.leader,
+            request.epoch,
+        ):
+            return None
+        return found.answer()
+
     async def _on_view_request(self, sender: str, request: ViewRequest) -> ViewAnswer:
         leader = self._leaders.get(request.shard)
         if leader is None:
--- a/src/balsamway/ownership/messages/__init__.py
+++ b/src/balsamway/ownership/messages/__init__.py
@@ -2,7 +2,10 @@
 
 from balsamway.ownership.messages.adopt_answer import AdoptAnswer
 from balsamway.ownership.messages.adopt_request import AdoptRequest
+from balsamway.ownership.messages.granted_slice import GrantedSlice
 from balsamway.ownership.messages.key_load import KeyLoad
+from balsamway.ownership.messages.lapse_answer import LapseAnswer
+from balsamway.ownership.messages.lapse_request import LapseRequest
 from balsamway.ownership.messages.leader_query import LeaderQuery
 from balsamway.ownership.messages.leader_query_answer import LeaderQueryAnswer
 from balsamway.ownership.messages.load_report import LoadReport
@@ -15,6 +18,7 @@
 from balsamway.ownership.messages.store_answer import StoreAnswer, StoreOutcome
 from balsamway.ownership.messages.store_read import StoreRead
 from balsamway.ownership.messages.store_write import StoreWrite
+from balsamway.ownership.messages.target_lapse import TargetLapse
 from balsamway.ownership.messages.view_answer import ViewAnswer
 from balsamway.ownership.messages.view_notice import ViewNotice
 from balsamway.ownership.messages.view_notice_answer import ViewNoticeAnswer
@@ -23,7 +27,10 @@
 __all__ = [
     "AdoptAnswer",
     "AdoptRequest",
+    "GrantedSlice",
     "KeyLoad",
+    "LapseAnswer",
+    "LapseRequest",
     "LeaderQuery",
     "LeaderQueryAnswer",
     "LoadReport",
@@ -37,6 +44,7 @@
     "StoreOutcome",
     "StoreRead",
     "StoreWrite",
+    "TargetLapse",
     "ViewAnswer",
     "ViewNotice",
     "ViewNoticeAnswer",
--- a/src/balsamway/ownership/recovery.py
+++ b/src/balsamway/ownership/recovery.py
@@ -10,7 +10,10 @@
 from balsamway.clock import now
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable, Mapping
+
     from balsamway.ownership.grant_keeper import GrantKeeper
+    from balsamway.ownership.messages import GrantedSlice, TargetLapse
     from balsamway.ownership.shard_state import ShardState
     from balsamway.slices import SliceEntry
 
@@ -50,6 +53,33 @@
         for entry in self._state.record.slices:
             self._state.block(entry.range, self._lapse)
 
+    def shorten(
+        self, granted: Iterable[GrantedSlice], lapses: Mapping[str, TargetLapse]
+    ) -> None:
+        """Takes over what the leader before last granted.
+
+        It may have granted a slice to another target than the store names,
+        as it does while the store is down; that one may hold it. The target
+        that alone may hold a slice is granted it again at once.
+
+        Args:
+            granted: Its slices; those of other ranges stay blocked for long.
+            lapses: When the grants of each target run out, by its name.
+        """
+        for one in granted:
+            entry = self._state.entry(one.range)
+            if entry is None:
+                continue
+            if one.epoch > entry.epoch:
+                entry = replace(entry, owner=one.owner, epoch=one.epoch, moving_to="")
+                self._state.replace_entries([entry])
+            until = now() + one.others_seconds
+            if entry.owner != one.owner:
+                lapse = lapses.get(one.owner)
+                held = self._lapse if lapse is None else now() + lapse.seconds
+                until = max(until, held)
+            self._state.block(one.range, min(self._lapse, until))
+
     async def survey(self, keeper: GrantKeeper) -> None:
         """Asks a target what it holds, until it answers or that has lapsed.
 
--- a/src/balsamway/ownership/shard_leader.py
+++ b/src/balsamway/ownership/shard_leader.py
@@ -12,6 +12,7 @@
 from balsamway.ownership.authority import Authority
 from balsamway.ownership.grant_keeper import GrantKeeper
 from balsamway.ownership.handover import Handover
+from balsamway.ownership.last_grants import ask_for_last_grants
 from balsamway.ownership.leaving import Leaving
 from balsamway.ownership.loss import Loss
 from balsamway.ownership.messages import ViewAnswer, ViewRequest
@@ -33,6 +34,7 @@
     from balsamway.ownership.claim import Claimed
     from balsamway.ownership.cluster import Cluster
     from balsamway.ownership.load_source import LoadSource
+    from balsamway.ownership.messages import TargetLapse
     from balsamway.store import Host
 
 logger = logging.getLogger(__name__)
@@ -74,6 +76,9 @@
         timing = cluster.timing
         longest = max(timing.grant, timing.view) * cluster.allowance
         self._earlier_until = 0.0 if claimed.first else claimed.adopted_at + longest
+        self._claimed = claimed
+        self._lapses: dict[str, TargetLapse] = {}
+        """What the leader before knew of the targets."""
         self._cluster = cluster
         self._state = ShardState(record)
         self._authority = Authority(record.roster)
@@ -118,6 +123,11 @@
         """The leader's epoch."""
         return self._state.record.leader_epoch
 
+    @property
+    def earlier_until(self) -> float:
+        """When every grant and view of earlier leaders has surely ended."""
+        return self._earlier_until
+
     @property
     def in_power(self) -> bool:
         """Whether the leader may act now."""
@@ -173,7 +183,11 @@
 
     @mode.Service.task
     async def _lead(self) -> None:
-        if not await self._promises.establish():
+        established, last = await asyncio.gather(
+            self._promises.establish(),
+            ask_for_last_grants(self._cluster, self._claimed),
+        )
+        if not established:
             self._authority.end()
             self.lapsed.set()
             return
@@ -181,6 +195,10 @@
             "leadership taken",
             extra={"shard": str(self._state.record.shard), "epoch": self.epoch},
         )
+        if last is not None:
+            self._lapses = {one.name: one for one in last.targets}
+            self._recovery.shorten(last.slices, self._lapses)
+            self._context.views.shorten(now() + last.views_seconds)
         self.add_future(self._promises.keep())
         surveys = [
             self.add_future(self._take_over(keeper)) for keeper in self._add_targets()
@@ -288,18 +306,28 @@
             if target.name in self._keepers:
                 self._keepers[target.name].target = target
                 continue
-            keeper = GrantKeeper(
-                self._cluster,
-                self._state,
-                self._authority,
-                target,
-                self._earlier_until,
-                self._context.views.refresh,
-            )
+            keeper = self._new_keeper(target)
             self._keepers[target.name] = keeper
             added.append(keeper)
         return added
 
+    def _new_keeper(self, target: Host) -> GrantKeeper:
+        lapse = self._lapses.get(target.name)
+        until = self._earlier_until
+        if lapse is not None:
+            until = min(until, now() + lapse.seconds)
+        keeper = GrantKeeper(
+            self._cluster,
+            self._state,
+            self._authority,
+            target,
+            until,
+            self._context.views.refresh,
+        )
+        if lapse is not None:
+            keeper.checks = lapse.checks
+        return keeper
+
     def _known_targets(self) -> list[Host]:
         directory = self._cluster.directory
         shard = self._state.record.shard
--- a/src/balsamway/ownership/view_server.py
+++ b/src/balsamway/ownership/view_server.py
@@ -74,6 +74,14 @@
         """When the view of each gateway ends, by the runtime's clock."""
         return dict(self._ends)
 
+    def shorten(self, earlier_until: float) -> None:
+        """Notes what the leader before said of the views that it gave.
+
+        Args:
+            earlier_until: When every view of earlier leaders has ended.
+        """
+        self._earlier_until = min(self._earlier_until, earlier_until)
+
     def open(self) -> None:
         """Begins to answer, once it is known what targets hold."""
         self._open = True
--- a/tests/ownership/test_losses.py
+++ b/tests/ownership/test_losses.py
@@ -65,6 +65,32 @@
         assert world.overlaps() == []
 
 
+@pytest.mark.parametrize("checks", [True, False])
+@pytest.mark.parametrize("moment", [0.0, 0.11, 0.23, 0.37])
+async def test_a_leader_is_cut_off_from_targets_as_a_lost_ones_grant_lapses(
+    checks, moment
+):
+    async with World(checks=checks) as world:
+        await asyncio.sleep(5 + moment)
+        lost_at = asyncio.get_running_loop().time()
+        world.targets.targets["s1"].lose()
+        activation = Injection(
+            lambda step: (
+                step.operation == "write" and b'"owner":"s1"' not in step.detail
+            ),
+            act=lambda step: world.targets.down_hosts.add(step.source),
+        )
+        world.faults.inject(activation)
+        await world.until(lambda: activation.reached == 1)
+        cut_at = asyncio.get_running_loop().time()
+        await world.until_served()
+        served_at = asyncio.get_running_loop().time()
+        assert served_at - lost_at < LEADER_AND_TARGET_LOSS_SECONDS
+        # The next leader need not wait until a whole grant has passed.
+        assert served_at - cut_at < world.timing.grant
+        assert world.overlaps() == []
+
+
 async def test_a_frozen_target_returns_without_owning_anything(world):
     async with world:
         target = world.targets.targets["s1"]
