--- a/src/balsamway/keyspace/placed_target.py
+++ b/src/balsamway/keyspace/placed_target.py
@@ -27,7 +27,9 @@
 
     holder: Holder
     speed: float
-    """How many requests a second it can serve, relative to the others."""
+    """How many requests a second it can serve."""
+    slots: int = 1
+    """How many requests it runs at a time."""
 
 
 def placed_targets(
@@ -53,6 +55,6 @@
         relative = usual / seconds.get(entry.name, usual)
         if entry.warmup_seconds > 0 and entry.name not in seconds:
             relative /= COLD_FACTOR
-        speed = min(FASTEST, max(SLOWEST, relative)) * entry.capacity
-        placed.append(PlacedTarget(Holder(*entry.key), speed))
+        speed = min(FASTEST, max(SLOWEST, relative)) * entry.capacity / usual
+        placed.append(PlacedTarget(Holder(*entry.key), speed, entry.capacity))
     return placed
