--- a/src/balsamway/keyspace/_piece.py
+++ b/src/balsamway/keyspace/_piece.py
@@ -7,9 +7,6 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
 
-OVERSIZE = 1.5
-"""How much more than was wanted a part may carry."""
-
 
 class Piece:
     """A range of keys with the load on it."""
@@ -33,55 +30,20 @@
         """The load for each key."""
         return self.load / (self.last - self.first + 1)
 
-    def cut_densest(self, amount: float) -> tuple[Piece, list[Piece]]:
-        """Cuts out the fewest adjacent keys that carry an amount of load.
-
-        Keys that change hands are slow for a while and are paid for, whether
-        they are busy or not.
+    def cut_densest(self, amount: float) -> tuple[Piece, Piece | None]:
+        """Cuts about an amount of load off the side with the busier keys.
 
         Args:
             amount: The load wanted.
 
         Returns:
-            The keys cut out, and what is left before and after them.
-        """
-        begin, end = self._densest(amount)
-        if begin == end:
-            part, rest = self.cut(amount)
-            return part, [] if rest is None else [rest]
-        first, last = self._busy[begin][0], self._busy[end - 1][0]
-        rests = []
-        if self.first < first:
-            before = self._busy[:begin]
-            rests.append(Piece(self.first, first - 1, before, self._per_key))
-        if last < self.last:
-            rests.append(Piece(last + 1, self.last, self._busy[end:], self._per_key))
-        return Piece(first, last, self._busy[begin:end], self._per_key), rests
-
-    def _densest(self, amount: float) -> tuple[int, int]:
-        """Finds the shortest run of busy keys that carries about a load.
-
-        Returns:
-            Its begin and end in the list of busy keys; twice the same place
-            where there is none.
+            The keys cut off, and the rest if there is any.
         """
-        best, shortest = (0, 0), self.last - self.first + 1
-        begin = 0
-        load = 0.0
-        for end, (last, rate) in enumerate(self._busy, 1):
-            load += rate
-            while begin + 1 < end:
-                lighter = load - self._busy[begin][1]
-                keys = last - self._busy[begin + 1][0] + 1
-                if lighter + self._per_key * keys < amount:
-                    break
-                load = lighter
-                begin += 1
-            keys = last - self._busy[begin][0] + 1
-            carried = load + self._per_key * keys
-            if amount <= carried <= OVERSIZE * amount and keys < shortest:
-                best, shortest = (begin, end), keys
-        return best
+        part, rest = self.cut(amount)
+        other, last = self.cut(self.load - amount)
+        if last is None or rest is None:
+            return part, rest
+        return (part, rest) if part.density >= last.density else (last, other)
 
     def isolate(self, rate: float) -> list[Piece]:
         """Cuts out each key that is busier than a rate.
--- a/src/balsamway/keyspace/placed_target.py
+++ b/src/balsamway/keyspace/placed_target.py
@@ -27,9 +27,7 @@
 
     holder: Holder
     speed: float
-    """How many requests a second it can serve."""
-    slots: int = 1
-    """How many requests it runs at a time."""
+    """How many requests a second it can serve, relative to the others."""
 
 
 def placed_targets(
@@ -55,6 +53,6 @@
         relative = usual / seconds.get(entry.name, usual)
         if entry.warmup_seconds > 0 and entry.name not in seconds:
             relative /= COLD_FACTOR
-        speed = min(FASTEST, max(SLOWEST, relative)) * entry.capacity / usual
-        placed.append(PlacedTarget(Holder(*entry.key), speed, entry.capacity))
+        speed = min(FASTEST, max(SLOWEST, relative)) * entry.capacity
+        placed.append(PlacedTarget(Holder(*entry.key), speed))
     return placed
--- a/src/balsamway/keyspace/placement.py
+++ b/src/balsamway/keyspace/placement.py
@@ -10,10 +10,9 @@
 from collections import defaultdict
 from typing import TYPE_CHECKING
 
-from balsamway.keyspace._piece import OVERSIZE, Piece
+from balsamway.keyspace._piece import Piece
 from balsamway.keyspace.key_record import KEYS
 from balsamway.keyspace.load_board import RATE_SECONDS
-from balsamway.keyspace.load_shares import load_shares
 
 if TYPE_CHECKING:
     from collections.abc import Mapping, Sequence
@@ -113,8 +112,6 @@
         self._moves: dict[tuple[int, int], Holder] = {}
         self._reserved: dict[Holder, float] = {}
         """The load of each target that serves one hot key only."""
-        self._shares: dict[Holder, float] = {}
-        """The load that each target is to have, once it was worked out."""
 
     def plan(self, balances: bool = True) -> dict[tuple[int, int], Holder]:
         """Plans the moves that are worth making now.
@@ -154,7 +151,6 @@
             if self._targets[fastest].speed > FASTER * self._targets[home].speed:
                 home = fastest
             self._reserved[home] = piece.load
-            self._shares = {}
             if home != holder:
                 self._pieces[holder].remove(piece)
                 self._move(piece, holder, home)
@@ -167,15 +163,15 @@
         self._loads[taker] += piece.load
 
     def _wanted(self, holder: Holder) -> float:
-        if not self._shares:
-            rest = max(0.0, self._total - sum(self._reserved.values()))
-            free = {
-                name: one
-                for name, one in self._targets.items()
-                if name not in self._reserved
-            }
-            self._shares = load_shares(rest, free) | self._reserved
-        return self._shares[holder]
+        if holder in self._reserved:
+            return self._reserved[holder]
+        speeds = sum(
+            one.speed
+            for one in self._targets.values()
+            if one.holder not in self._reserved
+        )
+        rest = self._total - sum(self._reserved.values())
+        return max(0.0, rest) * self._targets[holder].speed / speeds
 
     def _surplus(self, holder: Holder) -> float:
         return self._loads[holder] - self._wanted(holder)
@@ -240,13 +236,12 @@
             return found
         larger = [one for one in pieces if one.load > amount and one.first < one.last]
         if larger and self._may_split():
-            cuts = [(one, *one.cut_densest(amount)) for one in larger]
-            found, part, rests = min(cuts, key=lambda one: one[1].last - one[1].first)
-            if not rests or part.load > OVERSIZE * amount:
+            found = max(larger, key=lambda one: one.density)
+            part, rest = found.cut_densest(amount)
+            if rest is None or part.load > 1.5 * amount:
                 return None
             self._pieces[giver].remove(found)
-            self._pieces[giver] += rests
-            self._count += len(rests) - 1
+            self._pieces[giver].append(rest)
             return part
         smaller = [one for one in pieces if one.load <= amount]
         if not smaller:
