Pass a target's own failure on if no other target serves

Cause: a safe request that one target answered with 500 goes to another; where that one refused, broke off or was late, the caller got a 502 or 504 of ours in place of the answer that a target had made.

Ruled out: an unsafe request, which is never sent again after an answer; a success of the later attempt, which wins as before.

Conclusion: callers get the answer of the target that ran their request.

--- a/src/balsamway/forwarding/request_run.py
+++ b/src/balsamway/forwarding/request_run.py
@@ -88,6 +88,8 @@
         """The target, start and finding of each attempt so far."""
         self._arrivals = 0
         self._may_have_run = False
+        self._failure: Completed | None = None
+        """What a target answered that failed; passed on if none serves."""
         self._tried: set[str] = set()
 
     @property
@@ -102,6 +104,8 @@
 
     def late(self) -> Verdict:
         """Gives the verdict on a request whose deadline has passed."""
+        if self._failure is not None:
+            return self._failure
         if self._may_have_run:
             return MayHaveRun(Reason.DEADLINE_EXCEEDED)
         return NotRun(
@@ -137,8 +141,10 @@
                 case _:
                     if isinstance(verdict, NotRun):
                         return self._refuse(verdict)
+                    if isinstance(verdict, Completed):
+                        self._failure = verdict
                     if not self._may_repeat():
-                        return verdict
+                        return self._failure or verdict
 
     async def _next_target(self) -> TargetState | NotRun:
         if self.seconds_left < LEAST_ATTEMPT_SECONDS:
@@ -281,6 +287,8 @@
 
     def _refuse(self, verdict: Verdict) -> Verdict:
         """Ends the request, unless an earlier attempt may have run."""
+        if self._failure is not None:
+            return self._failure
         if self._may_have_run and not isinstance(verdict, Completed):
             return MayHaveRun(Reason.CONNECTION_LOST, "an earlier attempt may have run")
         if isinstance(verdict, NotRun) and verdict.retry_after_seconds is None:
--- a/tests/forwarding/test_forwarder.py
+++ b/tests/forwarding/test_forwarder.py
@@ -77,6 +77,22 @@
     assert isinstance(verdict, MayHaveRun)
 
 
+@pytest.mark.parametrize("later", [Finding.SHED, Finding.UNREACHABLE, Finding.BROKEN])
+async def test_a_targets_own_failure_is_passed_on_if_no_other_serves(setup, later):
+    setup.transport.findings = [Finding.FAILED, later]
+    verdict = await setup.request()
+    assert isinstance(verdict, Completed)
+    assert verdict.status == 500
+
+
+async def test_a_targets_own_failure_is_passed_on_if_time_runs_out(setup):
+    setup.transport.findings = [Finding.FAILED, Finding.LATE]
+    setup.transport.seconds = 0.9
+    verdict = await setup.request()
+    assert isinstance(verdict, Completed)
+    assert verdict.status == 500
+
+
 async def test_attempts_end_at_the_routes_limit(setup):
     setup.adopt(attempts_at_most=3)
     setup.transport.findings = [Finding.BROKEN]
