Report loads in fewer bytes, and less often in large fleets

Cause: the leader tells every host of every target, five times a second. The numbers were sent as floats of nine bytes each.

Change: milliseconds and counts are whole numbers, and hosts report each 0.2 s up to 16 hosts, then less often, down to once in 0.8 s.

--- a/src/balsamway/forwarding/target_state.py
+++ b/src/balsamway/forwarding/target_state.py
@@ -156,13 +156,18 @@
         doubled = FIRST_AVOID_SECONDS * 2 ** (self._unreachable_in_a_row - 1)
         self._avoid_until = now() + min(LONGEST_AVOID_SECONDS, doubled)
 
-    def take_counts(self) -> tuple[int, int, int, float]:
-        """Gives what a report says, and begins to count anew."""
+    def take_counts(self) -> tuple[int, int, int, int]:
+        """Gives what a report says, and begins to count anew.
+
+        Returns:
+            The requests in flight, the answers, and the number and summed
+            milliseconds of the answers that found no queue.
+        """
         counts = (
             self.in_flight,
             self.answered,
             self.prompt_answers,
-            round(self.prompt_seconds, 4),
+            round(1000 * self.prompt_seconds),
         )
         self.answered = self.prompt_answers = 0
         self.prompt_seconds = 0.0
--- a/src/balsamway/keyspace/key_view.py
+++ b/src/balsamway/keyspace/key_view.py
@@ -74,9 +74,9 @@
             return
         self._noticed_at = now()
         owners = tuple(
-            KeyOwner(*notice.holders[place], ready, now() + wait)
-            for place, ready, wait in zip(
-                notice.places, notice.ready, notice.waits, strict=True
+            KeyOwner(*notice.holders[place], ready, now() + wait_ms / 1000)
+            for place, ready, wait_ms in zip(
+                notice.places, notice.ready, notice.waits_ms, strict=True
             )
         )
         self._put(notice.service, _ServiceView(order, notice.lasts, owners))
--- a/src/balsamway/keyspace/load_board.py
+++ b/src/balsamway/keyspace/load_board.py
@@ -14,6 +14,12 @@
 REPORT_SECONDS = 0.2
 """How often hosts report. Requests take a tenth of a second, and a host that
 knows the others' requests of 0.4 s ago sends its own where the queue is."""
+HOSTS_AT_FULL_RATE = 16
+"""With more hosts than this they report less often, so that what the leader
+sends does not grow with their square. The largest of today's deployments have
+twelve, and a few that may be added."""
+LONGEST_REPORT_SECONDS = 0.8
+"""So that hosts miss a notice without taking the leader for lost."""
 HALF_LIFE_SECONDS = 0.8
 """How fast old requests fade; hot keys change within seconds."""
 RATE_SECONDS = 2 * HALF_LIFE_SECONDS / math.log(2)
@@ -35,6 +41,16 @@
 """Rates below this are forgotten."""
 
 
+def report_seconds(hosts: int) -> float:
+    """Gives how often each host reports, and the leader tells all of them.
+
+    Args:
+        hosts: How many entry hosts there are.
+    """
+    seconds = REPORT_SECONDS * max(1.0, hosts / HOSTS_AT_FULL_RATE)
+    return min(LONGEST_REPORT_SECONDS, seconds)
+
+
 @dataclass(slots=True)
 class TargetLoad:
     """What the hosts report of a target, summed."""
@@ -84,7 +100,7 @@
         weight = answers / (answers + SERVICE_SAMPLES)
         self.service_seconds += weight * (seconds - self.service_seconds)
 
-    def total_in_flight(self) -> float:
+    def total_in_flight(self) -> int:
         """Sums the requests in flight that lately were reported."""
         since = now() - IN_FLIGHT_SECONDS
         return sum(count for at, count in self.in_flight.values() if at >= since)
@@ -115,10 +131,10 @@
         """
         self._hosts[notice.host] = (now(), notice.address)
         for name, counts in notice.targets.items():
-            in_flight, answers, prompt_answers, prompt_seconds = counts
+            in_flight, answers, prompt_answers, prompt_ms = counts
             load = self._targets.setdefault(name, TargetLoad())
             load.in_flight[notice.host] = (now(), in_flight)
-            load.add_prompt(prompt_answers, prompt_seconds)
+            load.add_prompt(prompt_answers, prompt_ms / 1000)
             load.answers += answers
         for service, found in notice.keys.items():
             rates = self._keys.setdefault(service, {})
--- a/src/balsamway/keyspace/messages.py
+++ b/src/balsamway/keyspace/messages.py
@@ -24,8 +24,8 @@
     """The place of each segment's holder among the holders."""
     ready: tuple[bool, ...]
     """Whether the holder of each segment has accepted its grant."""
-    waits: tuple[float, ...]
-    """How many seconds that should take, for each segment."""
+    waits_ms: tuple[int, ...]
+    """How many milliseconds that should take, for each segment."""
 
 
 @message("load")
@@ -37,9 +37,9 @@
     zone: str
     address: str
     """Where the host listens for its peers."""
-    targets: dict[str, tuple[int, int, int, float]]
+    targets: dict[str, tuple[int, int, int, int]]
     """For each target: requests in flight, answers, and the number and summed
-    seconds of those answers that found no queue."""
+    milliseconds of those answers that found no queue."""
     keys: dict[str, dict[int, int]]
     """For each service: how many requests came for each key."""
     seen: dict[str, tuple[int, int]]
@@ -57,6 +57,6 @@
     """Where the leader listens for its peers."""
     hosts: int
     """How many entry hosts there are."""
-    targets: dict[str, tuple[float, float]]
-    """For each target: requests in flight from all hosts, and the seconds
+    targets: dict[str, tuple[int, int]]
+    """For each target: requests in flight from all hosts, and the milliseconds
     that a request takes there without a queue."""
--- a/src/balsamway/keyspace/service_keys.py
+++ b/src/balsamway/keyspace/service_keys.py
@@ -198,7 +198,7 @@
             tuple(one.last for one in self.record.segments),
             tuple(places),
             tuple(self.is_confirmed(one) for one in self.record.segments),
-            tuple(round(self._wait(one), 2) for one in self.record.segments),
+            tuple(round(1000 * self._wait(one)) for one in self.record.segments),
         )
 
     def _wait(self, segment: Segment) -> float:
--- a/src/balsamway/node/load_reporter.py
+++ b/src/balsamway/node/load_reporter.py
@@ -6,7 +6,7 @@
 
 import mode
 
-from balsamway.keyspace.load_board import REPORT_SECONDS
+from balsamway.keyspace.load_board import report_seconds
 from balsamway.keyspace.messages import FleetNotice, KeyMapNotice, LoadNotice
 
 if TYPE_CHECKING:
@@ -62,6 +62,8 @@
         self._board = board
         self.leader: KeyLeader | None = None
         self._heard: tuple[int, str, str] | None = None
+        self._hosts = 1
+        """How many entry hosts the leader last told of."""
         peers.handle(LoadNotice, self._on_load)
         peers.handle(FleetNotice, self._on_fleet)
         peers.handle(KeyMapNotice, self._on_key_map)
@@ -95,7 +97,7 @@
     @mode.Service.task
     async def _report(self) -> None:
         while not self.should_stop:
-            await self.sleep(REPORT_SECONDS)
+            await self.sleep(report_seconds(self._hosts))
             notice = self._notice()
             if self._lease.epoch is not None:
                 self._board.add(notice)
@@ -128,8 +130,8 @@
         self._board.fade(capacities)
         targets = {
             name: (
-                round(load.total_in_flight(), 1),
-                round(load.service_seconds, 4),
+                load.total_in_flight(),
+                round(1000 * load.service_seconds),
             )
             for name, load in self._board.targets().items()
             if load.service_seconds
@@ -160,12 +162,13 @@
     def _take_fleet(self, notice: FleetNotice) -> None:
         self.on_leader_named((notice.epoch, notice.leader, notice.address))
         self._view.on_leader_heard()
+        self._hosts = notice.hosts
         self._forwarder.set_hosts(notice.hosts)
         for state in self._targets.all():
             found = notice.targets.get(state.entry.name)
             if found is None:
                 state.others_in_flight = 0.0
                 continue
-            in_flight, seconds = found
+            in_flight, service_ms = found
             state.others_in_flight = max(0.0, in_flight - state.in_flight)
-            state.service_seconds = seconds
+            state.service_seconds = service_ms / 1000
--- a/tests/forwarding/test_choice_under_load.py
+++ b/tests/forwarding/test_choice_under_load.py
@@ -81,7 +81,8 @@
             await asyncio.sleep(REPORT_SECONDS)
             for _, states, _ in self.hosts:
                 for state in states:
-                    _, _, prompt, seconds = state.take_counts()
+                    _, _, prompt, prompt_ms = state.take_counts()
+                    seconds = prompt_ms / 1000
                     before = totals.get(state.entry.name, (0, 0.0))
                     totals[state.entry.name] = (before[0] + prompt, before[1] + seconds)
             for _, states, _ in self.hosts:
