Give the keepers of targets and the orders to holders modules of their own

Cause: shard_leader.py had grown to 343 lines and service_leader.py to 348; each made the keepers of targets beside leading.

Change: GrantKeepers makes the keepers of a shard's targets, and HolderOrders sends what a record of keys asks for. What is done, and when, is the same.

Ruled out: a common keeper for both. The product's grants end by the target's clock, and the platform's count from their arrival.

--- a/src/balsamway/keyspace/service_leader.py
+++ b/src/balsamway/keyspace/service_leader.py
@@ -3,19 +3,16 @@
 from __future__ import annotations
 
 import asyncio
-import functools
 import logging
 from typing import TYPE_CHECKING
 
 from balsamway.clock import now
-from balsamway.keyspace.control_line import ControlLine
 from balsamway.keyspace.holder import Holder
+from balsamway.keyspace.holder_orders import HolderOrders
 from balsamway.keyspace.placed_target import PlacedTarget, placed_targets
 from balsamway.keyspace.placement import Placement, even_split
 from balsamway.keyspace.record_writer import RecordRefused, RecordWritten, write_record
 from balsamway.keyspace.segment import Segment
-from balsamway.keyspace.target_keeper import TargetKeeper
-from balsamway.keyspace.vacate import vacate
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
@@ -77,15 +74,18 @@
         self._lease = lease
         self._directory = directory
         self._board = board
-        self._control = control
         self._publish = publish
-        self._keepers: dict[Holder, tuple[TargetKeeper, asyncio.Task[None]]] = {}
-        self._lines: dict[Holder, ControlLine] = {}
-        self._tasks: asyncio.TaskGroup | None = None
+        self._orders = HolderOrders(
+            keys,
+            directory,
+            control,
+            self._may_act,
+            lambda: lease.renewal_failing,
+            self.kick,
+        )
         self._lost_until: dict[Holder, float] = {}
         self._plan_at = now()
         self._dirty = True
-        self._was_outage = False
         self.last_notice: KeyMapNotice | None = None
         """What the gateways were told last."""
 
@@ -95,21 +95,19 @@
         Args:
             tasks: The tasks of this leadership.
         """
-        self._tasks = tasks
         try:
             while True:
                 await self._check_reach()
                 await self._step()
-                self._kick_in_outage()
+                self._orders.kick_in_outage()
                 if self._dirty:
                     self._dirty = False
                     await asyncio.sleep(PUBLISH_SECONDS)
-                    self._carry_out()
+                    self._orders.carry_out(tasks)
                     self.publish()
                 await asyncio.sleep(STEP_SECONDS)
         finally:
-            for line in self._lines.values():
-                line.close()
+            self._orders.close()
 
     def kick(self) -> None:
         """Notes that holders or their readiness changed."""
@@ -130,8 +128,8 @@
             "segments": len(record.segments),
             "vacating": len(list(self._keys.vacating())),
             "targets": {
-                holder.name: round(keeper.failing_seconds, 2)
-                for holder, (keeper, _) in self._keepers.items()
+                holder.name: round(seconds, 2)
+                for holder, seconds in self._orders.failing_seconds.items()
             },
         }
 
@@ -142,20 +140,12 @@
         would take the keys from the targets that all others reach.
         """
         failing = [
-            keeper.failing_seconds > UNREACHED_SECONDS
-            for keeper, _ in self._keepers.values()
+            seconds > UNREACHED_SECONDS
+            for seconds in self._orders.failing_seconds.values()
         ]
         if len(failing) > 2 and sum(failing) * 2 > len(failing):
             await self._lease.stand_down("most targets do not answer")
 
-    def _kick_in_outage(self) -> None:
-        """Has grants renewed for longer as soon as the store seems away."""
-        is_outage = self._lease.renewal_failing
-        if is_outage and not self._was_outage:
-            for keeper, _ in self._keepers.values():
-                keeper.kick()
-        self._was_outage = is_outage
-
     def _may_act(self) -> bool:
         return self._lease.has_authority(self._keys.epoch)
 
@@ -240,10 +230,9 @@
         """Whether a target no longer holds anything and does not answer."""
         if self._lost_until.get(holder, 0.0) > now():
             return True
-        found = self._keepers.get(holder)
-        if found is None:
+        keeper = self._orders.keeper(holder)
+        if keeper is None:
             return False
-        keeper = found[0]
         has_lapsed = self._keys.bound(holder).until < now()
         if keeper.has_ended or (keeper.failing_seconds > 0 and has_lapsed):
             self._lost_until[holder] = now() + LOST_SECONDS
@@ -294,55 +283,3 @@
                 await asyncio.sleep(PLAN_SECONDS)
             case _:
                 self._lease.abandon("the record of the keys was changed elsewhere")
-
-    def _carry_out(self) -> None:
-        """Starts what the record asks for, and has new grants sent."""
-        assert self._tasks is not None
-        for one in self._keys.vacating():
-            if one.task is None or one.task.done():
-                holder = one.previous.holder
-                one.task = self._tasks.create_task(
-                    vacate(
-                        self._keys,
-                        one,
-                        self._line(holder),
-                        self._control,
-                        self._may_act,
-                        functools.partial(self._has_started_again, holder),
-                        self.kick,
-                    )
-                )
-        holders = {one.holder for one in self._keys.record.segments}
-        for holder in holders:
-            line = self._line(holder)
-            if holder not in self._keepers and line is not None:
-                self._start_keeper(holder, line)
-        for holder in [one for one in self._keepers if one not in holders]:
-            self._keepers.pop(holder)[1].cancel()
-        for keeper, _ in self._keepers.values():
-            keeper.kick()
-
-    def _start_keeper(self, holder: Holder, line: ControlLine) -> None:
-        assert self._tasks is not None
-        keeper = TargetKeeper(
-            self._keys,
-            holder,
-            line,
-            self._control,
-            self._may_act,
-            lambda: self._lease.renewal_failing,
-        )
-        self._keepers[holder] = (keeper, self._tasks.create_task(keeper.run()))
-
-    def _line(self, holder: Holder) -> ControlLine | None:
-        entry = self._directory.find(holder.name)
-        line = self._lines.get(holder)
-        if entry is None or entry.incarnation != holder.incarnation:
-            return line
-        if line is None or line.address != entry.address:
-            line = self._lines[holder] = ControlLine(entry.address)
-        return line
-
-    def _has_started_again(self, holder: Holder) -> bool:
-        entry = self._directory.find(holder.name)
-        return entry is not None and entry.incarnation != holder.incarnation
--- a/src/balsamway/ownership/shard_leader.py
+++ b/src/balsamway/ownership/shard_leader.py
@@ -10,7 +10,7 @@
 
 from balsamway.clock import now
 from balsamway.ownership.authority import Authority
-from balsamway.ownership.grant_keeper import GrantKeeper
+from balsamway.ownership.grant_keepers import GrantKeepers
 from balsamway.ownership.handover import Handover
 from balsamway.ownership.last_grants import ask_for_last_grants
 from balsamway.ownership.leaving import Leaving
@@ -33,9 +33,8 @@
     from balsamway.configuration import Weights
     from balsamway.ownership.claim import Claimed
     from balsamway.ownership.cluster import Cluster
+    from balsamway.ownership.grant_keeper import GrantKeeper
     from balsamway.ownership.load_source import LoadSource
-    from balsamway.ownership.messages import TargetLapse
-    from balsamway.store import Host
 
 logger = logging.getLogger(__name__)
 
@@ -77,8 +76,6 @@
         longest = max(timing.grant, timing.view) * cluster.allowance
         self._earlier_until = 0.0 if claimed.first else claimed.adopted_at + longest
         self._claimed = claimed
-        self._lapses: dict[str, TargetLapse] = {}
-        """What the leader before knew of the targets."""
         self._cluster = cluster
         self._state = ShardState(record)
         self._authority = Authority(record.roster)
@@ -95,6 +92,7 @@
         self._context = ShardContext(
             cluster, self._state, self._authority, writer, self._keepers, views
         )
+        self._targets = GrantKeepers(self._context, self._earlier_until)
         self._recovery = Recovery(self._state, self._earlier_until)
         self._handover = Handover(self._context)
         self._loss = Loss(self._context)
@@ -196,12 +194,14 @@
             extra={"shard": str(self._state.record.shard), "epoch": self.epoch},
         )
         if last is not None:
-            self._lapses = {one.name: one for one in last.targets}
-            self._recovery.shorten(last.slices, self._lapses)
+            lapses = {one.name: one for one in last.targets}
+            self._targets.shorten(lapses)
+            self._recovery.shorten(last.slices, lapses)
             self._context.views.shorten(now() + last.views_seconds)
         self.add_future(self._promises.keep())
         surveys = [
-            self.add_future(self._take_over(keeper)) for keeper in self._add_targets()
+            self.add_future(self._take_over(keeper))
+            for keeper in self._targets.add_missing()
         ]
         if surveys:
             await asyncio.wait(surveys, timeout=SURVEY_WAIT_SECONDS)
@@ -228,7 +228,7 @@
     async def _watch_target_list(self) -> None:
         await self._recovered.wait()
         while not self.should_stop and not self._authority.ended:
-            for keeper in self._add_targets():
+            for keeper in self._targets.add_missing():
                 self.add_future(self._take_over(keeper))
             self._leaving.note_listed()
             await self.sleep(TARGET_LIST_SECONDS)
@@ -299,45 +299,3 @@
                 await writer.update(lambda record: record, give_up_at)
                 self._context.views.refresh()
             await self.sleep(FLUSH_CHECK_SECONDS)
-
-    def _add_targets(self) -> list[GrantKeeper]:
-        added = []
-        for target in self._known_targets():
-            if target.name in self._keepers:
-                self._keepers[target.name].target = target
-                continue
-            keeper = self._new_keeper(target)
-            self._keepers[target.name] = keeper
-            added.append(keeper)
-        return added
-
-    def _new_keeper(self, target: Host) -> GrantKeeper:
-        lapse = self._lapses.get(target.name)
-        until = self._earlier_until
-        if lapse is not None:
-            until = min(until, now() + lapse.seconds)
-        keeper = GrantKeeper(
-            self._cluster,
-            self._state,
-            self._authority,
-            target,
-            until,
-            self._context.views.refresh,
-        )
-        if lapse is not None:
-            keeper.checks = lapse.checks
-        return keeper
-
-    def _known_targets(self) -> list[Host]:
-        directory = self._cluster.directory
-        shard = self._state.record.shard
-        found = {
-            one.name: one for one in directory.targets(shard.workspace, shard.service)
-        }
-        for entry in self._state.record.slices:
-            for name in (entry.owner, entry.standby, entry.moving_to):
-                if name and name not in found:
-                    host = directory.target(name)
-                    if host is not None:
-                        found[name] = host
-        return list(found.values())
