Close this side of a caller's connection first, so that its answer arrives

Cause, found by reading: a host that is stopped closes a connection after its last answer. A socket that is closed while bytes come in, or that gets some afterwards, resets the connection and discards what it has not sent yet. A caller that pipelines, or one whose next request crosses the close, then lost an answer that was ready.

Change: the last answer is followed by a half close, and the close comes 0.25 s later. What comes meanwhile stays unread, so that a caller knows that its request was not taken and sends it again.

Ruled out: reading on and discarding, since a request that was read is not sent again by its caller; closing only idle connections, which does not help against a request on its way.

Before: test_a_request_that_crosses_the_close_spoils_no_answer failed with ConnectionResetError.

--- a/src/balsamway/entry/caller_connection.py
+++ b/src/balsamway/entry/caller_connection.py
@@ -28,6 +28,10 @@
 BODY_BUFFER_BYTES = 1 << 20
 PIPELINED_AT_MOST = 32
 """How many requests of a connection are in progress; more wait unread."""
+LINGER_SECONDS = 0.25
+"""How long a connection stays half open after its last answer. A socket that
+is closed while a caller's bytes come in discards what it has not sent yet; the
+largest answers take a few round trips of some ms."""
 
 logger = logging.getLogger(__name__)
 
@@ -55,6 +59,7 @@
         """Whether the connection ends with the answers that are due."""
         self._reads = True
         """Whether bytes that come are taken, while a request may follow."""
+        self._is_half_closed = False
         self.active_at = now()
         """When a byte last came or went."""
         self._head_began: float | None = None
@@ -115,7 +120,22 @@
             self._pause_reading_for_buffer()
 
     def close(self) -> None:
-        """Closes the connection in order."""
+        """Closes this side, and the connection once its answers are sent.
+
+        What the caller sends meanwhile stays unread, so that it knows that
+        its request was not taken.
+        """
+        self._end_reading()
+        transport = self.transport
+        if transport is None or transport.is_closing() or self._is_half_closed:
+            return
+        self._is_half_closed = True
+        transport.pause_reading()
+        transport.write_eof()
+        self._loop.call_later(LINGER_SECONDS, transport.close)
+
+    def drop(self) -> None:
+        """Closes the connection at once."""
         self._end_reading()
         if self.transport is not None:
             self.transport.close()
@@ -175,7 +195,8 @@
             pending = self._answers.popleft()
             if transport is not None:
                 self._write(transport, pending)
-        if self._buffer_paused and len(self._answers) < PIPELINED_AT_MOST:
+        has_room = len(self._answers) < PIPELINED_AT_MOST
+        if self._buffer_paused and has_room and not self._is_half_closed:
             self._resume_reading_for_buffer()
 
     def _write(self, transport: asyncio.Transport, pending: PendingAnswer) -> None:
--- a/src/balsamway/entry/entry_listener.py
+++ b/src/balsamway/entry/entry_listener.py
@@ -92,7 +92,7 @@
             self._server.close()
         logger.info("callers-stopped", extra={"cut": self._in_progress})
         for connection in tuple(self._connections):
-            connection.close()
+            connection.drop()
 
     async def drain(self, idle_seconds: float, whole_seconds: float) -> None:
         """Lets requests end, and then the connections.
--- a/tests/entry/test_caller_connection.py
+++ b/tests/entry/test_caller_connection.py
@@ -1,10 +1,12 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 
 import pytest
 
 from balsamway.entry import EntryListener
+from balsamway.entry.caller_connection import LINGER_SECONDS
 from balsamway.outcome import Completed, MayHaveRun, NotRun, Reason
 from balsamway.platform.caller_codec import PlatformCallerCodec
 from balsamway.routing import CallerLimits
@@ -211,6 +213,41 @@
     await draining
 
 
+async def test_a_request_that_crosses_the_close_spoils_no_answer(gateway, listener):
+    """A socket that is closed while bytes come in drops what it had to send."""
+    listener.is_draining = True
+    gate = gateway.hold("r1")
+    loop = asyncio.get_running_loop()
+    ip, port = listener.address.split(":")
+    with socket.socket() as caller:
+        caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        caller.setblocking(False)
+        await loop.sock_connect(caller, (ip, int(port)))
+        await loop.sock_sendall(caller, get("r1"))
+        while not gateway.requests:
+            await asyncio.sleep(0.005)
+        body = b"x" * 60_000
+        gate.set_result(Completed(200, {"Balsamway-Request-Id": "r1"}, body))
+        await asyncio.sleep(0.02)
+        await loop.sock_sendall(caller, get("r2"))
+        await asyncio.sleep(0.02)
+        found = b""
+        while part := await loop.sock_recv(caller, 4096):
+            found += part
+    assert found.endswith(b"\r\n\r\n" + body)
+    assert len(gateway.requests) == 1
+
+
+async def test_a_closed_connection_does_not_stay(connect, listener):
+    listener.is_draining = True
+    reader, writer = await connect()
+    writer.write(get("r1") + get("r2"))
+    await reader.read()
+    async with asyncio.timeout(LINGER_SECONDS + 1.0):
+        while listener.dump()["connections"]:
+            await asyncio.sleep(0.01)
+
+
 async def test_a_request_late_in_a_drain_is_refused_as_not_run(
     connect, gateway, listener
 ):
