--- a/tests/entry/test_caller_connection.py
+++ b/tests/entry/test_caller_connection.py
@@ -214,7 +214,7 @@
 
 
 async def test_a_request_that_crosses_the_close_spoils_no_answer(gateway, listener):
-    """A socket that is closed while bytes come in drops what it had to send."""
+    """A socket that is closed while bytes come in drops what is not sent."""
     listener.is_draining = True
     gate = gateway.hold("r1")
     loop = asyncio.get_running_loop()
