Take keys from a lost target when its last grant ran out, not later

Cause: a record that gives a lost target's keys away noted until when that target may hold them, with an order under way counted as if it were received. The leader tries again and again to reach a lost target, so one mostly was under way; it then found no connection and was not sent, but the keys waited for it.

Change: the time is the lesser of that note and of what the bound on the holder says now. Both cover every order that may have been received: the bound counts an order before it is sent and drops only what was not sent or was refused.

Ruled out: a wrong bound itself (the keys whose move was written between two tries were free at 11.7 s); silence or a vanished entry as proof of the loss.

Before: test_an_order_that_was_not_sent_does_not_hold_keys_back failed. After: it passes, and so do two tests that an order which may have been received holds keys back, and that orders for other keys do not.

--- a/src/balsamway/keyspace/service_keys.py
+++ b/src/balsamway/keyspace/service_keys.py
@@ -32,13 +32,24 @@
 
     segment: Segment
     previous: Previous
-    until: float
-    """When its grant has run out, whatever it answers."""
+    granted_until: float
+    """When its grant has run out, if each order under way was received."""
+    bound: HoldBound
+    """What the holder was granted, with what became of those orders."""
     is_done: bool = False
     is_unanswered: bool = False
     """Whether the last release got no answer, so that only time helps."""
     task: asyncio.Task[None] | None = None
 
+    @property
+    def until(self) -> float:
+        """When its grant has run out, whatever it answers.
+
+        Orders for other keys may prolong the bound on the holder, but not
+        what it holds of this segment.
+        """
+        return min(self.granted_until, self.bound.until)
+
 
 class ServiceKeys:
     """Holds the record in force and what is known beyond it."""
@@ -228,8 +239,8 @@
                 key = (segment.first, segment.last, previous)
                 known = self._vacating.get(key)
                 if known is None:
-                    until = self.bound(previous.holder).until
-                    known = Vacating(segment, previous, until)
+                    bound = self.bound(previous.holder)
+                    known = Vacating(segment, previous, bound.until, bound)
                     known.is_done = self._part_is_done(segment, previous)
                 known.segment = segment
                 current[key] = known
