Write nothing to a caller's connection that is half closed

Cause, found by reading the change again: a caller that does not read its answers, and whose next head is late, keeps the connection closing for longer than the half second between two checks. The second check then wrote the refusal again, and a write after a half close raises, which ends the check and with it the process.

Before: test_a_half_closed_connection_is_not_written_to failed. After: 23 tests of the package passed.

--- a/src/balsamway/entry/caller_connection.py
+++ b/src/balsamway/entry/caller_connection.py
@@ -142,6 +142,8 @@
 
     def refuse_slow_head(self) -> None:
         """Ends a connection whose request did not arrive in time."""
+        if self._is_half_closed:
+            return
         verdict = NotRun(Reason.BAD_REQUEST, "the head did not arrive in time")
         if self.transport is not None:
             self.transport.write(encode_answer(verdict, None, "GET", closes=True))
--- a/tests/entry/test_caller_connection.py
+++ b/tests/entry/test_caller_connection.py
@@ -238,6 +238,15 @@
     assert len(gateway.requests) == 1
 
 
+async def test_a_half_closed_connection_is_not_written_to(connect, listener):
+    await connect()
+    while not listener._connections:
+        await asyncio.sleep(0.005)
+    (connection,) = listener._connections
+    connection.refuse_slow_head()
+    connection.refuse_slow_head()
+
+
 async def test_a_closed_connection_does_not_stay(connect, listener):
     listener.is_draining = True
     reader, writer = await connect()
