--- a/src/balsamway/exchange/target_connection.py
+++ b/src/balsamway/exchange/target_connection.py
@@ -19,6 +19,8 @@
 from balsamway.targets import header_names
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
+
     from aiohttp.http_parser import RawResponseMessage
     from aiohttp.streams import StreamReader
 
@@ -34,6 +36,14 @@
 Otherwise the target might close it just as a request is written."""
 MAX_HEADER_BYTES = 65_536
 """Bounds the size of a response's status line and of each header."""
+MAX_RESPONSE_BYTES = 8 << 20
+"""Bounds the bytes received in one exchange. A faulty target may send without
+end, and several such responses must fit into the memory of a host."""
+MAX_RESPONSE_HEADS = 32
+"""Bounds the response heads received in one exchange: interim responses, late
+responses to earlier requests, and the response itself."""
+HEAD_END = b"\r\n\r\n"
+"""The bytes at the end of a response head."""
 
 logger = logging.getLogger(__name__)
 
@@ -53,6 +63,10 @@
         ] = asyncio.Queue()
         self._response_body: StreamReader | None = None
         self._parser: HttpResponseParser | None = None
+        self._received_bytes = 0
+        """The number of bytes received in this exchange."""
+        self._received_heads = 0
+        """The number of response heads received in this exchange."""
         self._is_reusable = True
         self._is_closed = False
         self._ended_normally = False
@@ -88,16 +102,25 @@
             if data:
                 self.abort()
             return
-        try:
-            messages, upgraded, tail = self._parser.feed_data(data)
-        except (HttpProcessingError, ValueError) as error:
-            self._fail(error)
-            return
-        if upgraded or tail:
-            self._is_reusable = False
-        for head, payload in messages:
-            self._response_body = payload
-            self._response_heads.put_nowait((head, payload))
+        self._received_bytes += len(data)
+        for piece in _split_after_heads(data):
+            try:
+                messages, upgraded, tail = self._parser.feed_data(piece)
+            except (HttpProcessingError, ValueError) as error:
+                self._fail(error)
+                return
+            if upgraded or tail:
+                self._is_reusable = False
+            for head, payload in messages:
+                self._received_heads += 1
+                self._response_body = payload
+                self._response_heads.put_nowait((head, payload))
+        if (
+            self._received_bytes > MAX_RESPONSE_BYTES
+            or self._received_heads > MAX_RESPONSE_HEADS
+        ):
+            self._fail(ClientPayloadError("the response does not end"))
+            self.abort()
 
     def eof_received(self) -> None:
         """Complete a response whose end is the end of the connection."""
@@ -161,6 +184,7 @@
 
     def _begin_exchange(self, request: HttpRequest) -> None:
         self._response_body = None
+        self._received_bytes = self._received_heads = 0
         self._parser = HttpResponseParser(
             self,
             self._loop,
@@ -232,6 +256,27 @@
         self._response_heads.put_nowait(error)
 
 
+def _split_after_heads(data: bytes) -> Iterator[bytes]:
+    """Yield received bytes in pieces that end where a head may end.
+
+    A parser that fails returns nothing of the same call. A response would be
+    lost with the bytes after it that are none.
+
+    Args:
+        data: The received bytes.
+
+    Yields:
+        The pieces, in order.
+    """
+    begin = 0
+    while (end := data.find(HEAD_END, begin)) >= 0:
+        end += len(HEAD_END)
+        yield data[begin:end]
+        begin = end
+    if begin < len(data):
+        yield data[begin:]
+
+
 def _keep_alive_seconds(response: HttpResponse) -> float:
     for parameter in response.headers.get("Keep-Alive", "").split(","):
         name, _, value = parameter.strip().partition("=")
