--- a/src/balsamway/platform/settings.py
+++ b/src/balsamway/platform/settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import ipaddress
 import os
 import tomllib
 from pathlib import Path
@@ -19,9 +20,11 @@
 DEFAULT_SETTINGS_PATH = "/etc/balsamway/settings.toml"
 """The path of the settings file if the environment variable is not set."""
 
+MAX_PORT = 65_535
+
 Positive = Annotated[float, msgspec.Meta(gt=0)]
 Address = Annotated[str, msgspec.Meta(pattern=r"^[0-9.]+:[0-9]{1,5}$")]
-Port = Annotated[int, msgspec.Meta(gt=0, lt=65_536)]
+Port = Annotated[int, msgspec.Meta(gt=0, le=MAX_PORT)]
 
 
 class _Self(msgspec.Struct, frozen=True):
@@ -74,6 +77,43 @@
     return Path(os.environ.get(SETTINGS_VARIABLE, DEFAULT_SETTINGS_PATH))
 
 
+def _check_addresses(file: _File) -> None:
+    """Check each address, and that no two listeners share one.
+
+    Raises:
+        SettingsError: If one is invalid. The message names key and value.
+    """
+    listen = file.network.listen
+    _check_ip("self.ip", file.self.ip, file.self.ip)
+    listeners = {
+        "network.listen.front": listen.front,
+        "network.listen.readyAddress": listen.ready_address,
+    }
+    if listen.control is not None:
+        listeners["network.listen.control"] = listen.control
+    seeds = {
+        f"network.seeds.{index}": seed for index, seed in enumerate(file.network.seeds)
+    }
+    store = {"platform.platform.address": file.platform.platform.address}
+    for key, address in (listeners | seeds | store).items():
+        ip, _, port = address.rpartition(":")
+        _check_ip(key, ip, address)
+        if not 0 < int(port) <= MAX_PORT:
+            raise SettingsError(f"{key}: {address!r} has no valid port")
+    keys_by_address: dict[str, str] = {}
+    for key, address in listeners.items():
+        other_key = keys_by_address.setdefault(address, key)
+        if other_key != key:
+            raise SettingsError(f"{key}: {address!r} is also {other_key}")
+
+
+def _check_ip(key: str, ip: str, value: str) -> None:
+    try:
+        ipaddress.IPv4Address(ip)
+    except ValueError as error:
+        raise SettingsError(f"{key}: {value!r} has no valid IPv4 address") from error
+
+
 def read_node_settings(path: Path) -> NodeSettings:
     """Read and validate the settings file.
 
@@ -87,8 +127,9 @@
         The settings of this entry host.
 
     Raises:
-        SettingsError: If the file can't be read, is truncated or has a field
-            of the wrong type. The message names the field.
+        SettingsError: If the file can't be read, is truncated, or has a field
+            of the wrong type or an invalid address. The message names the
+            field.
     """
     try:
         decoded = msgspec.convert(tomllib.loads(path.read_text("utf-8")), _File)
@@ -98,6 +139,10 @@
         raise SettingsError(f"{path}: not a complete TOML file: {error}") from error
     except msgspec.ValidationError as error:
         raise SettingsError(f"{path}: {error}") from error
+    try:
+        _check_addresses(decoded)
+    except SettingsError as error:
+        raise SettingsError(f"{path}: {error}") from error
     first_port, last_port = decoded.network.internal_ports
     listen = decoded.network.listen
     bounds = decoded.terms.bounds
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -42,6 +42,25 @@
     "seeds are a number": COMPLETE.replace('["10.1.0.15:8649"]', "7"),
 }
 
+INVALID_ADDRESSES = {
+    "front port": ("10.1.0.15:8641", "10.1.0.15:99999", "network.listen.front"),
+    "readiness port": ("10.1.0.15:8640", "10.1.0.15:0", "network.listen.readyAddress"),
+    "control ip": (
+        'control = "10.1.0.15:8649"',
+        'control = "10.1.0.999:8649"',
+        "network.listen.control",
+    ),
+    "own ip": ('ip = "10.1.0.15"', 'ip = "10.1.0.999"', "self.ip"),
+    "own ip in words": ('ip = "10.1.0.15"', 'ip = "not an ip"', "self.ip"),
+    "seed": ('["10.1.0.15:8649"]', '["10.1.0:8649"]', "network.seeds.0"),
+    "store ip": ("10.200.1.7:8642", "10.200.1.700:8642", "platform.platform.address"),
+    "front is readiness": (
+        "10.1.0.15:8641",
+        "10.1.0.15:8640",
+        "network.listen.readyAddress",
+    ),
+}
+
 
 def test_complete_settings_are_read(tmp_path):
     path = tmp_path / "settings.toml"
@@ -63,6 +82,24 @@
         read_node_settings(path)
 
 
+@pytest.mark.parametrize(
+    ("before", "after", "key"), INVALID_ADDRESSES.values(), ids=INVALID_ADDRESSES
+)
+def test_invalid_address_raises_an_error_that_names_key_and_value(
+    tmp_path, before, after, key
+):
+    path = tmp_path / "settings.toml"
+    assert before in COMPLETE
+    path.write_text(COMPLETE.replace(before, after))
+    with pytest.raises(SettingsError) as raised:
+        read_node_settings(path)
+    message = str(raised.value)
+    assert str(path) in message
+    assert key in message
+    assert after.split('"')[-2 if '"' in after else 0] in message
+    assert "\n" not in message
+
+
 @pytest.mark.parametrize("text", [None, "x", COMPLETE[:90]])
 def test_program_exits_with_the_status_for_invalid_settings(
     tmp_path, monkeypatch, capsys, text
