--- a/src/balsamway/platform/target_transport.py
+++ b/src/balsamway/platform/target_transport.py
@@ -19,6 +19,9 @@
 ACQUIRE_TIMEOUT_SECONDS = 0.5
 """The longest wait for a free connection. The target may begin to drain
 during this wait, and must get no new requests two seconds after that."""
+SEND_MARGIN_SECONDS = 0.01
+"""How long before the deadline the wait for a connection ends. The result
+then says that the request was not sent; at the deadline it might have been."""
 
 
 class PlatformTargetTransport:
@@ -35,7 +38,9 @@
         loop = asyncio.get_running_loop()
         deadline = loop.time() + timeout_seconds
         try:
-            async with asyncio.timeout(min(timeout_seconds, ACQUIRE_TIMEOUT_SECONDS)):
+            async with asyncio.timeout(
+                min(timeout_seconds - SEND_MARGIN_SECONDS, ACQUIRE_TIMEOUT_SECONDS)
+            ):
                 connection = await pool.acquire()
         except TimeoutError:
             refusal = NotRun(Reason.OVERLOADED, "no free connection to the target")
--- a/tests/platform/test_target_transport.py
+++ b/tests/platform/test_target_transport.py
@@ -275,3 +275,22 @@
 
     result = await send(await scripted(script))
     assert isinstance(result.verdict, MayHaveRun)
+
+
+async def test_request_that_gets_no_connection_in_time_is_known_not_to_have_run(
+    scripted, send
+):
+    async def never_answer(received, writer, number):
+        await asyncio.sleep(5)
+
+    target = await scripted(never_answer)
+    busy = [asyncio.create_task(send(target, timeout=3.0)) for _ in range(4)]
+    await asyncio.sleep(0.05)
+    # The forwarder ends the attempt at the deadline, whatever its state.
+    async with asyncio.timeout(0.3):
+        result = await send(target, entry_request("POST", "r2"), timeout=0.3)
+    assert isinstance(result.verdict, NotRun)
+    for task in busy:
+        task.cancel()
+    await asyncio.gather(*busy, return_exceptions=True)
+    assert "r2" not in [request_id_of(received) for received in target.received]
