--- a/src/balsamway/keyspace/grant_renewer.py
+++ b/src/balsamway/keyspace/grant_renewer.py
@@ -140,7 +140,7 @@
     def _may_send(self, segment: Segment) -> bool:
         return (
             self._owner not in self._keys.owners_needing_tokens
-            and segment in self._keys.record.segments
+            and self._keys.is_in_force(segment)
             and self._is_leader()
         )
 
--- a/src/balsamway/keyspace/placement.py
+++ b/src/balsamway/keyspace/placement.py
@@ -34,8 +34,11 @@
 """How many standard deviations of noise are tolerated beside that."""
 MIN_MOVE_FRACTION = 0.04
 """The least load of a move, as a fraction of the mean load of a target."""
-MAX_MOVES = 16
-"""The most ranges that one plan moves to balance the load."""
+MIN_MAX_MOVES = 16
+"""The most ranges that one plan moves to balance the load of few targets."""
+MAX_MOVES_PER_TARGET = 0.25
+"""The same for many targets, per target. Busy keys are as many as targets, and
+each plan waits for the releases of the last one."""
 INITIAL_LOAD_FRACTION = 0.25
 """The load that a target without load gets at first, as a fraction of the mean
 load of a target. Each target also gets about that much at a time of the keys
@@ -45,8 +48,11 @@
 its own."""
 MIN_SPEED_RATIO = 1.5
 """A dominant key moves to another target if that is faster by this factor."""
-MAX_SEGMENTS = 400
-"""The most segments of a service. Nothing is split beyond this number."""
+MIN_MAX_SEGMENTS = 400
+"""The number of segments, with few targets, beyond which nothing is split."""
+MAX_SEGMENTS_PER_TARGET = 3.5
+"""The same for many targets, per target. Each has a range of its own, and keys
+that were busy before stay segments."""
 
 
 def split_by_speed(
@@ -128,6 +134,14 @@
         self._moves: dict[tuple[int, int], TargetIncarnation] = {}
         self._reserved: dict[TargetIncarnation, float] = {}
         """The load of the dominant key of each target that serves only it."""
+        self._shared_speed = sum(target.speed for target in targets)
+        """The sum of the speeds of the targets that are not reserved."""
+        self._shared_load = self._total
+        """The load that these targets share."""
+        self._max_segments = max(
+            MIN_MAX_SEGMENTS, int(MAX_SEGMENTS_PER_TARGET * len(targets))
+        )
+        self._max_moves = max(MIN_MAX_MOVES, int(MAX_MOVES_PER_TARGET * len(targets)))
 
     def plan(
         self, may_balance: bool = True
@@ -149,7 +163,7 @@
             self._assign(load_range)
         if may_balance:
             self._reserve_targets()
-        while may_balance and len(self._moves) < MAX_MOVES and self._balance():
+        while may_balance and len(self._moves) < self._max_moves and self._balance():
             pass
         return self._moves
 
@@ -175,6 +189,8 @@
             ):
                 reserved = fastest
             self._reserved[reserved] = load_range.load
+            self._shared_speed -= self._targets[reserved].speed
+            self._shared_load -= load_range.load
             if reserved != owner:
                 self._ranges[owner].remove(load_range)
                 self._move(load_range, owner, reserved)
@@ -195,13 +211,8 @@
         """Return a target's share of the load, in requests per second."""
         if owner in self._reserved:
             return self._reserved[owner]
-        speeds = sum(
-            target.speed
-            for target in self._targets.values()
-            if target.owner not in self._reserved
-        )
-        rest = self._total - sum(self._reserved.values())
-        return max(0.0, rest) * self._targets[owner].speed / speeds
+        share = self._targets[owner].speed / self._shared_speed
+        return max(0.0, self._shared_load) * share
 
     def _surplus(self, owner: TargetIncarnation) -> float:
         """Return a target's load above its fair share; negative below it."""
@@ -238,7 +249,7 @@
     def _may_split(self) -> bool:
         """Count one more segment, and return whether the limit allows it."""
         self._segment_count += 1
-        return self._segment_count <= MAX_SEGMENTS
+        return self._segment_count <= self._max_segments
 
     def _balance(self) -> bool:
         """Plan the move of one range, if that is worth it.
--- a/src/balsamway/keyspace/service_keys.py
+++ b/src/balsamway/keyspace/service_keys.py
@@ -93,6 +93,7 @@
             tuple[int, int, PreviousOwner], PendingRelease
         ] = {}
         self._handovers: dict[tuple[int, int], str] = {}
+        self._segments_by_owner: dict[TargetIncarnation, list[Segment]] = {}
         self._on_changed = on_changed
         self._serial = 0
         self._update_pending_releases()
@@ -127,10 +128,18 @@
         """
         return [
             segment
-            for segment in self.record.segments
-            if segment.owner == owner and self._is_released(segment)
+            for segment in self._segments_by_owner.get(owner, ())
+            if self._is_released(segment)
         ]
 
+    def is_in_force(self, segment: Segment) -> bool:
+        """Return whether the record in force has a segment unchanged.
+
+        Args:
+            segment: A segment of this or an earlier record.
+        """
+        return segment in self._segments_by_owner.get(segment.owner, ())
+
     def is_accepted(self, segment: Segment) -> bool:
         """Return whether the owner of a segment has accepted its grant.
 
@@ -154,7 +163,7 @@
             segment: The granted segment.
         """
         entry = (segment.first, segment.last, segment.token)
-        if entry in self._accepted or segment not in self.record.segments:
+        if entry in self._accepted or not self.is_in_force(segment):
             return
         self._accepted.add(entry)
         self._handovers.pop(segment.keys, None)
@@ -265,6 +274,9 @@
         The releases of previous owners that the record no longer names are
         cancelled.
         """
+        self._segments_by_owner = {}
+        for segment in self.record.segments:
+            self._segments_by_owner.setdefault(segment.owner, []).append(segment)
         current: dict[tuple[int, int, PreviousOwner], PendingRelease] = {}
         for segment in self.record.segments:
             for previous in segment.previous_owners:
--- a/src/balsamway/keyspace/service_leader.py
+++ b/src/balsamway/keyspace/service_leader.py
@@ -43,12 +43,27 @@
 LOST_BACKOFF_SECONDS = 8.0
 """How long a lost target is assigned no keys. A target is lost if it is still
 unresponsive when its grants expire."""
-MAX_PENDING_RELEASES = 4
-"""The number of pending releases from which balancing pauses."""
+MIN_MAX_PENDING_RELEASES = 4
+"""The number of pending releases, with few targets, from which balancing
+pauses."""
+MAX_PENDING_RELEASES_PER_TARGET = 0.25
+"""The same for many targets, per target. Releases at different targets don't
+wait for each other."""
 
 logger = logging.getLogger(__name__)
 
 
+def max_pending_releases(target_count: int) -> int:
+    """Return the number of pending releases from which balancing pauses.
+
+    Args:
+        target_count: The number of targets that may own keys.
+    """
+    return max(
+        MIN_MAX_PENDING_RELEASES, int(MAX_PENDING_RELEASES_PER_TARGET * target_count)
+    )
+
+
 class ServiceLeader:
     """Leads one service until the leadership ends."""
 
@@ -227,13 +242,16 @@
     def _plan_moves(self) -> dict[tuple[int, int], TargetIncarnation]:
         """Return the new owner of each range of keys that should move."""
         pending_count = sum(1 for _ in self._keys.pending_releases())
+        speeds = self._available_speeds()
         placement = Placement(
             self._keys.record.drop_released(self._keys.released_owners()).segments,
             self._aggregator.key_rates(self._keys.service),
-            self._available_speeds(),
+            speeds,
             self._aggregator.rate_window_seconds(self._keys.service),
         )
-        return placement.plan(may_balance=pending_count < MAX_PENDING_RELEASES)
+        return placement.plan(
+            may_balance=pending_count < max_pending_releases(len(speeds))
+        )
 
     def _available_speeds(self) -> list[TargetSpeed]:
         """Return the targets that may own keys, with their speeds."""
