--- a/src/balsamway/exchange/connection_pool.py
+++ b/src/balsamway/exchange/connection_pool.py
@@ -18,6 +18,10 @@
 """Bounds the time to open a connection. It takes a few ms if the target
 accepts the connection."""
 
+SETTLE_SECONDS = 0.003
+"""How long a new connection is not used. A target with too many connections
+resets a new one. If a request was written by then, it might have run."""
+
 
 class ConnectionPool:
     """Opens connections to one target and reuses them.
@@ -31,6 +35,7 @@
         address: str,
         limit: int,
         on_open: Callable[[], None] = lambda: None,
+        settle_seconds: float = SETTLE_SECONDS,
     ) -> None:
         """Create a pool without connections.
 
@@ -38,10 +43,12 @@
             address: The target's `ip:port`.
             limit: The most connections that are open at a time.
             on_open: Called after each connection that was opened.
+            settle_seconds: How long a new connection is not used.
         """
         self.address = address
         self.limit = limit
         self._on_open = on_open
+        self._settle_seconds = settle_seconds
         self._idle: list[TargetConnection] = []
         self._in_use: set[TargetConnection] = set()
         self._opening_count = 0
@@ -132,6 +139,7 @@
             ip, port = split_address(self.address)
             async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
                 _, connection = await loop.create_connection(TargetConnection, ip, port)
+                await asyncio.sleep(self._settle_seconds)
         except TimeoutError:
             self._wake_waiter()
             return NotSent(f"no connection after {now() - started_at:.3f} s")
@@ -141,6 +149,9 @@
         finally:
             self._opening_count -= 1
         self._on_open()
+        if not connection.is_usable:
+            self._wake_waiter()
+            return NotSent("the new connection was reset", is_reset_by_target=True)
         return connection
 
     def _wake_waiter(self) -> None:
--- a/src/balsamway/exchange/not_sent.py
+++ b/src/balsamway/exchange/not_sent.py
@@ -10,3 +10,6 @@
     """No byte of the request was written, so it cannot have run."""
 
     reason: str
+    is_reset_by_target: bool = False
+    """Whether the target accepted the connection and then reset it, as it does
+    while it has too many."""
--- a/src/balsamway/forwarding/attempt_loop.py
+++ b/src/balsamway/forwarding/attempt_loop.py
@@ -146,7 +146,11 @@
             match result.outcome:
                 case AttemptOutcome.SERVED:
                     return verdict
-                case AttemptOutcome.UNREACHABLE | AttemptOutcome.STALE_CONNECTION:
+                case (
+                    AttemptOutcome.UNREACHABLE
+                    | AttemptOutcome.CONNECTION_REFUSED
+                    | AttemptOutcome.STALE_CONNECTION
+                ):
                     unreachable_attempts += 1
                     if unreachable_attempts >= MAX_UNREACHABLE_ATTEMPTS:
                         return self._refuse(verdict)
--- a/src/balsamway/forwarding/attempt_result.py
+++ b/src/balsamway/forwarding/attempt_result.py
@@ -28,6 +28,9 @@
     """Another target now listens on the address."""
     UNREACHABLE = "unreachable"
     """No connection could be opened."""
+    CONNECTION_REFUSED = "connection-refused"
+    """The target reset a new connection before anything was written, because
+    it has too many."""
     STALE_CONNECTION = "stale-connection"
     """An idle connection had been closed before anything was written."""
     CONNECTION_LOST = "broken"
--- a/src/balsamway/forwarding/target_state.py
+++ b/src/balsamway/forwarding/target_state.py
@@ -145,7 +145,7 @@
                 self._consecutive_unreachable = 0
                 self._add_failure(0.0)
                 self._add_latency(seconds, was_unqueued)
-            case AttemptOutcome.SHED:
+            case AttemptOutcome.SHED | AttemptOutcome.CONNECTION_REFUSED:
                 self._consecutive_unreachable = 0
                 self._backoff_until = now() + SHED_BACKOFF_SECONDS
             case AttemptOutcome.UNREACHABLE:
--- a/src/balsamway/platform/target_transport.py
+++ b/src/balsamway/platform/target_transport.py
@@ -47,7 +47,12 @@
             return AttemptResult(refusal, AttemptOutcome.TIMED_OUT)
         if isinstance(connection, NotSent):
             refusal = NotRun(Reason.CONNECT_FAILED, connection.reason)
-            return AttemptResult(refusal, AttemptOutcome.UNREACHABLE)
+            return AttemptResult(
+                refusal,
+                AttemptOutcome.CONNECTION_REFUSED
+                if connection.is_reset_by_target
+                else AttemptOutcome.UNREACHABLE,
+            )
         try:
             async with asyncio.timeout_at(deadline):
                 response = await connection.exchange(
--- a/tests/platform/test_endless_responses.py
+++ b/tests/platform/test_endless_responses.py
@@ -15,7 +15,7 @@
 from tests.platform.conftest import entry_request
 
 TIMEOUT_SECONDS = 20.0
-"""The time that the request has. The bound on bytes must end it much sooner."""
+"""The time that the request has. The bound on bytes must end it sooner."""
 MAX_SECONDS = 10.0
 """The time within which an endless response must be given up."""
 SOCKET_BUFFERS_BYTES = 16 << 20
--- a/tests/platform/test_target_transport.py
+++ b/tests/platform/test_target_transport.py
@@ -4,10 +4,12 @@
 
 import pytest
 
+from balsamway.exchange import ConnectionPool
 from balsamway.forwarding.attempt_result import AttemptOutcome
 from balsamway.outcome import Completed, MayHaveRun, NotRun
+from balsamway.platform.target_transport import PlatformTargetTransport
 from tests.fakes.scripted_target import answer, reset
-from tests.platform.conftest import entry_request
+from tests.platform.conftest import entry, entry_request
 
 
 def request_id_of(received):
@@ -294,3 +296,19 @@
         task.cancel()
     await asyncio.gather(*busy, return_exceptions=True)
     assert "r2" not in [request_id_of(received) for received in target.received]
+
+
+async def test_request_on_a_new_connection_that_is_reset_has_not_run():
+    async def reset_at_once(reader, writer):
+        reset(writer)
+
+    server = await asyncio.start_server(reset_at_once, "127.0.0.1", 0)
+    ip, port = server.sockets[0].getsockname()
+    # Long enough for the reset to arrive on a busy machine.
+    pool = ConnectionPool(f"{ip}:{port}", 4, settle_seconds=0.3)
+    result = await PlatformTargetTransport().send(
+        pool, entry(pool.address), entry_request("POST"), 1.0
+    )
+    server.close()
+    assert isinstance(result.verdict, NotRun)
+    assert result.outcome is AttemptOutcome.CONNECTION_REFUSED
