--- a/src/balsamway/keyspace/placement.py
+++ b/src/balsamway/keyspace/placement.py
@@ -37,8 +37,8 @@
 MIN_MAX_MOVES = 16
 """The most ranges that one plan moves to balance the load of few targets."""
 MAX_MOVES_PER_TARGET = 0.25
-"""The same for many targets, per target. Busy keys are as many as targets, and
-each plan waits for the releases of the last one."""
+"""The same for many targets, per target. In a large service more keys than it
+has targets can become busy at once."""
 INITIAL_LOAD_FRACTION = 0.25
 """The load that a target without load gets at first, as a fraction of the mean
 load of a target. Each target also gets about that much at a time of the keys
