--- a/src/balsamway/node/entry_node.py
+++ b/src/balsamway/node/entry_node.py
@@ -130,6 +130,7 @@
         aggregator = LoadAggregator()
         self._broadcast = FleetBroadcast(
             settings.host,
+            settings.peers_address,
             self._peers,
             self._peer_addresses,
             lambda: aggregator.hosts,
