--- a/src/balsamway/node/entry_node.py
+++ b/src/balsamway/node/entry_node.py
@@ -130,7 +130,6 @@
         aggregator = LoadAggregator()
         self._broadcast = FleetBroadcast(
             settings.host,
-            settings.peers_address,
             self._peers,
             self._peer_addresses,
             lambda: aggregator.hosts,
--- a/src/balsamway/node/fleet_broadcast.py
+++ b/src/balsamway/node/fleet_broadcast.py
@@ -8,7 +8,7 @@
 import msgpack
 
 from balsamway.clock import now
-from balsamway.node.messages import RelayAnnouncement, RelayedMessage
+from balsamway.node.messages import RelayedMessage
 from balsamway.node.zone_relays import ZoneRelays
 from balsamway.peers.codec import Frame, UnknownMessageError, decode, encode
 
@@ -18,9 +18,6 @@
     from balsamway.keyspace.known_host import KnownHost
     from balsamway.peers.stream_peers import StreamPeers
 
-ANNOUNCEMENT_INTERVAL_SECONDS = 0.25
-"""The interval at which a relay tells the hosts of its zone its address, while
-it gets messages to pass on."""
 RELAY_HEARD_SECONDS = 1.0
 """How long after its last message a relay is reported as in use. The leader
 confirms the store's progress each 0.4 s."""
@@ -34,7 +31,6 @@
     def __init__(
         self,
         host: str,
-        address: str,
         peers: StreamPeers,
         addresses: dict[str, str],
         hosts: Callable[[], Mapping[str, KnownHost]],
@@ -43,23 +39,19 @@
 
         Args:
             host: The name of this host.
-            address: The address where this host listens for its peers.
             peers: The connections to the other entry hosts.
             addresses: The known peer addresses, by host name. Those of the
                 hosts that a message is passed on to are added.
             hosts: Returns the hosts that reported to this host as leader.
         """
         self._host = host
-        self._address = address
         self._peers = peers
         self._addresses = addresses
         self._hosts = hosts
         self._zone_relays = ZoneRelays()
         self._relay = ""
         self._relay_heard_at = float("-inf")
-        self._announced_at = float("-inf")
         peers.register_handler(RelayedMessage, self._on_relayed)
-        peers.register_handler(RelayAnnouncement, self._on_announcement)
 
     @property
     def relay(self) -> str:
@@ -86,22 +78,23 @@
         for relay, addresses in fan_out.relayed.items():
             self._peers.send(relay, RelayedMessage(dict(addresses), encoded))
 
-    async def _on_announcement(
-        self, sender: str, announcement: RelayAnnouncement
-    ) -> None:
-        self._addresses[sender] = announcement.address
-        self._relay, self._relay_heard_at = sender, now()
+    def on_received(self, sender: str, leader: str) -> None:
+        """Record from which host a message of the leader arrived.
+
+        A message that the leader sent itself does not mean that the relay is
+        lost: both may send for a while after a change of the relay.
+
+        Args:
+            sender: The host that sent the message to this one.
+            leader: The leader that the message names.
+        """
+        if sender != leader:
+            self._relay, self._relay_heard_at = sender, now()
 
     async def _on_relayed(self, sender: str, message: RelayedMessage) -> None:
         self._addresses.update(message.hosts)
         for name in message.hosts:
             self._peers.send_encoded(name, message.encoded)
-        self._relay, self._relay_heard_at = self._host, now()
-        if now() - self._announced_at >= ANNOUNCEMENT_INTERVAL_SECONDS:
-            self._announced_at = now()
-            encoded = encode(Frame(0, False, RelayAnnouncement(self._address)))
-            for name in message.hosts:
-                self._peers.send_encoded(name, encoded)
         try:
             frame = decode(msgpack.unpackb(message.encoded, strict_map_key=False))
         except (UnknownMessageError, ValueError) as error:
--- a/src/balsamway/node/load_reporter.py
+++ b/src/balsamway/node/load_reporter.py
@@ -269,6 +269,7 @@
                 self._peers.send(host, key_map)
 
     async def _on_fleet(self, sender: str, notice: Any) -> None:
+        self._broadcast.on_received(sender, notice.leader)
         self._apply_fleet_notice(notice)
 
     async def _on_key_map(self, sender: str, notice: Any) -> None:
--- a/src/balsamway/node/messages.py
+++ b/src/balsamway/node/messages.py
@@ -71,12 +71,3 @@
     """The peer addresses of the hosts to pass the message on to, by name."""
     encoded: bytes
     """The encoded frame of the message."""
-
-
-@message("relay-announcement")
-@dataclass(frozen=True, slots=True)
-class RelayAnnouncement:
-    """The sender passes the leader's messages on to the receiver."""
-
-    address: str
-    """The address on which the sender listens for its peers."""
--- a/src/balsamway/node/watch_relay.py
+++ b/src/balsamway/node/watch_relay.py
@@ -113,6 +113,7 @@
     async def _on_progress(self, sender: str, message: Any) -> None:
         lease = message.stored.lease
         epoch = lease.epoch
+        self._broadcast.on_received(sender, lease.host or sender)
         if epoch < self._epoch or self._lease.epoch is not None:
             return
         delay = now() - message.sent_at
--- a/tests/node/test_load_reporter.py
+++ b/tests/node/test_load_reporter.py
@@ -82,8 +82,6 @@
 class NetworkEnd:
     def __init__(self, network, host):
         self.network, self.host = network, host
-        self.addresses = {}
-        """The known addresses; a message to another host is dropped."""
 
     def register_handler(self, message_type, handler):
         self.network.handlers[(self.host, message_type)] = handler
@@ -92,8 +90,6 @@
         self.send_encoded(host, codec.encode(codec.Frame(0, False, message)))
 
     def send_encoded(self, host, encoded):
-        if host not in self.addresses:
-            return
         message = codec.decode(msgpack.unpackb(encoded, strict_map_key=False)).message
         if self.network.is_lost(host, message):
             return
@@ -110,10 +106,9 @@
         self.forwarder = Forwarder()
         self.key_map = KeyMap()
         aggregator = LoadAggregator()
-        addresses = peers.addresses
-        addresses[name] = f"{name}:1"
+        addresses = {}
         self.broadcast = FleetBroadcast(
-            name, f"{name}:1", peers, addresses, lambda: aggregator.hosts
+            name, peers, addresses, lambda: aggregator.hosts
         )
         self.reporter = LoadReporter(
             name,
