--- a/src/balsamway/keyspace/key_leader.py
+++ b/src/balsamway/keyspace/key_leader.py
@@ -77,6 +77,26 @@
         self._publish = publish
         self._leaders: dict[str, ServiceLeader] = {}
 
+    def notices_newer_than(
+        self, seen: dict[str, tuple[int, int]]
+    ) -> list[KeyMapNotice]:
+        """Return the key maps that a gateway does not have yet.
+
+        Args:
+            seen: For each service, the epoch and serial of the key map that
+                the gateway has.
+
+        Returns:
+            The last notice of each service whose key map is newer.
+        """
+        notices = (leader.last_notice for leader in self._leaders.values())
+        return [
+            notice
+            for notice in notices
+            if notice is not None
+            and seen.get(notice.service, (0, 0)) < (notice.epoch, notice.serial)
+        ]
+
     def dump(self) -> dict[str, object]:
         """Return the state of every service for the state dump."""
         return {name: leader.dump() for name, leader in self._leaders.items()}
--- a/src/balsamway/keyspace/leader_lease.py
+++ b/src/balsamway/keyspace/leader_lease.py
@@ -38,9 +38,6 @@
 RETRY_DELAY_SECONDS = 0.1
 """The delay after a failed renewal, and the mean delay after a failed
 claim."""
-FIRST_CLAIM_DELAY_SECONDS = 1.5
-"""How long a host that is not preferred waits before it claims a lease that
-was never claimed. All hosts start at once, and would claim it together."""
 STAND_DOWN_SECONDS = 4.0
 """How long a host that stood down leaves the lease to other hosts."""
 
@@ -63,7 +60,6 @@
         address: str,
         reaches_most_targets: Callable[[], bool],
         rng: random.Random,
-        is_preferred: bool = True,
     ) -> None:
         """Create the lease of a host that does not lead.
 
@@ -75,8 +71,6 @@
                 targets. If it does not, it leaves the lease to other hosts for
                 a while.
             rng: Spreads the claims and reads of the hosts over time.
-            is_preferred: Whether this host claims a lease that was never
-                claimed at once.
         """
         super().__init__()
         self._lease_object = LeaseObject(store)
@@ -84,9 +78,6 @@
         self._own_address = address
         self._reaches_most_targets = reaches_most_targets
         self._rng = rng
-        self._is_preferred = is_preferred
-        self._absent_since: float | None = None
-        """Since when the store has had no lease, as far as known here."""
         self._known: StoredLease | None = None
         self._known_since = 0.0
         self._beat = 0
@@ -195,7 +186,7 @@
             await self.sleep(LEADER_REPORT_CHECK_SECONDS)
             return
         match await self._lease_object.read_stale():
-            case Absent() if self._may_claim and self._may_claim_first():
+            case Absent() if self._may_claim:
                 await self._claim(None, 1)
                 return
             case StoredLease() as found:
@@ -208,13 +199,6 @@
                     return
         await self.sleep(POLL_INTERVAL_SECONDS * self._rng.uniform(0.8, 1.2))
 
-    def _may_claim_first(self) -> bool:
-        """Return whether this host may be the first to claim the lease."""
-        if self._absent_since is None:
-            self._absent_since = now()
-        delay = 0.0 if self._is_preferred else FIRST_CLAIM_DELAY_SECONDS
-        return now() - self._absent_since >= delay
-
     async def _claim_if_free(self) -> bool:
         """Claim the last known lease if it is free.
 
--- a/src/balsamway/keyspace/load_aggregator.py
+++ b/src/balsamway/keyspace/load_aggregator.py
@@ -7,25 +7,18 @@
 from typing import TYPE_CHECKING
 
 from balsamway.clock import now
-from balsamway.keyspace.known_host import KnownHost
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
-
-    from balsamway.keyspace.messages import LoadNotice, ZoneLoadNotice
+    from balsamway.keyspace.messages import LoadNotice
 
 REPORT_INTERVAL_SECONDS = 0.2
 """The interval at which hosts report. Requests take about a tenth of a second.
 A host that knows the other hosts' requests of 0.4 s ago sends its own requests
 to targets where a queue has formed since."""
 MAX_HOSTS_AT_FULL_RATE = 16
-"""The most hosts that report to the leader at the full rate. In larger
-deployments the hosts of a zone report to its relay."""
-RELAYED_INTERVAL_SECONDS = 0.3
-"""The interval at which hosts report to relays, and relays to the leader."""
-MAX_HOSTS_AT_RELAYED_RATE = 400
-"""The most hosts that report at that interval. The relay of a zone with more
-than about 70 hosts would spend too much time on their reports."""
+"""The most hosts that report at the full rate. More hosts report less often,
+so that the leader's traffic does not grow with the square of their number. The
+largest deployments have twelve hosts, and a few may be added."""
 MAX_REPORT_INTERVAL_SECONDS = 0.8
 """The longest interval between reports. It is short enough that a host may
 miss a notice without assuming that the leader is lost."""
@@ -54,25 +47,18 @@
 """Decayed counts of a key's requests below this are dropped."""
 
 
-def report_interval_seconds(hosts: int, has_relay: bool = True) -> float:
-    """Return the interval at which a host reports its load.
+def report_interval_seconds(hosts: int) -> float:
+    """Return the interval at which each host reports to the leader.
 
-    The leader sends its own notices to the hosts at the interval of hosts
-    that report to a relay.
+    The leader sends its own notices to the hosts at the same interval.
 
     Args:
         hosts: The number of entry hosts.
-        has_relay: Whether the host reports to a relay, or is one. The leader
-            could not handle the reports of many other hosts.
 
     Returns:
         The interval in seconds.
     """
-    if hosts <= MAX_HOSTS_AT_FULL_RATE:
-        return REPORT_INTERVAL_SECONDS
-    if not has_relay:
-        return MAX_REPORT_INTERVAL_SECONDS
-    seconds = RELAYED_INTERVAL_SECONDS * max(1.0, hosts / MAX_HOSTS_AT_RELAYED_RATE)
+    seconds = REPORT_INTERVAL_SECONDS * max(1.0, hosts / MAX_HOSTS_AT_FULL_RATE)
     return min(MAX_REPORT_INTERVAL_SECONDS, seconds)
 
 
@@ -140,7 +126,7 @@
     """Sums the load that the entry hosts report."""
 
     def __init__(self) -> None:
-        self._hosts: dict[str, KnownHost] = {}
+        self._hosts: dict[str, tuple[float, str]] = {}
         self._targets: dict[str, TargetLoad] = {}
         self._keys: dict[str, dict[int, float]] = {}
         self._counted_since: dict[str, float] = {}
@@ -148,14 +134,10 @@
         self._decayed_at = now()
 
     @property
-    def hosts(self) -> dict[str, KnownHost]:
-        """The hosts that reported lately, by name."""
+    def hosts(self) -> dict[str, str]:
+        """The peer address of each host that reported lately, by host name."""
         oldest = now() - HOST_EXPIRY_SECONDS
-        return {
-            name: host
-            for name, host in self._hosts.items()
-            if host.reported_at >= oldest
-        }
+        return {name: addr for name, (at, addr) in self._hosts.items() if at >= oldest}
 
     def add(self, notice: LoadNotice) -> None:
         """Add the report of a host.
@@ -163,46 +145,14 @@
         Args:
             notice: The load that the host saw since its last report.
         """
-        self._hosts[notice.host] = KnownHost(
-            notice.address, notice.zone, now(), notice.relay, notice.is_draining
-        )
-        self._add_targets(notice.host, notice.targets)
-        self._add_keys(notice.keys)
-
-    def add_zone(self, notice: ZoneLoadNotice) -> None:
-        """Add the report of a zone's relay.
-
-        Args:
-            notice: The load that the zone's hosts saw since the last report.
-        """
-        joined = [
-            name
-            for name in notice.hosts
-            if name in self._hosts and not self._hosts[name].relay
-        ]
-        # What these hosts reported themselves is in the relay's sums now.
-        for load in self._targets.values():
-            for name in joined:
-                load.in_flight.pop(name, None)
-        for name, address in notice.hosts.items():
-            self._hosts[name] = KnownHost(
-                address, notice.zone, now(), notice.relay, name in notice.draining
-            )
-        self._add_targets(f"zone {notice.zone}", notice.targets)
-        self._add_keys(notice.keys)
-
-    def _add_targets(
-        self, reporter: str, targets: Mapping[str, tuple[int, int, int, int]]
-    ) -> None:
-        for name, counts in targets.items():
+        self._hosts[notice.host] = (now(), notice.address)
+        for name, counts in notice.targets.items():
             in_flight, responses, unqueued_responses, unqueued_ms = counts
             load = self._targets.setdefault(name, TargetLoad())
-            load.in_flight[reporter] = (now(), in_flight)
+            load.in_flight[notice.host] = (now(), in_flight)
             load.add_unqueued(unqueued_responses, unqueued_ms / 1000)
             load.responses += responses
-
-    def _add_keys(self, keys: Mapping[str, Mapping[int, int]]) -> None:
-        for service, counts_by_key in keys.items():
+        for service, counts_by_key in notice.keys.items():
             rates = self._keys.setdefault(service, {})
             self._counted_since.setdefault(service, now() - REPORT_INTERVAL_SECONDS)
             for key, count in counts_by_key.items():
--- a/src/balsamway/keyspace/messages.py
+++ b/src/balsamway/keyspace/messages.py
@@ -45,34 +45,9 @@
     """For each service: the number of requests for each key."""
     seen: dict[str, tuple[int, int]]
     """For each service: the epoch and serial of the host's key map."""
-    relay: str = ""
-    """The host that passes the leader's messages on to this host. Empty if
-    they come from the leader itself, or if none came lately."""
-    is_draining: bool = False
-    """Whether the host is about to stop."""
 
 
-@message("zone-load")
-@dataclass(frozen=True, slots=True)
-class ZoneLoadNotice:
-    """The load that the hosts of a zone saw since the last such notice."""
-
-    relay: str
-    """The host that sums up the zone's load."""
-    zone: str
-    hosts: dict[str, str]
-    """The peer addresses of the hosts that reported lately, by name."""
-    draining: tuple[str, ...]
-    """The names of the hosts among them that are about to stop."""
-    targets: dict[str, tuple[int, int, int, int]]
-    """As in `LoadNotice`, summed over the hosts."""
-    keys: dict[str, dict[int, int]]
-    """As in `LoadNotice`, summed over the hosts."""
-    seen: dict[str, tuple[int, int]]
-    """For each service: the epoch and serial of the relay's key map."""
-
-
-@message("fleet-loads")
+@message("fleet")
 @dataclass(frozen=True, slots=True)
 class FleetNotice:
     """The load on all targets, summed by the leader over all entry hosts."""
@@ -83,9 +58,6 @@
     """The address on which the leader listens for its peers."""
     hosts: int
     """The number of entry hosts."""
-    digest: int
-    """Identifies the sorted names of the targets that `loads` refers to."""
-    names: tuple[str, ...]
-    """These names. Empty if the receivers should know them already."""
-    loads: bytes
-    """For each name a `LoadCode`: two bytes."""
+    targets: dict[str, tuple[int, int]]
+    """For each target: the requests in flight from all hosts, and its service
+    time in milliseconds."""
--- a/src/balsamway/keyspace/service_leader.py
+++ b/src/balsamway/keyspace/service_leader.py
@@ -105,6 +105,8 @@
         self._lost_until: dict[TargetIncarnation, float] = {}
         self._next_plan_at = now()
         self._has_changed = True
+        self.last_notice: KeyMapNotice | None = None
+        """The last notice sent to the gateways."""
 
     async def run(self, tasks: asyncio.TaskGroup) -> None:
         """Lead the service until cancelled.
@@ -133,7 +135,8 @@
     def publish(self) -> None:
         """Send the owners of the keys to the gateways."""
         if self._is_leader():
-            self._publish(self._keys.notice())
+            self.last_notice = self._keys.notice()
+            self._publish(self.last_notice)
 
     def dump(self) -> dict[str, object]:
         """Return the state for the state dump."""
--- a/src/balsamway/node/entry_node.py
+++ b/src/balsamway/node/entry_node.py
@@ -27,7 +27,6 @@
 from balsamway.keyspace.record_writer import KEY_RECORD_KIND
 from balsamway.node.configuration_handler import ConfigurationHandler
 from balsamway.node.directory_handler import DirectoryHandler
-from balsamway.node.fleet_broadcast import FleetBroadcast
 from balsamway.node.load_reporter import LoadReporter
 from balsamway.node.node_metrics import NodeMetrics
 from balsamway.node.peer_snapshot_sync import PeerSnapshotSync
@@ -50,10 +49,6 @@
 further changes arrive in one response."""
 CONFIGURATION_COALESCE_SECONDS = 0.05
 """The pause between a change of the configuration and the next watch call."""
-STARTUP_PAUSE_SECONDS = 1.0
-"""The least time between two watch calls of a kind until a leader confirms the
-copy. Targets register one by one at the start of a deployment, and each change
-would end the watch calls of all hosts."""
 HOUSEKEEPING_INTERVAL_SECONDS = 0.25
 """The interval at which expired targets are removed and idle connections are
 closed."""
@@ -125,15 +120,8 @@
             settings.peers_address,
             self.targets.reaches_most_targets,
             self._rng,
-            not settings.seeds or settings.peers_address in settings.seeds,
         )
         aggregator = LoadAggregator()
-        self._broadcast = FleetBroadcast(
-            settings.host,
-            self._peers,
-            self._peer_addresses,
-            lambda: aggregator.hosts,
-        )
         self._reporter = LoadReporter(
             settings.host,
             settings.zone,
@@ -145,8 +133,6 @@
             self.key_map,
             self.lease,
             aggregator,
-            self._broadcast,
-            lambda: self._is_draining,
         )
         self.leader = KeyLeader(
             store,
@@ -157,6 +143,7 @@
             self._keyed_services,
             self._reporter.publish,
         )
+        self._reporter.leader = self.leader
         self._caller_listener = EntryListener(
             settings.callers_address, adapters.codec, self.forwarder.forward
         )
@@ -181,7 +168,6 @@
             MAX_WATCH_SECONDS,
             CONFIGURATION_COALESCE_SECONDS,
             self._rng,
-            STARTUP_PAUSE_SECONDS,
         )
         self._targets_watch = KindWatch(
             store,
@@ -190,7 +176,6 @@
             MAX_WATCH_SECONDS,
             TARGETS_COALESCE_SECONDS,
             self._rng,
-            STARTUP_PAUSE_SECONDS,
         )
         watches = {
             adapters.configuration_kind: self._configuration_watch,
@@ -206,7 +191,7 @@
             self._rng,
         )
         self._watch_relay = WatchRelay(
-            self._peers, self._broadcast, watches, self.lease
+            settings.host, self._peers, lambda: aggregator.hosts, watches, self.lease
         )
 
     def is_ready(self) -> bool:
@@ -273,7 +258,6 @@
             "ready": self.is_ready(),
             "leader": self.lease.leader,
             "leads": self.lease.epoch,
-            "relay": self._broadcast.relay,
             "configuration_age_seconds": self._configuration_watch.age_seconds,
             "targets_age_seconds": self._targets_watch.age_seconds,
             "follows_leader": {
--- a/src/balsamway/node/messages.py
+++ b/src/balsamway/node/messages.py
@@ -60,14 +60,3 @@
     """For each kind: the revision of its last change, the revision up to
     which all changes are known, and the age in seconds of the store's
     response that says so."""
-
-
-@message("relayed")
-@dataclass(frozen=True, slots=True)
-class RelayedMessage:
-    """A message of the leader that the receiver passes on in its zone."""
-
-    hosts: dict[str, str]
-    """The peer addresses of the hosts to pass the message on to, by name."""
-    encoded: bytes
-    """The encoded frame of the message."""
--- a/src/balsamway/node/watch_relay.py
+++ b/src/balsamway/node/watch_relay.py
@@ -11,11 +11,10 @@
 from balsamway.node.messages import ObjectsChanged, StoreProgress
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Callable, Iterable, Mapping
 
     from balsamway.keyspace.leader_lease import LeaderLease
     from balsamway.keyspace.stored_lease import StoredLease
-    from balsamway.node.fleet_broadcast import FleetBroadcast
     from balsamway.peers.peers import Peers
     from balsamway.store.batch import Batch
     from balsamway.store.kind_watch import KindWatch
@@ -46,21 +45,25 @@
 
     def __init__(
         self,
+        host: str,
         peers: Peers,
-        broadcast: FleetBroadcast,
+        hosts: Callable[[], Iterable[str]],
         watches: Mapping[str, KindWatch],
         lease: LeaderLease,
     ) -> None:
         """Create the relay and register its handlers.
 
         Args:
+            host: The name of this host.
             peers: The connections to the other entry hosts.
-            broadcast: Sends this host's messages as leader.
+            hosts: Return the names of the hosts that the leader knows.
             watches: The watch of each kind.
             lease: The leader lease, which says whether this host leads.
         """
         super().__init__()
-        self._broadcast = broadcast
+        self._host = host
+        self._peers = peers
+        self._hosts = hosts
         self._watches = watches
         self._lease = lease
         self._epoch = 0
@@ -80,12 +83,11 @@
         while not self.should_stop:
             stored = self._lease.stored_lease
             for watch in self._watches.values():
-                watch.is_leading = stored is not None
                 watch.wait_seconds = (
                     MAX_WATCH_SECONDS if stored is None else MAX_LEADER_WATCH_SECONDS
                 )
             if stored is not None and self._lease.has_authority(stored.lease.epoch):
-                self._broadcast.send(StoreProgress(now(), stored, self._progress()))
+                self._send(StoreProgress(now(), stored, self._progress()))
             await self.sleep(PROGRESS_INTERVAL_SECONDS)
 
     def _progress(self) -> dict[str, tuple[int, int, float]]:
@@ -99,11 +101,16 @@
         """Send the changes of one watch response, while this host leads."""
         epoch = self._lease.epoch
         if epoch is not None and not batch.is_empty:
-            self._broadcast.send(ObjectsChanged(epoch, kind, batch))
+            self._send(ObjectsChanged(epoch, kind, batch))
 
     def _on_resignation(self, stored: StoredLease) -> None:
         """Report the free lease, so that another host may claim it."""
-        self._broadcast.send(StoreProgress(now(), stored, {}))
+        self._send(StoreProgress(now(), stored, {}))
+
+    def _send(self, message: ObjectsChanged | StoreProgress) -> None:
+        for host in self._hosts():
+            if host != self._host:
+                self._peers.send(host, message)
 
     async def _on_changed(self, sender: str, message: Any) -> None:
         watch = self._watches.get(message.kind)
@@ -111,9 +118,7 @@
             watch.on_batch(message.batch)
 
     async def _on_progress(self, sender: str, message: Any) -> None:
-        lease = message.stored.lease
-        epoch = lease.epoch
-        self._broadcast.on_received(sender, lease.host or sender)
+        epoch = message.stored.lease.epoch
         if epoch < self._epoch or self._lease.epoch is not None:
             return
         delay = now() - message.sent_at
--- a/src/balsamway/peers/peer_link.py
+++ b/src/balsamway/peers/peer_link.py
@@ -90,20 +90,20 @@
         try:
             async with asyncio.timeout(timeout_seconds):
                 await self._connected_event.wait()
-                self._write(encode(Frame(call_id, False, message)))
+                self._write(Frame(call_id, False, message))
                 return await response
         except TimeoutError:
             return PeerFailure("timeout")
         finally:
             self._pending_calls.pop(call_id, None)
 
-    def send_encoded(self, encoded: bytes) -> None:
-        """Send an encoded frame, or drop it if not connected.
+    def send(self, message: Any) -> None:
+        """Send a message without a response, or drop it if not connected.
 
         Args:
-            encoded: The frame of a message without a response.
+            message: A registered message.
         """
-        self._write(encoded)
+        self._write(Frame(0, False, message))
 
     def dump(self) -> dict[str, object]:
         """Return the link's state for the state dump."""
@@ -135,7 +135,7 @@
             return
         bound_silence(writer.transport)
         self._writer = writer
-        self._write(encode(Frame(0, False, self._hello)))
+        self._write(Frame(0, False, self._hello))
         self._connected_event.set()
         try:
             async for frame in read_frames(reader):
@@ -157,14 +157,14 @@
             case response:
                 pending_call.set_result(response)
 
-    def _write(self, encoded: bytes) -> None:
+    def _write(self, frame: Frame) -> None:
         writer = self._writer
         if writer is None or writer.is_closing():
             return
         if writer.transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
             writer.transport.abort()
             return
-        writer.write(encoded)
+        writer.write(encode(frame))
 
     def _disconnect(self) -> None:
         self._connected_event.clear()
--- a/src/balsamway/peers/stream_peers.py
+++ b/src/balsamway/peers/stream_peers.py
@@ -7,7 +7,6 @@
 
 import mode
 
-from balsamway.peers.codec import Frame, encode
 from balsamway.peers.hello import Hello
 from balsamway.peers.peer_link import PeerLink
 from balsamway.peers.peer_listener import PROTOCOL_VERSION, PeerListener
@@ -78,20 +77,11 @@
         if host == self._host:
             self.add_future(self._dispatch(host, message))
             return
-        self.send_encoded(host, encode(Frame(0, False, message)))
-
-    def send_encoded(self, host: str, encoded: bytes) -> None:
-        """Send a message that is encoded already, if the peer is connected.
-
-        Args:
-            host: The name of another entry host.
-            encoded: The encoded frame of a message without a response.
-        """
         link = self._links.get(host)
         if link is None:
             self.add_future(self._get_link(host))
             return
-        link.send_encoded(encoded)
+        link.send(message)
 
     def register_handler(self, message_type: type, handler: Handler) -> None:
         """Register the handler of a message class; see `Peers`."""
--- a/src/balsamway/store/kind_watch.py
+++ b/src/balsamway/store/kind_watch.py
@@ -34,11 +34,6 @@
 """The longest delay between two failed calls. It bounds how late the end of
 an outage is detected."""
 
-STARTUP_SECONDS = 5.0
-"""How long after its start a watch leaves pauses between its calls. All hosts
-of a deployment may start at once, and a leader confirms their copies after two
-or three seconds."""
-
 logger = logging.getLogger(__name__)
 
 
@@ -58,7 +53,6 @@
         wait_seconds: float,
         coalesce_seconds: float,
         rng: random.Random,
-        startup_pause_seconds: float = 0.0,
     ) -> None:
         """Create a watch without starting it.
 
@@ -72,15 +66,9 @@
             coalesce_seconds: The pause between a change and the next watch
                 call, so that further changes arrive in one response.
             rng: Draws the jitter of the backoff.
-            startup_pause_seconds: The least time between two calls after the
-                start, until the leader confirms this host's copy.
         """
         super().__init__()
         self._store = store
-        self._startup_pause_seconds = startup_pause_seconds
-        self._started_at = float("-inf")
-        self.is_leading = False
-        """Whether this host leads, so that other hosts rely on its watch."""
         self._kind = kind
         self._handler = handler
         self.wait_seconds = wait_seconds
@@ -212,29 +200,14 @@
 
     @mode.Service.task
     async def _follow(self) -> None:
-        self._started_at = now()
         while not self.should_stop:
             if self.is_confirmed:
                 await self.sleep(self._confirmed_until - now())
-            elif (pause_seconds := self._remaining_startup_pause()) > 0:
-                await self.sleep(pause_seconds)
             elif self._watch_revision is None:
                 await self._read_snapshot()
             else:
                 await self._watch(self._watch_revision)
 
-    def _remaining_startup_pause(self) -> float:
-        """Return the time until the next call may be made, in seconds."""
-        if (
-            self.is_leading
-            or self.is_failing
-            or self._response_at is None
-            or self._confirmed_until > float("-inf")
-            or now() - self._started_at > STARTUP_SECONDS
-        ):
-            return 0.0
-        return self._response_at + self._startup_pause_seconds - now()
-
     async def _read_snapshot(self) -> None:
         match await self._store.list(self._kind):
             case Listing(objects=objects, revision=revision):
