Show the limits that targets name in logs, metrics and the state dump

The logs could not tell whether a limit was not read, kept by each host alone, or kept from working by keys that stay. The header is decoded now and its value logged when it changes, with the source. No request is treated differently.

--- a/src/balsamway/forwarding/attempt_loop.py
+++ b/src/balsamway/forwarding/attempt_loop.py
@@ -305,6 +305,8 @@
             )
         finally:
             state.in_flight -= 1
+        if result.limit is not None:
+            state.limit.on_response(result.limit)
         seconds = now() - started_at
         route, service = self.route.name, self.service.name
         service_times = self._forwarder.service_times
--- a/src/balsamway/forwarding/attempt_result.py
+++ b/src/balsamway/forwarding/attempt_result.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from balsamway.limits import LimitAnswer
     from balsamway.outcome import Verdict
 
 
@@ -45,3 +46,5 @@
 
     verdict: Verdict
     outcome: AttemptOutcome
+    limit: LimitAnswer | None = None
+    """What the response says about the target's limit; None if nothing."""
--- a/src/balsamway/forwarding/service_targets.py
+++ b/src/balsamway/forwarding/service_targets.py
@@ -67,6 +67,14 @@
         """Return the states of all targets."""
         return tuple(self._states.values())
 
+    def limited(self) -> Sequence[TargetState]:
+        """Return the states of the targets that name a limit."""
+        return tuple(
+            state
+            for state in self._states.values()
+            if state.limit.requests_per_second is not None
+        )
+
     def usable(self, service: str) -> Sequence[TargetState]:
         """Return the targets of a service that may receive requests.
 
--- a/src/balsamway/forwarding/target_state.py
+++ b/src/balsamway/forwarding/target_state.py
@@ -7,6 +7,7 @@
 
 from balsamway.clock import now
 from balsamway.forwarding.attempt_result import AttemptOutcome
+from balsamway.limits import TargetLimit
 
 if TYPE_CHECKING:
     from balsamway.discovery import TargetEntry
@@ -51,6 +52,7 @@
         self._draining_since = now() if entry.is_draining else None
         self.entry = entry
         self.pool = pool
+        self.limit = TargetLimit(entry.name)
         self.in_flight = 0
         self.remote_in_flight = 0.0
         """The mean number of requests from other entry hosts in flight."""
--- a/src/balsamway/node/entry_node.py
+++ b/src/balsamway/node/entry_node.py
@@ -266,6 +266,9 @@
             },
             "callers": self._caller_listener.dump(),
             "forwarding": self.forwarder.dump(),
+            "limits": {
+                state.entry.name: state.limit.dump() for state in self.targets.limited()
+            },
             "keys": self.key_map.dump(),
             "leading": self.leader.dump(),
             "peers": self._peers.dump(),
--- a/src/balsamway/node/node_metrics.py
+++ b/src/balsamway/node/node_metrics.py
@@ -60,6 +60,11 @@
             "Whether the leader has not been heard lately.",
             lambda: float(node.key_map.is_stale),
         )
+        self._add_gauge(
+            "balsamway_entry_limited_targets",
+            "Targets that name a limit for the requests of all hosts together.",
+            lambda: float(len(node.targets.limited())),
+        )
 
     def _add_gauge(
         self, name: str, documentation: str, read_value: Callable[[], float]
--- a/src/balsamway/platform/target_transport.py
+++ b/src/balsamway/platform/target_transport.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import re
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from balsamway.entry.hop_headers import end_to_end_headers
 from balsamway.exchange import HttpRequest, NotSent, ResponseLost
 from balsamway.forwarding.attempt_result import AttemptOutcome, AttemptResult
+from balsamway.limits import NamedLimit, NoLimit, UnreadableLimit
 from balsamway.outcome import Completed, MayHaveRun, NotRun, Reason
 from balsamway.platform import names
 
@@ -15,6 +18,7 @@
     from balsamway.discovery import TargetEntry
     from balsamway.entry import EntryRequest
     from balsamway.exchange import ConnectionPool, HttpResponse
+    from balsamway.limits import LimitAnswer
 
 ACQUIRE_TIMEOUT_SECONDS = 0.5
 """The longest wait for a free connection. The target may begin to drain
@@ -23,6 +27,9 @@
 """How long before the deadline the wait for a connection ends. The result
 then says that the request was not sent; at the deadline it might have been."""
 
+DECIMAL_NUMBER = re.compile(r"[0-9]{1,9}(\.[0-9]{0,9})?")
+"""A limit in requests per second."""
+
 
 class PlatformTargetTransport:
     """Send attempts to targets; implements `TargetTransport`."""
@@ -71,7 +78,8 @@
                 lost = MayHaveRun(Reason.CONNECTION_LOST, reason)
                 return AttemptResult(lost, AttemptOutcome.CONNECTION_LOST)
             case _:
-                return _evaluate_response(response, target)
+                result = _evaluate_response(response, target)
+                return replace(result, limit=_limit_answer(response, result))
 
 
 def _http_request(
@@ -128,6 +136,33 @@
     )
 
 
+def _limit_answer(response: HttpResponse, result: AttemptResult) -> LimitAnswer | None:
+    """Return what a target's response says about its limit.
+
+    Only a success shows that there is no limit: other responses may have been
+    created before the target decides on one. Of several values the lowest
+    counts.
+
+    Returns:
+        The limit, or None if the response says nothing about it.
+    """
+    if result.outcome is AttemptOutcome.WRONG_TARGET:
+        return None
+    if names.REQUEST_ID_HEADER not in response.headers:
+        return None
+    texts = [
+        text.strip()
+        for value in response.headers.getall(names.LIMIT_HEADER, ())
+        for text in value.split(",")
+    ]
+    if not texts:
+        return NoLimit() if result.outcome is AttemptOutcome.SERVED else None
+    for text in texts:
+        if not DECIMAL_NUMBER.fullmatch(text):
+            return UnreadableLimit(text)
+    return NamedLimit(min(float(text) for text in texts))
+
+
 def _evaluate_refusal(response: HttpResponse) -> AttemptResult:
     if response.status == 421:
         return AttemptResult(NotRun(Reason.NO_OWNER), AttemptOutcome.KEY_NOT_HELD)
