--- /dev/null
+++ b/tests/fakes/limited_fleet.py
@@ -0,0 +1,211 @@
+from __future__ import annotations
+
+import asyncio
+import random
+
+from balsamway.discovery import TargetDirectory, TargetEntry
+from balsamway.entry import EntryRequest
+from balsamway.forwarding.attempt_result import AttemptOutcome, AttemptResult
+from balsamway.forwarding.forwarder import Forwarder
+from balsamway.forwarding.forwarding_settings import ForwardingSettings
+from balsamway.forwarding.key_owner import KeyOwner
+from balsamway.forwarding.service_targets import ServiceTargets
+from balsamway.keyspace.key_map import KeyMap
+from balsamway.keyspace.load_aggregator import LoadAggregator
+from balsamway.node.load_reporter import LoadReporter
+from balsamway.outcome import Completed
+from balsamway.routing import (
+    Backend,
+    Route,
+    RoutedService,
+    RouteType,
+    RoutingConfiguration,
+)
+from tests.fakes.faults import Faults
+from tests.fakes.fixed_lease import FixedLease
+from tests.fakes.limited_target import LimitedTarget
+from tests.fakes.network import FakeNetwork
+
+SERVICE_SECONDS = 0.05
+ZONES = ("z1", "z2", "z3")
+
+
+class KeysOfTargets:
+    """Gives key `n` to target `n`; implements `KeyOwners`."""
+
+    def __init__(self, names):
+        self._names = names
+        self._changed = asyncio.get_running_loop().create_future()
+
+    def find_owner(self, service, key):
+        return KeyOwner(self._names[key], 1, True)
+
+    def next_change(self):
+        return self._changed
+
+
+class LimitedTransport:
+    """Delivers attempts to limited targets; implements `TargetTransport`."""
+
+    def __init__(self, targets):
+        self._targets = targets
+
+    async def send(self, pool, target, request, timeout_seconds):
+        limited = self._targets[target.name]
+        limited.arrive()
+        await asyncio.sleep(SERVICE_SECONDS)
+        return AttemptResult(
+            Completed(200, {}, b"ok"), AttemptOutcome.SERVED, limited.answer()
+        )
+
+
+class LimitedHost:
+    """The parts of an entry host that keep the limits of targets."""
+
+    def __init__(self, fleet, name, zone):
+        self.name = name
+        self.lease = FixedLease(name, fleet.leader)
+        self.peers = fleet.network.peers(name)
+        self.targets = ServiceTargets(fleet.directory, lambda: None, 2.0)
+        self.targets.refresh()
+        self.addresses = {}
+        self.key_map = KeyMap()
+        self.aggregator = LoadAggregator()
+        rng = random.Random(f"{fleet.seed}/{name}")
+        self.forwarder = Forwarder(
+            zone,
+            self.targets,
+            KeysOfTargets(list(fleet.targets)),
+            fleet.transport,
+            ForwardingSettings(),
+            (),
+            rng,
+        )
+        self.reporter = LoadReporter(
+            name,
+            zone,
+            name,
+            self.peers,
+            self.addresses,
+            self.forwarder,
+            self.targets,
+            self.key_map,
+            self.lease,
+            self.aggregator,
+        )
+        self.services = (self.reporter,)
+
+    async def start(self):
+        for service in self.services:
+            await service.start()
+
+    async def stop(self):
+        for service in self.services:
+            await service.stop()
+
+
+class LimitedFleet:
+    """Entry hosts in front of targets, some of which name a limit.
+
+    Each target has capacity for all requests, so that only its limit keeps
+    requests from it. The hosts share one leader.
+    """
+
+    def __init__(self, host_count, target_count, is_keyed, seed=1):
+        self.seed = seed
+        self.rng = random.Random(seed)
+        self.is_keyed = is_keyed
+        self.faults = Faults()
+        self.network = FakeNetwork(self.faults)
+        self.leader = "h0"
+        self.targets = {
+            f"i-{number}": LimitedTarget(f"i-{number}")
+            for number in range(target_count)
+        }
+        self.transport = LimitedTransport(self.targets)
+        self.directory = TargetDirectory()
+        self.directory.replace(
+            [
+                TargetEntry(
+                    name,
+                    1,
+                    "s",
+                    "127.0.0.1:1",
+                    ZONES[number % len(ZONES)],
+                    1000,
+                    False,
+                    0.0,
+                )
+                for number, name in enumerate(self.targets)
+            ]
+        )
+        self.hosts = {
+            f"h{number}": LimitedHost(self, f"h{number}", ZONES[number % len(ZONES)])
+            for number in range(host_count)
+        }
+        self._requests = set()
+        self.verdicts = []
+        """The time of arrival, host, priority and verdict of each request."""
+        routes = tuple(
+            Route(
+                f"r{priority}",
+                "h",
+                f"/{priority}/",
+                RouteType.SAFE,
+                1.0,
+                0.3,
+                priority,
+                2,
+                (Backend("s", 1.0),),
+            )
+            for priority in (0, 1, 2)
+        )
+        configuration = RoutingConfiguration(
+            1, routes, {"s": RoutedService("s", 1000, is_keyed)}
+        )
+        for host in self.hosts.values():
+            host.forwarder.adopt(configuration)
+
+    async def start(self):
+        for host in self.hosts.values():
+            await host.start()
+
+    async def stop(self):
+        for host in self.hosts.values():
+            await host.stop()
+
+    def lead(self, name):
+        """Make a host the leader, or nobody."""
+        self.leader = name
+        for host in self.hosts.values():
+            host.lease.holder = name
+            host.lease.held_epoch += 1
+
+    async def send_requests(self, seconds, per_second, hosts=None, priorities=(0,)):
+        """Send requests at random hosts for random targets, for some time."""
+        loop = asyncio.get_running_loop()
+        names = list(hosts or self.hosts)
+        ends_at = loop.time() + seconds
+        while loop.time() < ends_at:
+            await asyncio.sleep(self.rng.expovariate(per_second))
+            task = asyncio.create_task(
+                self._request(self.rng.choice(names), self.rng.choice(priorities))
+            )
+            self._requests.add(task)
+            task.add_done_callback(self._requests.discard)
+
+    async def _request(self, name, priority):
+        arrived_at = asyncio.get_running_loop().time()
+        request = EntryRequest(
+            f"r{len(self.verdicts)}-{arrived_at}",
+            "GET",
+            "h",
+            f"/{priority}/",
+            (),
+            b"",
+            arrived_at,
+            1.0,
+            self.rng.randrange(len(self.targets)) if self.is_keyed else None,
+        )
+        verdict = await self.hosts[name].forwarder.forward(request)
+        self.verdicts.append((arrived_at, name, priority, verdict))
