--- a/src/balsamway/keyspace/load_aggregator.py
+++ b/src/balsamway/keyspace/load_aggregator.py
@@ -132,6 +132,9 @@
         self._counted_since: dict[str, float] = {}
         """When the first requests of each service were counted."""
         self._decayed_at = now()
+        self.limits: dict[str, float] = {}
+        """The requests per second that a target accepts from all hosts, by
+        name, for those that name a limit."""
 
     @property
     def hosts(self) -> dict[str, str]:
--- a/src/balsamway/keyspace/service_leader.py
+++ b/src/balsamway/keyspace/service_leader.py
@@ -261,7 +261,9 @@
             for entry in entries
             if not self._is_lost(TargetIncarnation(*entry.key))
         ]
-        return estimate_speeds(present, self._aggregator.targets())
+        return estimate_speeds(
+            present, self._aggregator.targets(), self._aggregator.limits
+        )
 
     def _is_lost(self, owner: TargetIncarnation) -> bool:
         """Return whether a target is unresponsive and its grants expired."""
--- a/src/balsamway/keyspace/target_speed.py
+++ b/src/balsamway/keyspace/target_speed.py
@@ -17,6 +17,9 @@
 """The service time assumed for all targets of a service without any report."""
 WARM_UP_SLOWDOWN = 2.0
 """How much slower a target is during its warm-up."""
+MIN_LIMIT_REQUESTS_PER_SECOND = 0.25
+"""The least limit that counts. A target that owns no keys responds to nothing,
+so that the end of its limit would not be seen."""
 MIN_RELATIVE_SPEED, MAX_RELATIVE_SPEED = 0.25, 4.0
 """The bounds of a target's speed, relative to the mean of its service."""
 
@@ -31,13 +34,17 @@
 
 
 def estimate_speeds(
-    entries: Sequence[TargetEntry], loads: Mapping[str, TargetLoad]
+    entries: Sequence[TargetEntry],
+    loads: Mapping[str, TargetLoad],
+    limits: Mapping[str, float],
 ) -> list[TargetSpeed]:
-    """Estimate the speeds of targets from their service times.
+    """Estimate the speeds of targets from their service times and limits.
 
     Args:
         entries: The targets of one service.
         loads: The load that the entry hosts report for each target, by name.
+        limits: The requests per second that a target accepts, by name, for
+            those that name a limit.
 
     Returns:
         The targets with their speeds. A target without a report counts as
@@ -59,5 +66,10 @@
         speed = (
             min(MAX_RELATIVE_SPEED, max(MIN_RELATIVE_SPEED, relative)) * entry.capacity
         )
+        limit = limits.get(entry.name)
+        if limit is not None:
+            # A speed of 1 is a request in the mean service time.
+            limit = max(MIN_LIMIT_REQUESTS_PER_SECOND, limit)
+            speed = min(speed, limit * mean_seconds)
         speeds.append(TargetSpeed(TargetIncarnation(*entry.key), speed))
     return speeds
--- a/src/balsamway/node/load_reporter.py
+++ b/src/balsamway/node/load_reporter.py
@@ -176,6 +176,11 @@
             state.entry.name: state.entry.capacity for state in self._targets.all()
         }
         self._aggregator.decay(capacities)
+        self._aggregator.limits = {
+            state.entry.name: limit
+            for state in self._targets.limited()
+            if (limit := state.limit.requests_per_second) is not None
+        }
         targets = {
             name: (
                 load.total_in_flight(),
