Do not take a repeated refusal for the retry of its request

Reported by other operators, and reproduced here: a faulty target wrote the refusal of a request once more. Cause: a request whose owner does not hold its key yet is retried at the same target, mostly on the same connection, and the repeated refusal carries its id.

Ruled out: retries at other targets (another connection), and later requests (their id differs).

--- a/src/balsamway/platform/target_transport.py
+++ b/src/balsamway/platform/target_transport.py
@@ -27,6 +27,12 @@
 """How long before the deadline the wait for a connection ends. The result
 then says that the request was not sent; at the deadline it might have been."""
 
+RETRIED_AT_THE_TARGET = frozenset(
+    {AttemptOutcome.KEY_NOT_HELD, AttemptOutcome.WRONG_TARGET}
+)
+"""Refusals after which the same request may be sent to the same target. A
+faulty target may repeat such a refusal, and its request id would match, so the
+connection is not used again."""
 DECIMAL_NUMBER = re.compile(r"[0-9]{1,9}(\.[0-9]{0,9})?")
 """A limit in requests per second."""
 
@@ -65,21 +71,30 @@
                 response = await connection.exchange(
                     _http_request(request, target, deadline - loop.time())
                 )
+                result = _evaluate(response, target)
+                if result.outcome in RETRIED_AT_THE_TARGET:
+                    connection.close()
         except TimeoutError:
             timed_out = MayHaveRun(Reason.DEADLINE_EXCEEDED)
             return AttemptResult(timed_out, AttemptOutcome.TIMED_OUT)
         finally:
             pool.release(connection)
-        match response:
-            case NotSent(reason=reason):
-                refusal = NotRun(Reason.CONNECT_FAILED, reason)
-                return AttemptResult(refusal, AttemptOutcome.STALE_CONNECTION)
-            case ResponseLost(reason=reason):
-                lost = MayHaveRun(Reason.CONNECTION_LOST, reason)
-                return AttemptResult(lost, AttemptOutcome.CONNECTION_LOST)
-            case _:
-                result = _evaluate_response(response, target)
-                return replace(result, limit=_limit_answer(response, result))
+        return result
+
+
+def _evaluate(
+    response: HttpResponse | ResponseLost | NotSent, target: TargetEntry
+) -> AttemptResult:
+    match response:
+        case NotSent(reason=reason):
+            refusal = NotRun(Reason.CONNECT_FAILED, reason)
+            return AttemptResult(refusal, AttemptOutcome.STALE_CONNECTION)
+        case ResponseLost(reason=reason):
+            lost = MayHaveRun(Reason.CONNECTION_LOST, reason)
+            return AttemptResult(lost, AttemptOutcome.CONNECTION_LOST)
+        case _:
+            result = _evaluate_response(response, target)
+            return replace(result, limit=_limit_answer(response, result))
 
 
 def _http_request(
--- a/tests/fakes/scripted_target.py
+++ b/tests/fakes/scripted_target.py
@@ -16,6 +16,8 @@
     path: str
     headers: dict
     body: bytes
+    connection_requests: int = 1
+    """The number of requests on this connection so far, with this one."""
 
 
 @dataclass
@@ -47,8 +49,11 @@
     async def _serve(self, reader, writer):
         self.connections += 1
         self._writers.add(writer)
+        requests = 0
         try:
             while (received := await read_request(reader)) is not None:
+                requests += 1
+                received.connection_requests = requests
                 self.received.append(received)
                 await self.script(received, writer, len(self.received))
         except (OSError, asyncio.IncompleteReadError):
