--- a/src/balsamway/exchange/target_connection.py
+++ b/src/balsamway/exchange/target_connection.py
@@ -67,6 +67,8 @@
         """The number of bytes received in this exchange."""
         self._received_heads = 0
         """The number of response heads received in this exchange."""
+        self.exchange_count = 0
+        """The number of exchanges that were begun."""
         self._is_reusable = True
         self._is_closed = False
         self._ended_normally = False
@@ -183,6 +185,7 @@
             self.transport.close()
 
     def _begin_exchange(self, request: HttpRequest) -> None:
+        self.exchange_count += 1
         self._response_body = None
         self._received_bytes = self._received_heads = 0
         self._parser = HttpResponseParser(
--- a/src/balsamway/platform/target_transport.py
+++ b/src/balsamway/platform/target_transport.py
@@ -71,7 +71,7 @@
                 response = await connection.exchange(
                     _http_request(request, target, deadline - loop.time())
                 )
-                result = _evaluate(response, target)
+                result = _evaluate(response, target, connection.exchange_count == 1)
                 if result.outcome in RETRIED_AT_THE_TARGET:
                     connection.close()
         except TimeoutError:
@@ -83,7 +83,9 @@
 
 
 def _evaluate(
-    response: HttpResponse | ResponseLost | NotSent, target: TargetEntry
+    response: HttpResponse | ResponseLost | NotSent,
+    target: TargetEntry,
+    is_first_on_connection: bool,
 ) -> AttemptResult:
     match response:
         case NotSent(reason=reason):
@@ -93,7 +95,7 @@
             lost = MayHaveRun(Reason.CONNECTION_LOST, reason)
             return AttemptResult(lost, AttemptOutcome.CONNECTION_LOST)
         case _:
-            result = _evaluate_response(response, target)
+            result = _evaluate_response(response, target, is_first_on_connection)
             return replace(result, limit=_limit_answer(response, result))
 
 
@@ -111,18 +113,24 @@
     )
 
 
-def _evaluate_response(response: HttpResponse, target: TargetEntry) -> AttemptResult:
+def _evaluate_response(
+    response: HttpResponse, target: TargetEntry, is_first_on_connection: bool
+) -> AttemptResult:
     """Derive the result of an attempt from the target's response.
 
-    If another target has the address now, the request did not run. Any other
-    response is trusted only if it names the request: it may say that the
-    request was not executed. A response that is passed on must not be
-    encoded, and must be signed if it reports success.
+    A response is trusted only if it names the request: it may say that the
+    request was not executed. Another target that has the address now may name
+    none; a connection that was used before may bring an earlier refusal, so
+    that is trusted on a new one alone. A response that is passed on must not
+    be encoded, and must be signed if it reports success.
     """
     headers = response.headers
-    if response.status == 421 and headers.get(
-        names.ANSWERED_BY_HEADER, target.name
-    ) != (target.name):
+    is_other_target = response.status == 421 and (
+        headers.get(names.ANSWERED_BY_HEADER, target.name) != target.name
+    )
+    if is_other_target and (
+        is_first_on_connection or names.REQUEST_ID_HEADER in headers
+    ):
         refusal = NotRun(
             Reason.NO_TARGET, f"{headers[names.ANSWERED_BY_HEADER]} is there"
         )
--- a/tests/platform/test_faulty_targets.py
+++ b/tests/platform/test_faulty_targets.py
@@ -12,6 +12,7 @@
 from tests.platform.conftest import entry_request
 
 NOT_EXECUTED = "Balsamway-Not-Executed: 1"
+OTHER_TARGET = "Balsamway-Instance-Id: i-9"
 HEAD_AND_BODY = (
     b"HTTP/1.1 200 OK\r\n"
     b"Balsamway-Request-Id: r1\r\n"
@@ -51,6 +52,39 @@
     assert retried.verdict.body == b"own"
 
 
+@pytest.mark.parametrize("status", [421, 503, 429])
+@pytest.mark.parametrize("request_id", ["r1", None])
+async def test_a_repeated_refusal_is_not_taken_for_the_refusal_of_a_later_request(
+    scripted, send, status, request_id
+):
+    async def script(received, writer, number):
+        if number == 1:
+            writer.write(answer("r1", b"own"))
+            return
+        extra = f"{NOT_EXECUTED}\r\n{OTHER_TARGET}"
+        writer.write(answer(request_id, b"", status, None, extra))
+        await writer.drain()
+        await asyncio.sleep(0.02)
+        writer.write(answer("r2", b"own"))
+
+    target = await scripted(script)
+    await send(target, entry_request("POST", "r1"))
+    later = await send(target, entry_request("POST", "r2"))
+    assert not isinstance(later.verdict, NotRun)
+
+
+async def test_another_target_at_the_address_is_recognised_without_a_request_id(
+    scripted, send
+):
+    async def script(received, writer, number):
+        writer.write(answer(None, b"", 421, None, OTHER_TARGET))
+
+    target = await scripted(script)
+    for number in range(3):
+        result = await send(target, entry_request("POST", f"r{number}"))
+        assert result.outcome is AttemptOutcome.WRONG_TARGET
+
+
 @pytest.mark.parametrize("sent_bytes", range(HEAD_BYTES))
 async def test_a_response_that_stops_within_its_head_is_not_complete(
     scripted, send, sent_bytes
