Refuse requests that would be sent late in a planned stop

Reported by other operators: requests that came late in the grace were passed on and then cut off. But a request that arrived before and waited for its key, or was refused by its target, was still sent as long as its deadline allowed, up to the end of the grace. It is refused now as not run, so that its caller can send it to another host.

--- a/src/balsamway/forwarding/attempt_loop.py
+++ b/src/balsamway/forwarding/attempt_loop.py
@@ -31,6 +31,9 @@
 takes two ms, so an attempt with less time would not end in time."""
 RETRY_AFTER_SECONDS = 0.25
 """The Retry-After time of a refusal for lack of capacity."""
+STOPPING_RETRY_AFTER_SECONDS = 0.05
+"""The Retry-After time of a refusal because this host is stopping. It is short
+because the retry goes to another host."""
 MIN_LIMIT_RETRY_AFTER_SECONDS = 0.1
 """The least Retry-After time of a refusal for a target's limit."""
 OWNER_RETRY_AFTER_SECONDS = 0.4
@@ -189,6 +192,8 @@
     async def _next_target(self) -> TargetState | NotRun:
         if self.remaining_seconds < MIN_ATTEMPT_SECONDS:
             return NotRun(Reason.OVERLOADED, "no time is left")
+        if not self._forwarder.is_sending:
+            return self._stopping()
         if self.service.is_keyed:
             return await self._find_owner()
         states = self._forwarder.targets.usable(self.service.name)
@@ -235,6 +240,14 @@
             return not state.is_drain_expired
         return not state.entry.is_draining
 
+    def _stopping(self) -> NotRun:
+        """Return the refusal of a request that this host must not send."""
+        return NotRun(
+            Reason.STOPPING,
+            "this host stops",
+            self._jitter(STOPPING_RETRY_AFTER_SECONDS),
+        )
+
     def _admit(
         self, state: TargetState, default_seconds: float
     ) -> TargetState | NotRun:
@@ -299,6 +312,8 @@
                     state = None
                 expected_at = owner.accept_expected_at
             if owner is not None and owner.has_accepted and state is not None:
+                if not self._forwarder.is_sending:
+                    return self._stopping()
                 if not state.is_in_backoff:
                     return self._admit_owner(state)
                 expected_at = state.backoff_until
--- a/src/balsamway/forwarding/forwarder.py
+++ b/src/balsamway/forwarding/forwarder.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import math
 from typing import TYPE_CHECKING
 
 from balsamway.clock import now
@@ -74,6 +75,7 @@
         self._splits: dict[str, WeightedSplit] = {}
         self._budgets: dict[str, RetryBudget] = {}
         self._host_count = settings.min_host_count
+        self._last_attempt_at = math.inf
         self._key_counts: dict[str, dict[int, int]] = {}
         self.service_times = ServiceTimeEstimates()
 
@@ -141,6 +143,19 @@
             services = tuple(self._configuration.services.values())
             self.targets.set_limits(services, host_count)
 
+    @property
+    def is_sending(self) -> bool:
+        """Whether an attempt may still begin before this host stops."""
+        return now() < self._last_attempt_at
+
+    def stop_sending_at(self, last_attempt_at: float) -> None:
+        """Refuse requests whose next attempt would begin too late.
+
+        Args:
+            last_attempt_at: When attempts stop, in event loop time.
+        """
+        self._last_attempt_at = last_attempt_at
+
     async def forward(self, request: EntryRequest) -> Verdict:
         """Forward a request and return the verdict on it.
 
--- a/src/balsamway/node/entry_node.py
+++ b/src/balsamway/node/entry_node.py
@@ -253,6 +253,7 @@
         # before the host has to stop.
         self.add_future(self.lease.resign())
         grace = self._settings.bounds.grace_seconds
+        self.forwarder.stop_sending_at(began_at + DRAIN_ACCEPT_FRACTION * grace)
         await self._caller_listener.drain(
             DRAIN_ACCEPT_FRACTION * grace, DRAIN_TOTAL_FRACTION * grace
         )
--- a/tests/forwarding/test_forwarder.py
+++ b/tests/forwarding/test_forwarder.py
@@ -291,6 +291,33 @@
     assert not setup.transport.sent
 
 
+@pytest.mark.parametrize("type_", list(RouteType))
+async def test_a_request_that_waits_while_its_host_stops_is_not_sent_late(setup, type_):
+    setup.adopt(backends=(Backend("k", 1.0),), timeout_seconds=9.0, type=type_)
+    setup.set_targets(target("i-1", "k"))
+    setup.owners.change("i-1", has_accepted=False, accept_expected_at=now() + 2.0)
+    waiting = asyncio.create_task(setup.request(key=1))
+    await asyncio.sleep(0.1)
+    setup.forwarder.stop_sending_at(now() + 1.0)
+    await asyncio.sleep(1.9)
+    setup.owners.change("i-1")
+    verdict = await waiting
+    assert isinstance(verdict, NotRun)
+    assert verdict.reason is Reason.STOPPING
+    assert verdict.retry_after_seconds < 0.2
+    assert not setup.transport.sent
+
+
+async def test_a_refused_request_is_not_sent_again_late_in_a_stop(setup):
+    setup.adopt(type=RouteType.UNSAFE)
+    setup.transport.attempt_outcomes = [AttemptOutcome.SHED, AttemptOutcome.SERVED]
+    setup.transport.seconds = 0.3
+    setup.forwarder.stop_sending_at(now() + 0.2)
+    verdict = await setup.request()
+    assert isinstance(verdict, NotRun)
+    assert len(setup.transport.sent) == 1
+
+
 async def test_a_short_request_is_not_refused_for_slow_requests_of_other_routes(
     setup,
 ):
