--- a/src/balsamway/forwarding/attempt_loop.py
+++ b/src/balsamway/forwarding/attempt_loop.py
@@ -233,7 +233,7 @@
         )
 
     def _may_still_send(self, state: TargetState) -> bool:
-        """Return whether the target has not left while a token was got."""
+        """Return whether the target has not left in the meantime."""
         if self._forwarder.targets.find(*state.entry.key) is not state:
             return False
         if self.service.is_keyed:
