--- a/src/balsamway/limits/limiter.py
+++ b/src/balsamway/limits/limiter.py
@@ -1,7 +1,7 @@
 """Hands out the tokens of limited targets, on the host that leads.
 
-It is made for targets that ask for less load while the demand for them stays:
-what is over their limit is refused at once, the less urgent requests first.
+It is made for targets that accept less load while the demand for them stays:
+requests beyond the limit are refused at once, the less urgent ones first.
 """
 
 from __future__ import annotations
@@ -24,7 +24,7 @@
 MIN_BURST = 2.0
 """The least number of tokens that can be saved up."""
 RESERVE_FRACTION = 0.2
-"""The part of the burst that each step of priority leaves to more urgent
+"""The fraction of the burst that each step of priority leaves to more urgent
 requests."""
 MAX_RESERVE_STEPS = 2
 """The number of steps of priority that have a reserve of their own."""
@@ -38,8 +38,9 @@
 class _LimitedTarget:
     bucket: TokenBucket
     used_at: float
+    """When the last request asked for a token, in event loop time."""
     returns_until: float
-    """Until when the tokens are promised to requests that were held back."""
+    """Until when requests that were held back were told to return."""
 
 
 class Limiter:
--- a/src/balsamway/limits/local_share.py
+++ b/src/balsamway/limits/local_share.py
@@ -19,10 +19,10 @@
 MIN_COUNTED_SECONDS = 4.0
 """The shortest time to divide that count by."""
 GRANTED_FRACTION = 0.4
-"""The part of the rate at which this host got tokens that it goes on with. The
+"""The fraction of the rate at which this host got tokens that it keeps to. The
 hosts that still reach the leader may use the whole limit at the same time."""
 EQUAL_FRACTION = 0.1
-"""The part of the limit that all hosts together use if none got tokens."""
+"""The fraction of the limit that all hosts together use if none got tokens."""
 BURST_SECONDS = 4.0
 """The most tokens that can be saved up, as a time in which they are filled."""
 MIN_TOKENS_PER_SECOND = 1e-6
--- a/src/balsamway/limits/target_limit.py
+++ b/src/balsamway/limits/target_limit.py
@@ -12,7 +12,7 @@
     UnreadableLimit,
 )
 
-LIFT_DELAY_SECONDS = 0.5
+END_DELAY_SECONDS = 0.5
 """How much newer than the last response with a limit one without it must be to
 end the limit. Reports of other hosts may arrive late and out of order."""
 ENDED_REPORT_SECONDS = 5.0
@@ -71,6 +71,11 @@
             and now() - self._changed_at < ENDED_REPORT_SECONDS
         )
 
+    @property
+    def report(self) -> tuple[float | None, int]:
+        """The limit, and how many milliseconds ago it was observed."""
+        return self._requests_per_second, _age_ms(self._seen_at)
+
     def on_response(self, answer: LimitAnswer) -> None:
         """Apply what a response to this host says.
 
@@ -110,11 +115,6 @@
             requests_per_second, now() - age_ms / 1000, is_from_response=False
         )
 
-    @property
-    def report(self) -> tuple[float | None, int]:
-        """The limit, and how many milliseconds ago it was observed."""
-        return self._requests_per_second, _age_ms(self._seen_at)
-
     def take_report(self) -> tuple[float | None, int] | None:
         """Return what this host's responses showed since the last call.
 
@@ -144,7 +144,7 @@
     ) -> None:
         previous = self._requests_per_second
         if previous is not None and requests_per_second is None:
-            if seen_at < self._seen_at + LIFT_DELAY_SECONDS:
+            if seen_at < self._seen_at + END_DELAY_SECONDS:
                 return
         elif seen_at < self._seen_at:
             return
