Show the store's era, and what a claimed lease and record replace

The logs could not tell whether a leader trusted an older lease, an older record, or a repeated version. store-era-changed and balsamway_platform_store_era tell of a restore; leadership-taken and keys-taken-over name the version and epoch that they replaced. No decision changes.

--- a/src/balsamway/keyspace/key_leader.py
+++ b/src/balsamway/keyspace/key_leader.py
@@ -175,6 +175,7 @@
             case _:
                 await self.sleep(RETRY_DELAY_SECONDS)
                 return
+        replaced_epoch = record.epoch
         # A target may have restarted unnoticed. Its new incarnation must not
         # get the fencing tokens of the previous one.
         current_owners = {segment.keys: segment.owner for segment in record.segments}
@@ -191,6 +192,9 @@
                 "service": service,
                 "epoch": epoch,
                 "segments": len(record.segments),
+                "replaced": stored,
+                "replaced_epoch": replaced_epoch,
+                "next_token": record.next_token,
             },
         )
         leader = ServiceLeader(
--- a/src/balsamway/keyspace/leader_lease.py
+++ b/src/balsamway/keyspace/leader_lease.py
@@ -250,7 +250,10 @@
         self._epoch = epoch
         self._authority_until = sent_at + LEASE_DURATION_SECONDS
         self.elected.set()
-        logger.info("leadership-taken", extra={"epoch": epoch})
+        logger.info(
+            "leadership-taken",
+            extra={"epoch": epoch, "replaced": version},
+        )
 
     async def _renew(self, epoch: int) -> None:
         known = self._known
--- a/src/balsamway/platform/store_client.py
+++ b/src/balsamway/platform/store_client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 from typing import TYPE_CHECKING, Any
 from urllib.parse import quote, urlencode
 
@@ -15,7 +16,9 @@
     NotSent,
     ResponseLost,
 )
+from balsamway.platform import names
 from balsamway.platform import wire_types as wire
+from balsamway.store.era import MAX_ERA
 from balsamway.store.object_store import Changes, HistoryGone, Listing
 from balsamway.store.store import (
     Absent,
@@ -39,9 +42,13 @@
 outage is detected."""
 MAX_CONNECTIONS = 8
 """The maximum number of open connections to the store."""
+MAX_ERA_DIGITS = len(str(MAX_ERA))
+"""The most digits of a store's era."""
 MAX_PAGES = 1_000
 """The maximum number of pages that are read of one list."""
 
+logger = logging.getLogger(__name__)
+
 
 class StoreClient:
     """Call the platform's store over HTTP; implements `ObjectStore`."""
@@ -56,6 +63,12 @@
         self._pool = ConnectionPool(address, MAX_CONNECTIONS)
         self._host = address.encode()
         self._counts = counts
+        self._era = 0
+
+    @property
+    def era(self) -> int:
+        """The highest era of the store that a response named."""
+        return self._era
 
     async def list(self, kind: str) -> ListResult:
         """Read all objects of a kind, page by page; see `ObjectStore.list`."""
@@ -188,10 +201,36 @@
                     # `NotSent` means that an idle connection had been closed,
                     # so that nothing was written.
                     if not isinstance(response, NotSent):
+                        if isinstance(response, HttpResponse):
+                            self._read_era(response)
                         return response
         except TimeoutError:
             return ResponseLost(f"no response within {timeout_seconds} s")
 
+    def _read_era(self, response: HttpResponse) -> int:
+        """Return the era of the store that sent a response.
+
+        A response without a readable era counts as one of the last known era.
+        """
+        text = response.headers.get(names.STORE_ERA_HEADER)
+        if text is None:
+            return self._era
+        # The bound on the length keeps a long number from being converted.
+        if len(text) > MAX_ERA_DIGITS or not (text.isascii() and text.isdigit()):
+            logger.warning("store-era-unreadable", extra={"value": text[:40]})
+            return self._era
+        era = int(text)
+        if era > MAX_ERA:
+            logger.warning("store-era-unreadable", extra={"value": text[:40]})
+            return self._era
+        if era > self._era:
+            logger.warning(
+                "store-era-changed", extra={"era": era, "previous": self._era}
+            )
+            self._era = era
+            self._counts.era_changed(era)
+        return era
+
 
 def _path(kind: str, name: str = "", query: dict[str, str] | None = None) -> str:
     path = f"/objects/{quote(kind)}"
--- a/src/balsamway/store/call_counts.py
+++ b/src/balsamway/store/call_counts.py
@@ -26,6 +26,11 @@
             "Watches that wait for a change.",
             registry=registry,
         )
+        self._era = Gauge(
+            "balsamway_platform_store_era",
+            "How often the store was restored from an older copy, as it says.",
+            registry=registry,
+        )
         self._totals: dict[str, int] = {}
 
     @property
@@ -44,6 +49,14 @@
         self._totals[operation] = self._totals.get(operation, 0) + 1
         self._calls.labels(operation, type(result).__name__).inc()
 
+    def era_changed(self, era: int) -> None:
+        """Export the era of the store.
+
+        Args:
+            era: The era that a response named.
+        """
+        self._era.set(era)
+
     def watch_opened(self) -> None:
         """Count a watch that starts to wait."""
         self._open_watches.inc()
--- /dev/null
+++ b/src/balsamway/store/era.py
@@ -0,0 +1,45 @@
+"""Eras of a store that may be restored from an older copy.
+
+The store counts its restores: each one begins an era. A restored store gives
+out again the revisions that it gave out since the copy was made, so a revision
+identifies a state of the store only together with its era. A version combines
+both in one integer, in which the era counts first. Versions never repeat, and
+those of a later era are higher than all earlier ones.
+"""
+
+from __future__ import annotations
+
+REVISION_BITS = 40
+"""The bits of a version for the store's revision, from the lowest on."""
+MAX_REVISION = 2**REVISION_BITS - 1
+"""The highest revision that can be part of a version."""
+MAX_ERA = 2**20 - 1
+"""The highest era. Versions then fit into 63 bits."""
+
+
+def version_of(era: int, revision: int) -> int:
+    """Combine an era and a revision.
+
+    Args:
+        era: The era of the store, from 0 to `MAX_ERA`.
+        revision: A revision within it, from 0 to `MAX_REVISION`.
+    """
+    return (era << REVISION_BITS) + revision
+
+
+def era_of(version: int) -> int:
+    """Return the era of a version.
+
+    Args:
+        version: The version.
+    """
+    return version >> REVISION_BITS
+
+
+def revision_of(version: int) -> int:
+    """Return the store's own revision of a version.
+
+    Args:
+        version: The version.
+    """
+    return version & MAX_REVISION
--- a/tests/platform/test_store_client.py
+++ b/tests/platform/test_store_client.py
@@ -204,3 +204,17 @@
     await store.read("k", "a")
     assert isinstance(await store.read("k", "a"), Unavailable)
     assert (await store.read("k", "a")).version == 2
+
+
+@pytest.mark.parametrize("value", [b"-1", b"2.5", b"x", b"", b"9" * 5_000, b"9999999"])
+async def test_an_unreadable_era_leaves_the_last_one(start_store, value):
+    body = json.dumps(item("a", 7)).encode()
+    _, store = await start_store(
+        b"HTTP/1.1 200 X\r\nStore-Era: 3\r\nContent-Length: %d\r\n\r\n%b"
+        % (len(body), body),
+        b"HTTP/1.1 200 X\r\nStore-Era: %b\r\nContent-Length: %d\r\n\r\n%b"
+        % (value, len(body), body),
+    )
+    for _ in range(2):
+        assert isinstance(await store.read("k", "a"), StoredObject)
+        assert store.era == 3
