Let a leader whose lease has expired wait instead of spinning

Cause: the lease's event stays set until the renewal returns, and authority ends before. Ruled out: a failing renewal that ends within the lease, which was abandoned in time.

--- a/src/balsamway/keyspace/key_leader.py
+++ b/src/balsamway/keyspace/key_leader.py
@@ -106,7 +106,7 @@
         while not self.should_stop:
             await self._lease.elected.wait()
             epoch = self._lease.epoch
-            if epoch is None:
+            if epoch is None or not self._lease.has_authority(epoch):
                 await self.sleep(CHECK_INTERVAL_SECONDS)
                 continue
             try:
--- a/tests/keyspace/test_key_leader.py
+++ b/tests/keyspace/test_key_leader.py
@@ -11,6 +11,7 @@
 from balsamway.keyspace.leader_lease import LeaderLease
 from balsamway.keyspace.load_aggregator import LoadAggregator
 from balsamway.keyspace.messages import LoadNotice
+from balsamway.store.store import Unavailable
 from tests.fakes.keyed_targets import GRAIN, KeyedTargets
 from tests.fakes.memory_store import MemoryStore
 
@@ -330,3 +331,17 @@
     await asyncio.sleep(25)
     deployment.check()
     assert deployment.targets.unowned() == []
+
+
+@pytest.mark.timeout(20)
+async def test_a_leader_whose_lease_expired_does_not_keep_the_processor_busy(
+    deployment,
+):
+    await deployment.start("a")
+    lease = deployment.hosts["a"].lease
+    # The store's response to a renewal can be awaited beyond the lease.
+    deployment.store.write = lambda *_: asyncio.sleep(10, Unavailable("late"))
+    before = deployment.targets.all["t1"].orders
+    await asyncio.sleep(9)
+    assert not lease.has_authority(1)
+    assert deployment.targets.all["t1"].orders >= before
