Do not trust leases and key records that a restored store lost writes of

Cause: a restored store has an older lease and an older key record, and gives out their revisions again. A host claimed the restored lease (at once, where it was free, absent or named the host itself), adopted the older record, and granted keys to their earlier owners, under tokens that had been given out, while grants of the record that was lost were in force.

Ruled out by the logs added before: a late order (each second grant followed from keys-taken-over), and a target taken for restarted (no keys-vacated with 'started again').

Change: a version carries the era of the store, so that versions never repeat. Leases and records carry the era in which they were written. One of an earlier era is not trusted: its lease is claimed only after a lease's duration from when the claiming host first saw it; a leader that still has authority writes its lease and its records again; any other waits until every grant that the lost record may have allowed has expired. Epochs and tokens of an era are above those of all earlier ones. A conditional update of a version of an earlier era is not sent, and one that meets the restored store nevertheless does not count.

--- a/src/balsamway/keyspace/key_leader.py
+++ b/src/balsamway/keyspace/key_leader.py
@@ -11,7 +11,10 @@
 
 from balsamway.clock import now
 from balsamway.keyspace.grant_expiry import max_grant_lifetime_seconds
-from balsamway.keyspace.grant_renewer import GRANT_IN_OUTAGE_SECONDS
+from balsamway.keyspace.grant_renewer import (
+    GRANT_IN_OUTAGE_SECONDS,
+    ORDER_TIMEOUT_SECONDS,
+)
 from balsamway.keyspace.key_record import KeyRecord, decode_record
 from balsamway.keyspace.record_writer import (
     KEY_RECORD_KIND,
@@ -23,6 +26,7 @@
 from balsamway.keyspace.service_keys import ServiceKeys
 from balsamway.keyspace.service_leader import ServiceLeader
 from balsamway.outcome import Malformed
+from balsamway.store.era import era_of, first_number_in, was_restored
 from balsamway.store.store import Absent, StoredObject
 
 if TYPE_CHECKING:
@@ -76,6 +80,13 @@
         self._services = services
         self._publish = publish
         self._leaders: dict[str, ServiceLeader] = {}
+        self._last_records: dict[str, tuple[int, KeyRecord]] = {}
+        """By service, the last record in force here, and the epoch of this
+        host's leadership. No other host has led since if it is still that one.
+        """
+        self._lost_grants_expire_at: dict[str, float] = {}
+        """For each service whose record was restored, when every grant that
+        earlier leaders may have sent has expired, in event loop time."""
 
     def notices_newer_than(
         self, seen: dict[str, tuple[int, int]]
@@ -118,7 +129,10 @@
                 logger.exception("leading-failed", exc_info=group)
                 self._lease.abandon("leading failed")
             finally:
+                for service, leader in self._leaders.items():
+                    self._last_records[service] = (epoch, leader.record)
                 self._leaders.clear()
+                self._lost_grants_expire_at.clear()
 
     async def _lead(self, epoch: int, tasks: asyncio.TaskGroup) -> None:
         """Lead every service until the leadership ends.
@@ -153,6 +167,9 @@
         def is_leader() -> bool:
             return self._lease.has_authority(epoch)
 
+        era = self._lease.era
+        if era is None:
+            return
         grants_expire_at = now() + max_grant_lifetime_seconds(GRANT_IN_OUTAGE_SECONDS)
         found = await self._store.read(KEY_RECORD_KIND, service)
         match found:
@@ -169,13 +186,29 @@
                     self._lease.abandon(f"the record is of epoch {record.epoch}")
                     return
                 stored: int | None = version
-            case Absent():
-                record, stored = KeyRecord(epoch, 1, ()), None
-                grants_expire_at = now()
+                found_era = era_of(version)
+            case Absent(era=found_era):
+                record, stored = KeyRecord(epoch, 1, (), found_era), None
+                if was_restored(found_era):
+                    record = replace(record, era=found_era - 1)
+                else:
+                    grants_expire_at = now()
             case _:
                 await self.sleep(RETRY_DELAY_SECONDS)
                 return
+        if found_era != era:
+            # The lease will tell whether this host still leads.
+            await self.sleep(RETRY_DELAY_SECONDS)
+            return
         replaced_epoch = record.epoch
+        if record.era != era:
+            last_epoch, last_record = self._last_records.get(service, (None, record))
+            if last_epoch == epoch:
+                record = replace(last_record, era=era)
+            elif self._have_grants_expired(service, era, record):
+                record, grants_expire_at = _after_expiry(record, era), now()
+            else:
+                return
         # A target may have restarted unnoticed. Its new incarnation must not
         # get the fencing tokens of the previous one.
         current_owners = {segment.keys: segment.owner for segment in record.segments}
@@ -216,6 +249,52 @@
         self._leaders[service] = leader
         tasks.create_task(leader.run(tasks))
 
+    def _have_grants_expired(self, service: str, era: int, record: KeyRecord) -> bool:
+        """Return whether the grants that a restored store lost have expired.
+
+        The restored record may be older than grants that are in force, and no
+        one knows which. This host began to lead after the last leader's
+        authority had ended, so it waits for the longest grant from then on.
+
+        Args:
+            service: The name of the service.
+            era: The era of the store.
+            record: The record of the restored store.
+        """
+        expire_at = self._lost_grants_expire_at.get(service)
+        if expire_at is None:
+            lifetime = max_grant_lifetime_seconds(GRANT_IN_OUTAGE_SECONDS)
+            seconds = ORDER_TIMEOUT_SECONDS + lifetime
+            expire_at = self._lost_grants_expire_at[service] = now() + seconds
+            logger.warning(
+                "key-record-restored",
+                extra={
+                    "service": service,
+                    "era": era,
+                    "record_era": record.era,
+                    "record_epoch": record.epoch,
+                    "seconds": round(seconds, 3),
+                },
+            )
+        return now() >= expire_at
+
+
+def _after_expiry(record: KeyRecord, era: int) -> KeyRecord:
+    """Return a restored record after all grants that it lacks have expired.
+
+    Args:
+        record: The record of the restored store.
+        era: The era of the store.
+    """
+    return replace(
+        record,
+        next_token=max(record.next_token, first_number_in(era) + 1),
+        segments=tuple(
+            replace(segment, previous_owners=()) for segment in record.segments
+        ),
+        era=era,
+    )
+
 
 class _LeadershipEndedError(Exception):
     """Cancels the tasks of a leadership."""
--- a/src/balsamway/keyspace/key_map.py
+++ b/src/balsamway/keyspace/key_map.py
@@ -85,7 +85,7 @@
         )
         self._replace(notice.service, _ServiceKeyMap(version, notice.lasts, owners))
 
-    def on_record(self, service: str, record: KeyRecord) -> None:
+    def on_record(self, service: str, record: KeyRecord, era: int) -> None:
         """Adopt a stored record while there are no messages from the leader.
 
         The record does not say whether an owner has accepted its grant. An
@@ -94,10 +94,14 @@
         Args:
             service: The name of the service.
             record: The service's record.
+            era: The era of the store that has the record.
         """
         key_map = self._key_maps.get(service)
         if key_map is not None and record.epoch < key_map.version[0]:
             return
+        if key_map is not None and record.era < era:
+            # It is from a copy of the store, and older than the known owners.
+            return
         serial = (
             key_map.version[1] if key_map and key_map.version[0] == record.epoch else 0
         )
--- a/src/balsamway/keyspace/key_record.py
+++ b/src/balsamway/keyspace/key_record.py
@@ -29,6 +29,10 @@
     """The lowest unused fencing token."""
     segments: tuple[Segment, ...]
     """In the order of keys, without gaps. Empty before the first grant."""
+    era: int = 0
+    """The era of the store in which the record was written. One of an earlier
+    era than the store's is from a copy, and may be older than grants that are
+    in force."""
 
     def find(self, key: int) -> Segment | None:
         """Return the segment of a key, or None if there are no segments.
@@ -138,6 +142,7 @@
     epoch: int
     next_token: int
     segments: list[tuple[int, int, str, int, int, list[tuple[str, int, int]]]]
+    era: int = 0
 
 
 def encode_record(record: KeyRecord) -> bytes:
@@ -171,6 +176,7 @@
                 )
                 for segment in record.segments
             ],
+            record.era,
         )
     )
 
@@ -211,4 +217,4 @@
         next_key = segment.last + 1
     if segments and next_key != KEY_COUNT:
         return Malformed(f"keys from {next_key} on have no owner")
-    return KeyRecord(stored.epoch, stored.next_token, segments)
+    return KeyRecord(stored.epoch, stored.next_token, segments, stored.era)
--- a/src/balsamway/keyspace/leader_lease.py
+++ b/src/balsamway/keyspace/leader_lease.py
@@ -10,7 +10,8 @@
 
 from balsamway.clock import now
 from balsamway.keyspace.lease_object import LeaseObject
-from balsamway.keyspace.stored_lease import Lease, StoredLease
+from balsamway.keyspace.stored_lease import Lease, StoredLease, absent_lease
+from balsamway.store.era import first_number_in, was_restored
 from balsamway.store.store import Absent, Unavailable
 
 if TYPE_CHECKING:
@@ -51,6 +52,11 @@
     the lease was not renewed since the claiming host first saw that version.
     That is longer ago than the lease lasts, so the earlier leader's lease has
     expired.
+
+    A restored store has lost renewals, so what its lease says of the leader
+    is not relied on. It is claimed only after the same time, which begins when
+    the claiming host first sees the restored lease. The leader itself writes
+    its lease again as long as it has authority.
     """
 
     def __init__(
@@ -113,6 +119,12 @@
         lease = self._known.lease
         return (lease.epoch, lease.host, lease.address)
 
+    @property
+    def era(self) -> int | None:
+        """The era of the store in which this host leads, or None."""
+        stored = self.stored_lease
+        return None if stored is None else stored.era
+
     @property
     def is_renewal_failing(self) -> bool:
         """Whether the last renewal failed, so the store may be unavailable."""
@@ -167,9 +179,9 @@
         if epoch is None or known is None:
             return
         self.abandon(reason)
-        released = Lease(epoch, "", "", self._beat + 1)
-        found = await self._lease_object.put(released, known.version)
-        if isinstance(found, StoredLease) and found.lease == released:
+        released = Lease(epoch, "", "", self._beat + 1, known.era)
+        found = await self._lease_object.put(released, known.replaces)
+        if isinstance(found, StoredLease) and _is_stored(released, found):
             self.on_resignation(found)
 
     @mode.Service.task
@@ -186,9 +198,9 @@
             await self.sleep(LEADER_REPORT_CHECK_SECONDS)
             return
         match await self._lease_object.read_stale():
-            case Absent() if self._may_claim:
-                await self._claim(None, 1)
-                return
+            case Absent(era=era):
+                if await self._claim_absent(era):
+                    return
             case StoredLease() as found:
                 self._update_known(found)
                 if await self._claim_if_free():
@@ -199,6 +211,23 @@
                     return
         await self.sleep(POLL_INTERVAL_SECONDS * self._rng.uniform(0.8, 1.2))
 
+    async def _claim_absent(self, era: int) -> bool:
+        """Claim a lease that does not exist, if it was never written.
+
+        Args:
+            era: The era of the store.
+
+        Returns:
+            Whether this host leads now.
+        """
+        known = self._known
+        if known is None or known.era < era or known.replaces is not None:
+            self._known, self._known_since = absent_lease(era), now()
+        if not was_restored(era) and self._may_claim:
+            await self._claim(absent_lease(era))
+            return self._epoch is not None
+        return await self._claim_if_free()
+
     async def _claim_if_free(self) -> bool:
         """Claim the last known lease if it is free.
 
@@ -206,21 +235,24 @@
             Whether this host leads now.
         """
         known = self._known
-        if known is None or not self._may_claim or not self._is_free(known.lease):
+        if known is None or not self._may_claim or not self._is_free(known):
             return False
-        await self._claim(known.version, known.lease.epoch + 1)
+        await self._claim(known)
         return self._epoch is not None
 
-    def _is_free(self, lease: Lease) -> bool:
+    def _is_free(self, known: StoredLease) -> bool:
         """Return whether this host may claim a lease.
 
         Args:
-            lease: The last known lease.
+            known: The last known lease.
         """
+        lease = known.lease
         unchanged_seconds = now() - self._known_since
         if now() < self._standing_down_until and unchanged_seconds < STAND_DOWN_SECONDS:
             return False
-        if not lease.host:
+        if not known.is_current:
+            is_free = unchanged_seconds > LEASE_DURATION_SECONDS + CLAIM_MARGIN_SECONDS
+        elif not lease.host:
             is_free = True
         elif self._is_first_read and self._is_own(lease):
             # The leader was an earlier process on this host, which this
@@ -236,11 +268,12 @@
         """Return whether a lease names this host and its address."""
         return (lease.host, lease.address) == (self._host, self._own_address)
 
-    async def _claim(self, version: int | None, epoch: int) -> None:
-        lease = Lease(epoch, self._host, self._own_address, self._next_beat())
+    async def _claim(self, known: StoredLease) -> None:
+        epoch = max(known.lease.epoch, first_number_in(known.era)) + 1
+        lease = self._own_lease(epoch, known.era)
         sent_at = now()
-        if not await self._put(lease, version):
-            if version is None:
+        if not await self._put(lease, known.replaces):
+            if known.replaces is None and not was_restored(known.era):
                 self._known = None
             await self.sleep(RETRY_DELAY_SECONDS * self._rng.uniform(0.5, 1.5))
             return
@@ -252,7 +285,12 @@
         self.elected.set()
         logger.info(
             "leadership-taken",
-            extra={"epoch": epoch, "replaced": version},
+            extra={
+                "epoch": epoch,
+                "era": known.era,
+                "replaced": known.replaces,
+                "is_current": known.is_current,
+            },
         )
 
     async def _renew(self, epoch: int) -> None:
@@ -260,9 +298,9 @@
         if known is None:
             self.abandon("the lease is not known")
             return
-        lease = Lease(epoch, self._host, self._own_address, self._next_beat())
+        lease = self._own_lease(epoch, known.era)
         sent_at = now()
-        is_renewed = await self._put(lease, known.version)
+        is_renewed = await self._put(lease, known.replaces)
         if self._epoch != epoch:
             return
         self._is_renewal_failing = not is_renewed
@@ -289,18 +327,35 @@
         """
         match await self._lease_object.put(lease, version):
             case StoredLease(lease=found) as stored:
-                self._update_known(stored)
-                if found == lease:
+                self._adopt(stored)
+                if _is_stored(lease, stored):
                     return True
-                if (found.epoch, found.host) != (lease.epoch, self._host):
+                if stored.era > lease.era and not stored.is_current:
+                    self._log_restore(lease, stored)
+                elif (found.epoch, found.host) != (lease.epoch, self._host):
                     reason = f"{found.host or 'nobody'} holds epoch {found.epoch}"
                     self._end_leadership(reason)
+            case Absent(era=era) if era > lease.era:
+                self._adopt(absent_lease(era))
+                self._log_restore(lease, absent_lease(era))
             case Absent():
                 self._end_leadership("the lease was removed")
             case Unavailable():
                 pass
         return False
 
+    def _log_restore(self, lease: Lease, stored: StoredLease) -> None:
+        """Log that the store was restored from before this host's lease."""
+        logger.warning(
+            "lease-lost-by-restore",
+            extra={
+                "epoch": lease.epoch,
+                "era": stored.era,
+                "version": stored.version,
+                "leads": self._epoch is not None,
+            },
+        )
+
     def _end_leadership(self, reason: str) -> None:
         if self._epoch is None:
             return
@@ -323,10 +378,35 @@
         self._known_since = now()
         return True
 
+    def _adopt(self, stored: StoredLease) -> None:
+        """Replace the last known lease by the response to a write.
+
+        Unlike a stale read, it is the latest version even if its number is
+        lower than that of a version that was read before.
+        """
+        if self._known is None or stored.version != self._known.version:
+            if self._known is not None and stored.era < self._known.era:
+                return
+            self._known = stored
+            self._known_since = now()
+
+    def _own_lease(self, epoch: int, era: int) -> Lease:
+        beat = self._next_beat()
+        return Lease(epoch, self._host, self._own_address, beat, era)
+
     def _next_beat(self) -> int:
         self._beat += 1
         return self._beat
 
 
+def _is_stored(lease: Lease, found: StoredLease) -> bool:
+    """Return whether a lease was stored in the era that its writer knew.
+
+    A write may meet a restored store in which the version that it replaces was
+    given out once more, to another host's lease.
+    """
+    return found.lease == lease and found.is_current
+
+
 def _ignore(stored: StoredLease) -> None:
     """Do nothing; the default of `LeaderLease.on_resignation`."""
--- a/src/balsamway/keyspace/lease_object.py
+++ b/src/balsamway/keyspace/lease_object.py
@@ -71,6 +71,8 @@
         body = msgspec.json.encode(lease)
         match await self._store.write(LEASE_KIND, LEASE_NAME, body, version):
             case Written(version=written):
+                # If the store was restored meanwhile, the version has another
+                # era than the lease.
                 return StoredLease(written, lease)
             case Conflict(current=current):
                 return (
--- a/src/balsamway/keyspace/record_writer.py
+++ b/src/balsamway/keyspace/record_writer.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING, TypeAlias
 
 from balsamway.keyspace.key_record import encode_record
+from balsamway.store.era import era_of
 from balsamway.store.store import Absent, Conflict, StoredObject, Unavailable, Written
 
 if TYPE_CHECKING:
@@ -37,6 +38,16 @@
     current: StoredObject | Absent | None
     """What is stored instead, or None if that is unknown."""
 
+    @property
+    def era(self) -> int | None:
+        """The era of the store that refused the record, if it is known."""
+        match self.current:
+            case StoredObject(version=version):
+                return era_of(version)
+            case Absent(era=era):
+                return era
+        return None
+
 
 @dataclass(frozen=True, slots=True)
 class RecordUnknown:
@@ -58,6 +69,10 @@
     A write whose result is unknown is sent again unchanged until the store
     decides. Whichever of the writes has effect, the same record is stored.
 
+    A record that was stored in a later era than its own counts as refused. The
+    store was restored meanwhile, and may have given out the replaced version
+    once more.
+
     Args:
         store: The object store.
         service: The name of the service.
@@ -72,9 +87,13 @@
     is_unknown = False
     while is_leader():
         match await store.write(KEY_RECORD_KIND, service, body, version):
-            case Written(version=written):
+            case Written(version=written) if era_of(written) == record.era:
                 return RecordWritten(written)
-            case Conflict(current=StoredObject() as current) if current.body == body:
+            case Written(version=written):
+                return RecordRefused(StoredObject(service, written, body))
+            case Conflict(current=StoredObject() as current) if (
+                current.body == body and era_of(current.version) == record.era
+            ):
                 return RecordWritten(current.version)
             case Conflict(current=current):
                 return RecordRefused(current)
--- a/src/balsamway/keyspace/service_leader.py
+++ b/src/balsamway/keyspace/service_leader.py
@@ -7,15 +7,23 @@
 
 import asyncio
 import logging
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from balsamway.clock import now
 from balsamway.keyspace.order_dispatcher import OrderDispatcher
 from balsamway.keyspace.placement import Placement, split_by_speed
-from balsamway.keyspace.record_writer import RecordRefused, RecordWritten, write_record
+from balsamway.keyspace.record_writer import (
+    KEY_RECORD_KIND,
+    RecordRefused,
+    RecordWritten,
+    write_record,
+)
 from balsamway.keyspace.segment import Segment
 from balsamway.keyspace.target_incarnation import TargetIncarnation
 from balsamway.keyspace.target_speed import TargetSpeed, estimate_speeds
+from balsamway.store.era import era_of
+from balsamway.store.store import Absent, StoredObject
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
@@ -108,6 +116,11 @@
         self.last_notice: KeyMapNotice | None = None
         """The last notice sent to the gateways."""
 
+    @property
+    def record(self) -> KeyRecord:
+        """The record in force."""
+        return self._keys.record
+
     async def run(self, tasks: asyncio.TaskGroup) -> None:
         """Lead the service until cancelled.
 
@@ -170,6 +183,10 @@
 
     async def _step(self) -> None:
         """Plan and record moves if they are urgent or due."""
+        era = self._lease.era
+        if era is not None and era != self._keys.record.era:
+            await self._rewrite_record(era)
+            return
         entries = self._directory.available_targets(self._keys.service)
         if not self._keys.record.segments:
             await self._assign_initially(entries)
@@ -226,7 +243,7 @@
         )
         record = self._keys.record
         await self._store_record(
-            type(record)(record.epoch, token + len(segments), segments),
+            replace(record, next_token=token + len(segments), segments=segments),
             {segment.keys: segment.owner for segment in segments},
         )
 
@@ -286,6 +303,45 @@
             return True
         return False
 
+    async def _rewrite_record(self, era: int) -> None:
+        """Write the record in force to a store that was restored.
+
+        This host has led since before the restore, so its record is the last
+        one that grants followed from. The restored one may be older.
+
+        Args:
+            era: The era of the store in which this host leads.
+        """
+        service = self._keys.service
+        found = await self._store.read(KEY_RECORD_KIND, service)
+        match found:
+            case StoredObject(version=version) if era_of(version) == era:
+                replaced: int | None = version
+            case Absent(era=found_era) if found_era == era:
+                replaced = None
+            case _:
+                await asyncio.sleep(PLAN_INTERVAL_SECONDS)
+                return
+        record = replace(self._keys.record, era=era)
+        result = await write_record(
+            self._store, service, record, replaced, self._is_leader
+        )
+        match result:
+            case RecordWritten(version=version):
+                logger.warning(
+                    "key-record-rewritten",
+                    extra={
+                        "service": service,
+                        "era": era,
+                        "replaced": replaced,
+                        "version": version,
+                        "next_token": record.next_token,
+                    },
+                )
+                self._keys.replace(record, version)
+            case _:
+                await asyncio.sleep(PLAN_INTERVAL_SECONDS)
+
     async def _store_record(
         self, record: KeyRecord, moves: Mapping[tuple[int, int], TargetIncarnation]
     ) -> None:
@@ -315,6 +371,12 @@
                 )
                 self._keys.owners_needing_tokens -= renewals
                 self._keys.replace(record, version)
+            case RecordRefused(era=era) if era is not None and era > record.era:
+                logger.warning(
+                    "key-record-lost-by-restore",
+                    extra={"service": self._keys.service, "era": era},
+                )
+                await asyncio.sleep(PLAN_INTERVAL_SECONDS)
             case RecordRefused(current=None):
                 logger.warning(
                     "key-record-not-written", extra={"service": self._keys.service}
--- a/src/balsamway/node/entry_node.py
+++ b/src/balsamway/node/entry_node.py
@@ -36,6 +36,7 @@
 from balsamway.node.watch_relay import MAX_WATCH_SECONDS, WatchRelay
 from balsamway.outcome import Malformed
 from balsamway.peers.stream_peers import StreamPeers
+from balsamway.store.era import era_of
 from balsamway.store.kind_watch import KindWatch
 from balsamway.store.store import StoredObject
 
@@ -349,4 +350,4 @@
                     continue
                 record = decode_record(result.body)
                 if not isinstance(record, Malformed):
-                    self.key_map.on_record(service, record)
+                    self.key_map.on_record(service, record, era_of(result.version))
--- a/src/balsamway/platform/store_client.py
+++ b/src/balsamway/platform/store_client.py
@@ -18,7 +18,7 @@
 )
 from balsamway.platform import names
 from balsamway.platform import wire_types as wire
-from balsamway.store.era import MAX_ERA
+from balsamway.store.era import MAX_ERA, era_of, revision_of, version_of
 from balsamway.store.object_store import Changes, HistoryGone, Listing
 from balsamway.store.store import (
     Absent,
@@ -77,12 +77,12 @@
         revision: int | None = None
         for _ in range(MAX_PAGES):
             query: dict[str, str] = {} if after is None else {"after": after}
-            page = await self._get(
+            page, _ = await self._get(
                 _path(kind, query=query), "list", wire.Page, LIST_TIMEOUT_SECONDS
             )
             if isinstance(page, Unavailable | Absent):
                 return Unavailable(str(page))
-            objects.extend(item.to_stored_object() for item in page.items)
+            objects.extend(item.to_stored_object(0) for item in page.items)
             if revision is None:
                 # The first page's revision makes a later watch return the
                 # changes that happen between the pages.
@@ -97,7 +97,7 @@
     ) -> WatchResult:
         """Wait for changes of objects of a kind; see `ObjectStore.watch`."""
         query = {"watch": str(after_revision), "waitMs": str(int(wait_seconds * 1000))}
-        result = await self._get(
+        result, _ = await self._get(
             _path(kind, query=query),
             "watch",
             wire.WatchPage,
@@ -108,7 +108,7 @@
                 last_events = {event.object.metadata.name: event for event in events}
                 return Changes(
                     tuple(
-                        event.object.to_stored_object()
+                        event.object.to_stored_object(0)
                         for event in last_events.values()
                         if not event.removed
                     ),
@@ -123,18 +123,28 @@
     async def read(self, kind: str, name: str, allow_stale: bool = False) -> ReadResult:
         """Read one object; see `ObjectStore.read`."""
         query = {"serializable": "1"} if allow_stale else {}
-        result = await self._get(
+        result, era = await self._get(
             _path(kind, name, query), "read-old" if allow_stale else "read", wire.Item
         )
-        return result.to_stored_object() if isinstance(result, wire.Item) else result
+        match result:
+            case wire.Item():
+                return result.to_stored_object(era)
+            case Absent(name=absent_name):
+                return Absent(absent_name, era)
+            case _:
+                return result
 
     async def write(
         self, kind: str, name: str, body: bytes, expected_version: int | None
     ) -> WriteResult:
         """Update one object conditionally; see `ObjectStore.write`."""
+        if expected_version is not None and era_of(expected_version) < self._era:
+            # The store compares revisions only, and a restored one gives them
+            # out again.
+            return await self._refuse(kind, name)
         metadata: dict[str, Any] = {"name": name}
         if expected_version is not None:
-            metadata["revision"] = expected_version
+            metadata["revision"] = revision_of(expected_version)
         document = {"metadata": metadata, "spec": msgspec.Raw(body)}
         request = HttpRequest(
             "POST" if expected_version is None else "PUT",
@@ -145,22 +155,28 @@
             ),
             msgspec.json.encode(document),
         )
-        result = _write_result(name, await self._call(request, CALL_TIMEOUT_SECONDS))
+        response = await self._call(request, CALL_TIMEOUT_SECONDS)
+        result = _write_result(name, response, self._era_of(response))
         self._counts.count("write", result)
         return result
 
+    async def _refuse(self, kind: str, name: str) -> WriteResult:
+        """Return the result of a write whose condition can't hold."""
+        found = await self.read(kind, name)
+        return found if isinstance(found, Unavailable) else Conflict(found)
+
     async def _get(
         self,
         path: str,
         operation: str,
         cls: type,
         timeout_seconds: float = CALL_TIMEOUT_SECONDS,
-    ) -> Any:
+    ) -> tuple[Any, int]:
         """Send a GET request and decode the response body as `cls`.
 
         Returns:
             The decoded body; `Absent` for status 404 or 410; `Unavailable`
-            for everything else.
+            for everything else. Also the era of the store that responded.
         """
         request = HttpRequest("GET", path, ((b"Host", self._host),))
         response = await self._call(request, timeout_seconds)
@@ -178,7 +194,7 @@
             case ResponseLost(reason=reason) | NotSent(reason=reason):
                 result = Unavailable(reason)
         self._counts.count(operation, result)
-        return result
+        return result, self._era_of(response)
 
     async def _call(
         self, request: HttpRequest, timeout_seconds: float
@@ -201,17 +217,27 @@
                     # `NotSent` means that an idle connection had been closed,
                     # so that nothing was written.
                     if not isinstance(response, NotSent):
-                        if isinstance(response, HttpResponse):
-                            self._read_era(response)
+                        self._note_era(response)
                         return response
         except TimeoutError:
             return ResponseLost(f"no response within {timeout_seconds} s")
 
-    def _read_era(self, response: HttpResponse) -> int:
+    def _note_era(self, response: HttpResponse | ResponseLost) -> None:
+        era = self._era_of(response)
+        if era > self._era:
+            logger.warning(
+                "store-era-changed", extra={"era": era, "previous": self._era}
+            )
+            self._era = era
+            self._counts.era_changed(era)
+
+    def _era_of(self, response: HttpResponse | ResponseLost | NotSent) -> int:
         """Return the era of the store that sent a response.
 
         A response without a readable era counts as one of the last known era.
         """
+        if not isinstance(response, HttpResponse):
+            return self._era
         text = response.headers.get(names.STORE_ERA_HEADER)
         if text is None:
             return self._era
@@ -223,12 +249,6 @@
         if era > MAX_ERA:
             logger.warning("store-era-unreadable", extra={"value": text[:40]})
             return self._era
-        if era > self._era:
-            logger.warning(
-                "store-era-changed", extra={"era": era, "previous": self._era}
-            )
-            self._era = era
-            self._counts.era_changed(era)
         return era
 
 
@@ -240,7 +260,7 @@
 
 
 def _write_result(
-    name: str, response: HttpResponse | ResponseLost | NotSent
+    name: str, response: HttpResponse | ResponseLost | NotSent, era: int
 ) -> Written | Conflict | Unavailable | WriteUnknown:
     match response:
         case NotSent(reason=reason):
@@ -250,14 +270,14 @@
         case HttpResponse(status=429 | 503 as status):
             return Unavailable(f"status {status}")
         case HttpResponse(status=404):
-            return Conflict(Absent(name))
+            return Conflict(Absent(name, era))
         case HttpResponse(status=200 | 201 | 409 as status, body=body):
             try:
                 item = msgspec.json.decode(body, type=wire.Item)
             except msgspec.MsgspecError as error:
                 return WriteUnknown(f"undecodable response: {error}")
             if status == 409:
-                return Conflict(item.to_stored_object())
-            return Written(item.metadata.revision)
+                return Conflict(item.to_stored_object(era))
+            return Written(version_of(era, item.metadata.revision))
         case HttpResponse(status=status):
             return WriteUnknown(f"status {status}")
--- a/src/balsamway/platform/wire_types.py
+++ b/src/balsamway/platform/wire_types.py
@@ -6,16 +6,17 @@
 
 import msgspec
 
+from balsamway.store.era import MAX_REVISION, version_of
 from balsamway.store.store import StoredObject
 
-NonNegativeInt = Annotated[int, msgspec.Meta(ge=0)]
+Revision = Annotated[int, msgspec.Meta(ge=0, le=MAX_REVISION)]
 
 
 class Metadata(msgspec.Struct, frozen=True):
     """The name of an object, and the revision at which it was last written."""
 
     name: str
-    revision: NonNegativeInt = 0
+    revision: Revision = 0
 
 
 class Item(msgspec.Struct, frozen=True):
@@ -24,18 +25,21 @@
     metadata: Metadata
     spec: msgspec.Raw = msgspec.Raw(b"null")
 
-    def to_stored_object(self) -> StoredObject:
-        """Convert the object to balsamway's own type."""
-        return StoredObject(
-            self.metadata.name, self.metadata.revision, bytes(self.spec)
-        )
+    def to_stored_object(self, era: int) -> StoredObject:
+        """Convert the object to balsamway's own type.
+
+        Args:
+            era: The era of the store that has the object.
+        """
+        version = version_of(era, self.metadata.revision)
+        return StoredObject(self.metadata.name, version, bytes(self.spec))
 
 
 class Page(msgspec.Struct, frozen=True):
     """One page of the objects of a kind, as of a revision."""
 
     items: list[Item]
-    revision: NonNegativeInt = msgspec.field(name="asOf")
+    revision: Revision = msgspec.field(name="asOf")
     has_more: bool = msgspec.field(name="hasMore", default=False)
 
 
@@ -50,4 +54,4 @@
     """The changes of a kind up to and including a revision."""
 
     events: list[Event]
-    revision: NonNegativeInt = msgspec.field(name="asOf")
+    revision: Revision = msgspec.field(name="asOf")
--- a/src/balsamway/store/era.py
+++ b/src/balsamway/store/era.py
@@ -9,10 +9,16 @@
 
 from __future__ import annotations
 
+NUMBER_BITS = 32
+"""The bits of epochs and fencing tokens that one era can count up. With the
+highest era they stay below 2**53, so that any JSON parser reads them."""
 REVISION_BITS = 40
 """The bits of a version for the store's revision, from the lowest on."""
 MAX_REVISION = 2**REVISION_BITS - 1
 """The highest revision that can be part of a version."""
+FIRST_ERA = 1
+"""The era of a store that was never restored. A store that counts none is in
+era 0."""
 MAX_ERA = 2**20 - 1
 """The highest era. Versions then fit into 63 bits."""
 
@@ -36,6 +42,27 @@
     return version >> REVISION_BITS
 
 
+def was_restored(era: int) -> bool:
+    """Return whether a store may have lost what it acknowledged before.
+
+    Args:
+        era: The era of the store.
+    """
+    return era > FIRST_ERA
+
+
+def first_number_in(era: int) -> int:
+    """Return a number above all that were counted up in earlier eras.
+
+    Epochs and fencing tokens that are read from a restored store may have been
+    used already, so they continue from here.
+
+    Args:
+        era: The era of the store.
+    """
+    return era << NUMBER_BITS if was_restored(era) else 0
+
+
 def revision_of(version: int) -> int:
     """Return the store's own revision of a version.
 
--- a/src/balsamway/store/store.py
+++ b/src/balsamway/store/store.py
@@ -20,6 +20,8 @@
     """No object of this name exists in the store."""
 
     name: str
+    era: int = 0
+    """The era of the store, see `balsamway.store.era`."""
 
 
 @dataclass(frozen=True, slots=True)
