Do not take a target for restarted because of an outdated entry

A restored store lists targets as they were: an entry with an earlier incarnation counted as proof of a restart, and freed the keys of a target that still held them. Only a later incarnation proves it now; after a clock that went back, the keys wait until the grants expire.

--- a/src/balsamway/keyspace/order_dispatcher.py
+++ b/src/balsamway/keyspace/order_dispatcher.py
@@ -156,5 +156,6 @@
         return connections
 
     def _has_new_incarnation(self, owner: TargetIncarnation) -> bool:
+        # An entry of an earlier incarnation is an outdated one.
         listed = self._directory.find(owner.name)
-        return listed is not None and listed.incarnation != owner.incarnation
+        return listed is not None and listed.incarnation > owner.incarnation
--- a/tests/keyspace/test_key_leader.py
+++ b/tests/keyspace/test_key_leader.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from dataclasses import replace
 
 import pytest
 
@@ -345,3 +346,15 @@
     await asyncio.sleep(9)
     assert not lease.has_authority(1)
     assert deployment.targets.all["t1"].orders >= before
+
+
+async def test_an_outdated_entry_does_not_release_the_keys_of_a_silent_target(
+    deployment,
+):
+    deployment.targets.all["t2"].incarnation = 7
+    await deployment.start("a")
+    deployment.targets.all["t2"].silent = True
+    outdated = replace(deployment.targets.all["t2"].entry(), incarnation=6)
+    deployment.directory.update(outdated)
+    assert await deployment.unowned_seconds(8) < MAX_UNOWNED_SECONDS
+    deployment.check()
