Follow a store whose revisions went back

Ruled out: an older configuration that replaces a later one (never logged; versions are compared), and a lost response.

A watch from an earlier era counts as one whose history is gone, also where the store has given the revision out again. After a restore a missing target is kept for as long as after an outage; an entry of a target that was removed, or of an earlier incarnation, is held back for 4 s, and a draining incarnation never returns.

Three tests of the store client and five of the directory failed before; two more of the client and those of the watch, whose fake store counts eras as the client does, passed before.

--- /dev/null
+++ b/src/balsamway/discovery/outdated_entries.py
@@ -0,0 +1,88 @@
+"""Entries of targets that a restored store lists as they were before."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from balsamway.clock import now
+
+if TYPE_CHECKING:
+    from balsamway.discovery.target_entry import TargetEntry
+
+HOLD_BACK_SECONDS = 4.0
+"""How long after a restore an entry that seems outdated is not used. A target
+that left does not write its entry again, so that it expires before. A live one
+is still listed then."""
+GONE_MEMORY_SECONDS = 60.0
+"""How long a removed target is remembered. The copy that a store is restored
+from is some seconds old."""
+
+
+class OutdatedEntries:
+    """Holds back the entries that a restore may have brought back.
+
+    These are entries of targets that were removed, and of incarnations before
+    the known one.
+    """
+
+    def __init__(self) -> None:
+        self._gone: dict[str, tuple[int, float]] = {}
+        """The incarnation of removed targets, and when they were removed."""
+        self._held_back: dict[str, TargetEntry] = {}
+        self._until = float("-inf")
+
+    def on_restored(self) -> None:
+        """Record that the store was restored."""
+        self._until = now() + HOLD_BACK_SECONDS
+
+    def on_gone(self, entry: TargetEntry) -> None:
+        """Record that a target was removed.
+
+        Args:
+            entry: The last entry of the target.
+        """
+        oldest = now() - GONE_MEMORY_SECONDS
+        self._gone = {
+            name: gone for name, gone in self._gone.items() if gone[1] > oldest
+        }
+        self._gone[entry.name] = (entry.incarnation, now())
+
+    def on_unlisted(self, name: str) -> None:
+        """Record that the store does not list a target any more.
+
+        Args:
+            name: The target's name.
+        """
+        self._held_back.pop(name, None)
+
+    def hold_back(self, entry: TargetEntry, known: TargetEntry | None) -> bool:
+        """Hold an entry back if it may be outdated.
+
+        Args:
+            entry: The entry that the store lists.
+            known: The entry known so far, if there is one.
+
+        Returns:
+            Whether it is held back.
+        """
+        self._held_back.pop(entry.name, None)
+        if now() >= self._until:
+            return False
+        gone_incarnation, _ = self._gone.get(entry.name, (None, 0.0))
+        if known is not None:
+            is_outdated = entry.incarnation < known.incarnation
+        else:
+            is_outdated = (
+                gone_incarnation is not None and entry.incarnation <= gone_incarnation
+            )
+        if is_outdated:
+            self._held_back[entry.name] = entry
+        return is_outdated
+
+    def take_due(self) -> tuple[TargetEntry, ...]:
+        """Return the entries that are still listed and no longer held back."""
+        if not self._held_back or now() < self._until:
+            return ()
+        due = tuple(self._held_back.values())
+        self._held_back = {}
+        return due
--- a/src/balsamway/discovery/target_directory.py
+++ b/src/balsamway/discovery/target_directory.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import logging
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from balsamway.clock import now
+from balsamway.discovery.outdated_entries import OutdatedEntries
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -39,6 +41,7 @@
         self._store_recovered_at = float("-inf")
         self._has_snapshot = False
         self._changed_at = float("-inf")
+        self._outdated = OutdatedEntries()
 
     @property
     def has_snapshot(self) -> bool:
@@ -86,13 +89,25 @@
         """Record that the store is available again after an outage."""
         self._store_recovered_at = now()
 
+    def on_store_restored(self) -> None:
+        """Record that the store was restored from an older copy.
+
+        It may list targets that left since, and miss some that registered.
+        """
+        self._store_recovered_at = now()
+        self._outdated.on_restored()
+
     def replace(self, entries: Iterable[TargetEntry]) -> None:
         """Replace all entries by those of a snapshot.
 
         Args:
             entries: All entries in the store.
         """
-        snapshot = {entry.name: entry for entry in entries}
+        snapshot = {
+            entry.name: entry
+            for entry in entries
+            if not self._outdated.hold_back(entry, self._entries.get(entry.name))
+        }
         for name in [name for name in self._entries if name not in snapshot]:
             self._on_missing(name)
         for entry in snapshot.values():
@@ -106,7 +121,10 @@
         Args:
             entry: The current entry.
         """
-        if self._entries.get(entry.name) != entry or entry.name in self._removal_at:
+        known = self._entries.get(entry.name)
+        if self._outdated.hold_back(entry, known):
+            return
+        if known != entry or entry.name in self._removal_at:
             self._put(entry)
             self._publish()
 
@@ -118,12 +136,19 @@
         Args:
             name: The target's name.
         """
+        self._outdated.on_unlisted(name)
         if name in self._entries:
             self._on_missing(name)
             self._publish()
 
     def remove_expired(self) -> None:
-        """Remove the missing entries whose time to register again is over."""
+        """Remove the missing entries whose time to register again is over.
+
+        Entries that a restore may have brought back are used if the store
+        still lists them after their time.
+        """
+        for entry in self._outdated.take_due():
+            self.update(entry)
         expired = [
             name for name, removal_at in self._removal_at.items() if removal_at <= now()
         ]
@@ -135,6 +160,9 @@
     def _put(self, entry: TargetEntry) -> None:
         previous = self._entries.get(entry.name)
         self._removal_at.pop(entry.name, None)
+        if previous is not None and previous.key == entry.key and previous.is_draining:
+            # A draining target does not return, even if an older copy says so.
+            entry = replace(entry, is_draining=True)
         self._entries[entry.name] = entry
         if previous is None or previous.key != entry.key:
             self._changed_at = now()
@@ -163,6 +191,7 @@
     def _delete(self, name: str) -> None:
         self._removal_at.pop(name, None)
         entry = self._entries.pop(name)
+        self._outdated.on_gone(entry)
         self._changed_at = now()
         logger.info("target-gone", extra={"target": name, "service": entry.service})
 
--- a/src/balsamway/node/configuration_handler.py
+++ b/src/balsamway/node/configuration_handler.py
@@ -61,5 +61,8 @@
         if name == self._name:
             logger.warning("configuration-removed")
 
+    def on_store_restored(self) -> None:
+        """Do nothing: the configuration in force stays, if it is later."""
+
     def on_store_recovered(self) -> None:
         """Do nothing: the snapshot that follows brings the configuration."""
--- a/src/balsamway/node/directory_handler.py
+++ b/src/balsamway/node/directory_handler.py
@@ -49,6 +49,10 @@
         """Remove an entry."""
         self._directory.remove(name)
 
+    def on_store_restored(self) -> None:
+        """Give targets time to write again what the store has lost."""
+        self._directory.on_store_restored()
+
     def on_store_recovered(self) -> None:
         """Give targets time to register again after an outage of the store."""
         self._directory.on_store_recovered()
--- a/src/balsamway/platform/store_client.py
+++ b/src/balsamway/platform/store_client.py
@@ -75,18 +75,21 @@
         objects: list[StoredObject] = []
         after: str | None = None
         revision: int | None = None
+        first_era: int | None = None
         for _ in range(MAX_PAGES):
             query: dict[str, str] = {} if after is None else {"after": after}
-            page, _ = await self._get(
+            page, era = await self._get(
                 _path(kind, query=query), "list", wire.Page, LIST_TIMEOUT_SECONDS
             )
             if isinstance(page, Unavailable | Absent):
                 return Unavailable(str(page))
-            objects.extend(item.to_stored_object(0) for item in page.items)
+            objects.extend(item.to_stored_object(era) for item in page.items)
             if revision is None:
                 # The first page's revision makes a later watch return the
                 # changes that happen between the pages.
-                revision = page.revision
+                revision, first_era = version_of(era, page.revision), era
+            if era != first_era:
+                return Unavailable("the store was restored between two pages")
             if not page.has_more or not page.items:
                 return Listing(tuple(objects), revision)
             after = page.items[-1].metadata.name
@@ -96,24 +99,29 @@
         self, kind: str, after_revision: int, wait_seconds: float
     ) -> WatchResult:
         """Wait for changes of objects of a kind; see `ObjectStore.watch`."""
-        query = {"watch": str(after_revision), "waitMs": str(int(wait_seconds * 1000))}
-        result, _ = await self._get(
+        if era_of(after_revision) < self._era:
+            return HistoryGone()
+        after = revision_of(after_revision)
+        query = {"watch": str(after), "waitMs": str(int(wait_seconds * 1000))}
+        result, era = await self._get(
             _path(kind, query=query),
             "watch",
             wire.WatchPage,
             wait_seconds + CALL_TIMEOUT_SECONDS,
         )
         match result:
+            case wire.WatchPage() if era != era_of(after_revision):
+                return HistoryGone()
             case wire.WatchPage(events=events, revision=revision):
                 last_events = {event.object.metadata.name: event for event in events}
                 return Changes(
                     tuple(
-                        event.object.to_stored_object(0)
+                        event.object.to_stored_object(era)
                         for event in last_events.values()
                         if not event.removed
                     ),
                     tuple(name for name, event in last_events.items() if event.removed),
-                    revision,
+                    version_of(era, revision),
                 )
             case Absent():
                 return HistoryGone()
--- a/src/balsamway/store/kind_handler.py
+++ b/src/balsamway/store/kind_handler.py
@@ -23,6 +23,14 @@
         """Apply the removal of an object."""
         ...
 
+    def on_store_restored(self) -> None:
+        """Handle a restore of the store, before the snapshot that follows.
+
+        The snapshot lacks what was written since the copy that the store was
+        restored from, until its writers have written it again.
+        """
+        ...
+
     def on_store_recovered(self) -> None:
         """Record that the store is available again after an outage."""
         ...
--- a/src/balsamway/store/kind_watch.py
+++ b/src/balsamway/store/kind_watch.py
@@ -10,6 +10,7 @@
 from balsamway.clock import now
 from balsamway.store.backoff import Backoff
 from balsamway.store.batch import Batch
+from balsamway.store.era import era_of
 from balsamway.store.object_store import Changes, HistoryGone, Listing
 from balsamway.store.store import Unavailable
 
@@ -211,9 +212,11 @@
     async def _read_snapshot(self) -> None:
         match await self._store.list(self._kind):
             case Listing(objects=objects, revision=revision):
+                if revision < self._known_revision:
+                    await self._on_failure("the snapshot is older than what is known")
+                    return
                 self._on_response()
-                if revision >= self._known_revision:
-                    self._replace_all(objects, revision)
+                self._replace_all(objects, revision)
                 self._watch_revision = self._known_revision
             case Unavailable(reason=reason):
                 await self._on_failure(reason)
@@ -258,6 +261,18 @@
             self._last_change_revision = batch.revision
 
     def _replace_all(self, objects: tuple[StoredObject, ...], revision: int) -> None:
+        if self._known_revision >= 0 and era_of(revision) > era_of(
+            self._known_revision
+        ):
+            logger.warning(
+                "objects-restored",
+                extra={
+                    "kind": self._kind,
+                    "revision": revision,
+                    "known": self._known_revision,
+                },
+            )
+            self._handler.on_store_restored()
         self._objects = {stored_object.name: stored_object for stored_object in objects}
         self._known_revision = self._last_change_revision = revision
         self._handler.on_snapshot(objects)
--- a/tests/discovery/test_target_directory.py
+++ b/tests/discovery/test_target_directory.py
@@ -84,3 +84,68 @@
     assert len(calls) == 1
     directory.update(replace(FIRST, warmup_seconds=1.0))
     assert len(calls) == 2
+
+
+async def test_a_restored_store_brings_no_target_back_that_has_left():
+    directory = TargetDirectory()
+    left, stays = FIRST, SECOND
+    directory.replace([left, stays])
+    directory.remove("i-1")
+    directory.on_store_restored()
+    directory.replace([left, stays])
+    assert directory.available_targets("s") == (stays,)
+    await asyncio.sleep(2)
+    directory.remove("i-1")
+    await asyncio.sleep(10)
+    directory.remove_expired()
+    assert directory.available_targets("s") == (stays,)
+
+
+async def test_a_target_that_is_still_listed_after_a_restore_is_used_again():
+    directory = TargetDirectory()
+    directory.replace([FIRST])
+    directory.remove("i-1")
+    directory.on_store_restored()
+    directory.replace([FIRST])
+    await asyncio.sleep(5)
+    directory.remove_expired()
+    assert directory.available_targets("s") == (FIRST,)
+
+
+async def test_a_restored_store_ends_no_drain():
+    directory = TargetDirectory()
+    directory.replace([FIRST])
+    directory.update(replace(FIRST, is_draining=True))
+    directory.on_store_restored()
+    directory.replace([FIRST])
+    directory.update(FIRST)
+    assert directory.available_targets("s") == ()
+    directory.update(replace(FIRST, incarnation=2))
+    assert len(directory.available_targets("s")) == 1
+
+
+async def test_a_restored_store_does_not_hide_targets_that_just_registered():
+    directory = TargetDirectory()
+    directory.replace([FIRST])
+    directory.update(SECOND)
+    directory.on_store_restored()
+    directory.replace([FIRST])
+    assert len(directory.available_targets("s")) == 2
+    directory.update(SECOND)
+    await asyncio.sleep(3)
+    directory.remove_expired()
+    assert len(directory.available_targets("s")) == 2
+
+
+async def test_a_restored_store_does_not_bring_an_earlier_incarnation_back():
+    directory = TargetDirectory()
+    restarted = replace(FIRST, incarnation=2)
+    directory.replace([FIRST])
+    directory.update(restarted)
+    directory.on_store_restored()
+    directory.replace([FIRST])
+    assert directory.available_targets("s") == (restarted,)
+    directory.update(restarted)
+    await asyncio.sleep(6)
+    directory.remove_expired()
+    assert directory.available_targets("s") == (restarted,)
--- a/tests/platform/test_store_client.py
+++ b/tests/platform/test_store_client.py
@@ -218,3 +218,65 @@
     for _ in range(2):
         assert isinstance(await store.read("k", "a"), StoredObject)
         assert store.era == 3
+
+
+def encode_in_era(era, document):
+    body = json.dumps(document).encode()
+    return (
+        b"HTTP/1.1 200 X\r\nStore-Era: %d\r\nContent-Length: %d\r\n\r\n"
+        % (era, len(body))
+    ) + body
+
+
+async def test_a_list_of_a_restored_store_is_later_than_all_before(start_store):
+    _, store = await start_store(
+        encode_in_era(1, {"items": [item("a", 90)], "asOf": 99}),
+        encode_in_era(2, {"items": [item("a", 20)], "asOf": 30}),
+    )
+    before, after = await store.list("k"), await store.list("k")
+    assert after.revision > before.revision
+    assert after.objects[0].version > before.objects[0].version
+
+
+async def test_pages_of_different_eras_are_no_list(start_store):
+    _, store = await start_store(
+        encode_in_era(1, {"items": [item("a", 9)], "asOf": 9, "hasMore": True}),
+        encode_in_era(2, {"items": [item("b", 9)], "asOf": 9}),
+    )
+    assert isinstance(await store.list("k"), Unavailable)
+
+
+async def test_a_watch_does_not_continue_in_a_later_era(start_store):
+    server, store = await start_store(
+        encode_in_era(1, {"items": [], "asOf": 30}),
+        encode_in_era(2, {"events": [], "asOf": 40}),
+    )
+    listing = await store.list("k")
+    # The restored store has reached the watched revision once more.
+    assert await store.watch("k", listing.revision, 0.1) == HistoryGone()
+    assert await store.watch("k", listing.revision, 0.1) == HistoryGone()
+    assert len(server.received) == 2, "the era was known to be over"
+
+
+async def test_a_watch_names_the_revision_without_its_era(start_store):
+    server, store = await start_store(
+        encode_in_era(3, {"items": [], "asOf": 30}),
+        encode_in_era(3, {"events": [], "asOf": 40}),
+    )
+    listing = await store.list("k")
+    changes = await store.watch("k", listing.revision, 0.1)
+    assert changes.revision - listing.revision == 10
+    assert "watch=30&" in server.received[-1].path
+
+
+async def test_an_update_of_a_version_of_an_earlier_era_is_not_sent(start_store):
+    server, store = await start_store(
+        encode_in_era(1, item("a", 7)),
+        encode_in_era(2, item("b", 7)),
+        encode_in_era(2, item("a", 7)),
+    )
+    found = await store.read("k", "a")
+    await store.read("k", "b")
+    result = await store.write("k", "a", b"{}", found.version)
+    assert result.current.version > found.version
+    assert all(request.method == "GET" for request in server.received)
--- a/tests/store/test_kind_watch.py
+++ b/tests/store/test_kind_watch.py
@@ -125,3 +125,53 @@
     assert available_names(directory) == ["i-1", "i-2"]
     watch.replace(peer_objects, store.revision + 5)
     assert available_names(directory) == ["i-1"]
+
+
+async def restore(store, copy, outage_seconds=0.5):
+    store.down = True
+    await asyncio.sleep(outage_seconds)
+    store.restore(copy)
+    store.down = False
+
+
+@pytest.mark.parametrize("outage_seconds", [0.0, 0.5, 2.0])
+async def test_a_watch_follows_a_store_whose_revisions_went_back(
+    watched, outage_seconds
+):
+    store, directory, watch = watched
+    store.era = 1
+    copy = store.copy()
+    await watch.start()
+    await asyncio.sleep(1)
+    for number in range(50):
+        store.put("targets", "i-2", b"10.0.0.2:%d" % (100 + number))
+    await asyncio.sleep(1)
+    await restore(store, copy, outage_seconds)
+    store.put("targets", "i-9", b"10.0.0.9:80")
+    await asyncio.sleep(2)
+    assert "i-9" in available_names(directory)
+
+
+async def test_a_watch_follows_a_store_that_gave_out_its_revisions_again(watched):
+    store, directory, watch = watched
+    store.era = 1
+    await watch.start()
+    await asyncio.sleep(1)
+    copy = store.copy()
+    store.put("targets", "i-3", b"10.0.0.3:80")
+    await asyncio.sleep(1)
+    store.restore(copy)
+    store.put("targets", "i-4", b"10.0.0.4:80")
+    await asyncio.sleep(3)
+    assert "i-4" in available_names(directory)
+
+
+async def test_an_older_snapshot_is_not_read_again_and_again(watched):
+    store, _, watch = watched
+    await watch.start()
+    await asyncio.sleep(1)
+    watch._known_revision += 1000
+    watch._watch_revision = None
+    calls = store.calls
+    await asyncio.sleep(5)
+    assert store.calls - calls < 30
