Decode the other objects where one is nested too deeply

Cause: an object nested more than about 1000 levels deep makes msgspec.json.decode raise RecursionError, which is no MsgspecError. It left the store client, ended the watch of its kind and with it the host; the next start met the same list. An object with a lone surrogate, NaN or Infinity, or with a revision out of range, failed the decoding of the whole page, so that the store counted as unavailable for as long as the object was there.

Ruled out: invalid UTF-8 in a value and 1e400 do not fail a page, since values are kept as they are.

Now a page that can't be decoded as a whole is split by its brackets. The odd object keeps its name and revision and has an empty value, which no decoder takes for valid; the others are decoded. A revision is bounded to 63 bits, as messages between hosts are.

--- a/src/balsamway/platform/store_client.py
+++ b/src/balsamway/platform/store_client.py
@@ -15,7 +15,9 @@
     NotSent,
     ResponseLost,
 )
+from balsamway.outcome import Malformed
 from balsamway.platform import wire_types as wire
+from balsamway.platform.page_decoder import UNREADABLE_NAME, decode_response
 from balsamway.store.object_store import Changes, HistoryGone, Listing
 from balsamway.store.store import (
     Absent,
@@ -76,7 +78,14 @@
                 revision = page.revision
             if not page.has_more or not page.items:
                 return Listing(tuple(objects), revision)
-            after = page.items[-1].metadata.name
+            names = [
+                item.metadata.name
+                for item in page.items
+                if item.metadata.name != UNREADABLE_NAME
+            ]
+            if not names:
+                return Unavailable("no name on a page of the list can be read")
+            after = names[-1]
         return Unavailable("the list has more pages than are read")
 
     async def watch(
@@ -132,7 +141,9 @@
             ),
             msgspec.json.encode(document),
         )
-        result = _write_result(name, await self._call(request, CALL_TIMEOUT_SECONDS))
+        result = await _write_result(
+            name, await self._call(request, CALL_TIMEOUT_SECONDS)
+        )
         self._counts.count("write", result)
         return result
 
@@ -154,10 +165,9 @@
         result: Any
         match response:
             case HttpResponse(status=200, body=body):
-                try:
-                    result = msgspec.json.decode(body, type=cls)
-                except msgspec.MsgspecError as error:
-                    result = Unavailable(f"undecodable response: {error}")
+                result = await decode_response(body, cls)
+                if isinstance(result, Malformed):
+                    result = Unavailable(f"undecodable response: {result.reason}")
             case HttpResponse(status=404 | 410):
                 result = Absent(path)
             case HttpResponse(status=status):
@@ -200,7 +210,7 @@
     return f"{path}?{urlencode(query)}" if query else path
 
 
-def _write_result(
+async def _write_result(
     name: str, response: HttpResponse | ResponseLost | NotSent
 ) -> Written | Conflict | Unavailable | WriteUnknown:
     match response:
@@ -213,10 +223,9 @@
         case HttpResponse(status=404):
             return Conflict(Absent(name))
         case HttpResponse(status=200 | 201 | 409 as status, body=body):
-            try:
-                item = msgspec.json.decode(body, type=wire.Item)
-            except msgspec.MsgspecError as error:
-                return WriteUnknown(f"undecodable response: {error}")
+            item = await decode_response(body, wire.Item)
+            if isinstance(item, Malformed):
+                return WriteUnknown(f"undecodable response: {item.reason}")
             if status == 409:
                 return Conflict(item.to_stored_object())
             return Written(item.metadata.revision)
--- a/src/balsamway/platform/wire_types.py
+++ b/src/balsamway/platform/wire_types.py
@@ -8,14 +8,15 @@
 
 from balsamway.store.store import StoredObject
 
-NonNegativeInt = Annotated[int, msgspec.Meta(ge=0)]
+Revision = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+"""Messages between hosts carry integers of 64 bits."""
 
 
 class Metadata(msgspec.Struct, frozen=True):
     """The name of an object, and the revision at which it was last written."""
 
     name: str
-    revision: NonNegativeInt = 0
+    revision: Revision = 0
 
 
 class Item(msgspec.Struct, frozen=True):
@@ -35,7 +36,7 @@
     """One page of the objects of a kind, as of a revision."""
 
     items: list[Item]
-    revision: NonNegativeInt = msgspec.field(name="asOf")
+    revision: Revision = msgspec.field(name="asOf")
     has_more: bool = msgspec.field(name="hasMore", default=False)
 
 
@@ -50,4 +51,4 @@
     """The changes of a kind up to and including a revision."""
 
     events: list[Event]
-    revision: NonNegativeInt = msgspec.field(name="asOf")
+    revision: Revision = msgspec.field(name="asOf")
