Refuse stored values that are nested too deeply or with numbers too large

Cause: decode_target, decode_routing, decode_record and the lease's decoder caught MsgspecError only. A value under a field that they ignore, nested more than about 1000 levels deep, raised RecursionError: in the directory's handler, in the lease's task and in the leader's, which ended the host. Integers beyond 64 bits were accepted; msgpack raises OverflowError for them as soon as a message carries them (the incarnation in key maps and reports of limits, the epoch and beat of the lease in the leader's progress, the priority of a route in requests for tokens), in the task that sends it. A name with a line break would have been sent in a header as it is.

Ruled out: 1e400, NaN, fractions, booleans and 5,000 digits were refused already, as validation errors.

An unreadable lease or record counts as before: the lease is claimed once unchanged, the record is Malformed.

--- a/src/balsamway/keyspace/key_record.py
+++ b/src/balsamway/keyspace/key_record.py
@@ -4,7 +4,7 @@
 
 import bisect
 from dataclasses import dataclass, replace
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Annotated
 
 import msgspec
 
@@ -134,10 +134,16 @@
     return parts
 
 
+_Int64 = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+"""Messages between hosts carry integers of 64 bits."""
+_StoredPreviousOwner = tuple[str, _Int64, _Int64]
+_StoredSegment = tuple[_Int64, _Int64, str, _Int64, _Int64, list[_StoredPreviousOwner]]
+
+
 class _Stored(msgspec.Struct, frozen=True):
-    epoch: int
-    next_token: int
-    segments: list[tuple[int, int, str, int, int, list[tuple[str, int, int]]]]
+    epoch: _Int64
+    next_token: _Int64
+    segments: list[_StoredSegment]
 
 
 def encode_record(record: KeyRecord) -> bytes:
@@ -186,7 +192,7 @@
     """
     try:
         stored = msgspec.json.decode(body, type=_Stored)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, RecursionError) as error:
         return Malformed(str(error))
     segments = tuple(
         Segment(
--- a/src/balsamway/keyspace/lease_object.py
+++ b/src/balsamway/keyspace/lease_object.py
@@ -27,6 +27,8 @@
 """The delay between attempts to learn whether a write had effect."""
 MAX_READ_BACK_ATTEMPTS = 8
 """The most reads to learn whether a write had effect."""
+MAX_INTEGER = 2**63 - 1
+"""Messages between hosts carry integers of 64 bits."""
 UNREADABLE_HOST = "?"
 """Stands for the leader's host in a lease that cannot be decoded."""
 
@@ -100,7 +102,9 @@
 def _decode_lease(found: StoredObject) -> StoredLease:
     try:
         lease = msgspec.json.decode(found.body, type=Lease)
-    except msgspec.MsgspecError as error:
-        logger.warning("lease-unreadable", extra={"reason": str(error)})
+        if not (0 <= lease.epoch < MAX_INTEGER and 0 <= lease.beat <= MAX_INTEGER):
+            raise ValueError("the epoch or the beat is out of range")
+    except (msgspec.MsgspecError, RecursionError, ValueError) as error:
+        logger.warning("lease-unreadable", extra={"reason": str(error)[:200]})
         lease = Lease(0, UNREADABLE_HOST, "", 0)
     return StoredLease(found.version, lease)
--- a/src/balsamway/platform/configuration_decoder.py
+++ b/src/balsamway/platform/configuration_decoder.py
@@ -16,9 +16,14 @@
     RoutingConfiguration,
 )
 
-Positive = Annotated[float, msgspec.Meta(gt=0)]
-NonNegative = Annotated[float, msgspec.Meta(ge=0)]
-PositiveInt = Annotated[int, msgspec.Meta(ge=1)]
+MAX_NUMBER = 1e15
+"""The highest number that is not an integer. It keeps sums finite."""
+
+Positive = Annotated[float, msgspec.Meta(gt=0, le=MAX_NUMBER)]
+NonNegative = Annotated[float, msgspec.Meta(ge=0, le=MAX_NUMBER)]
+Int64 = Annotated[int, msgspec.Meta(ge=-(2**63), le=2**63 - 1)]
+"""Messages between hosts carry integers of 64 bits."""
+PositiveInt = Annotated[int, msgspec.Meta(ge=1, le=2**63 - 1)]
 
 DEFAULT_MAX_CONNECTIONS = 50
 """The number of connections that each target of a service accepts, where the
@@ -36,7 +41,7 @@
     route_type: RouteType
     timeout_ms: Positive
     target_latency_ms: Positive = 1_000.0
-    priority: int = 0
+    priority: Int64 = 0
     max_attempts: PositiveInt = 1
     service: str | None = None
     backends: list[_Backend] = []
@@ -62,7 +67,7 @@
 
 
 class _Configuration(msgspec.Struct, frozen=True):
-    version: int
+    version: Int64
     hosts: list[_Host]
     services: list[_Service]
     limits: _Limits = _Limits()
@@ -79,7 +84,7 @@
     """
     try:
         decoded = msgspec.json.decode(body, type=_Configuration)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, RecursionError) as error:
         return Malformed(str(error))
     return RoutingConfiguration(
         version=decoded.version,
--- a/tests/keyspace/test_key_record.py
+++ b/tests/keyspace/test_key_record.py
@@ -112,3 +112,26 @@
 )
 def test_a_record_that_does_not_cover_all_keys_once_is_malformed(body):
     assert isinstance(decode_record(body), Malformed)
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"[" * 100_000 + b"]" * 100_000,
+        b'{"epoch":1,"next_token":2,"segments":[],"x":'
+        + b"[" * 100_000
+        + b"]" * 100_000
+        + b"}",
+        b'{"epoch":%d,"next_token":2,"segments":[]}' % 2**70,
+        b'{"epoch":-1,"next_token":2,"segments":[]}',
+        b'{"epoch":1,"next_token":%d,"segments":[]}' % 2**70,
+        b'{"epoch":1,"next_token":2,"segments":[[0,65535,"a",%d,1,[]]]}' % 2**70,
+        b'{"epoch":1,"next_token":2,"segments":[[0,65535,"a",1,%d,[]]]}' % 2**70,
+        b'{"epoch":1,"next_token":2,"segments":[[0,65535,"a",1,1,[["b",1,%d]]]]}'
+        % 2**70,
+        b'{"epoch":1e400,"next_token":2,"segments":[]}',
+    ],
+    ids=lambda body: body[:60].decode(),
+)
+def test_a_record_that_is_nested_or_has_a_number_too_large_is_malformed(body):
+    assert isinstance(decode_record(body), Malformed)
--- a/tests/keyspace/test_leader_lease.py
+++ b/tests/keyspace/test_leader_lease.py
@@ -207,6 +207,28 @@
     assert hosts.leading() == ["a"]
 
 
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"[" * 100_000 + b"]" * 100_000,
+        b'{"epoch":1,"host":"b","address":"b:1","beat":1,"x":'
+        + b"[" * 100_000
+        + b"]" * 100_000
+        + b"}",
+        b'{"epoch":%d,"host":"b","address":"b:1","beat":1}' % 2**70,
+        b'{"epoch":1,"host":"b","address":"b:1","beat":%d}' % 2**70,
+        b'{"epoch":-5,"host":"b","address":"b:1","beat":1}',
+    ],
+    ids=lambda body: body[:40].decode(),
+)
+async def test_a_lease_that_is_nested_or_has_a_number_too_large_is_claimed(hosts, body):
+    hosts.store.put(LEASE_KIND, "keys", body)
+    await hosts.start("a")
+    await asyncio.sleep(4)
+    assert hosts.leading() == ["a"]
+    assert 0 < hosts.leases["a"].epoch < 2**63
+
+
 async def test_a_stale_read_older_than_the_leader_s_report_delays_no_claim(hosts):
     await hosts.start("a")
     await asyncio.sleep(1)
--- a/tests/platform/test_decoders.py
+++ b/tests/platform/test_decoders.py
@@ -124,3 +124,74 @@
 @pytest.mark.parametrize("body", [b"", b"{}", b'{"version":"x"}', b"[1]"])
 def test_bytes_that_are_not_a_configuration_are_malformed(body):
     assert isinstance(decode_routing(body), Malformed)
+
+
+NESTED = b"[" * 100_000 + b"]" * 100_000
+NESTED_OBJECT = b'{"a":' * 100_000 + b"1" + b"}" * 100_000
+
+
+def with_raw(document, field, value):
+    """Encode a document in which one field has a value as it is written."""
+    return json.dumps(document | {field: "@"}).encode().replace(b'"@"', value)
+
+
+@pytest.mark.parametrize("field", ["zone", "capacity", "version", "unknown"])
+@pytest.mark.parametrize("value", [NESTED, NESTED_OBJECT], ids=["array", "object"])
+def test_entry_with_a_nested_value_is_refused(field, value):
+    assert decode_target("i", with_raw(ENTRY, field, value)) is None
+
+
+@pytest.mark.parametrize("value", [NESTED, NESTED_OBJECT], ids=["array", "object"])
+def test_nested_configuration_is_malformed(value):
+    assert isinstance(decode_routing(value), Malformed)
+    body = with_raw(CONFIGURATION, "unknown", value)
+    assert isinstance(decode_routing(body), Malformed)
+
+
+@pytest.mark.parametrize("field", ["born", "capacity", "sequence", "warmupLeftMs"])
+@pytest.mark.parametrize(
+    "value",
+    [b"1e400", b"%d" % 2**63, b"%d" % 2**70, b"9" * 5_000, b"NaN", b"-1", b"true"],
+    ids=lambda value: value[:20].decode(),
+)
+def test_entry_with_a_number_out_of_range_is_refused(field, value):
+    assert decode_target("i", with_raw(ENTRY, field, value)) is None
+
+
+@pytest.mark.parametrize(
+    ("field", "value"), [("warmupLeftMs", b"1e300"), ("capacity", b"1000000000000")]
+)
+def test_entry_with_a_number_too_large_to_be_true_is_refused(field, value):
+    assert decode_target("i", with_raw(ENTRY, field, value)) is None
+
+
+@pytest.mark.parametrize("name", ["", "i\r\nHost: x", "i\x00", "i-é", "i" * 5_000])
+def test_entry_under_a_name_that_fits_no_header_is_refused(name):
+    assert decode_target(name, json.dumps(ENTRY).encode()) is None
+
+
+@pytest.mark.parametrize("value", [b"%d" % 2**63, b"%d" % 2**70, b"9" * 5_000])
+def test_configuration_with_a_version_too_large_is_malformed(value):
+    body = with_raw(CONFIGURATION, "version", value)
+    assert isinstance(decode_routing(body), Malformed)
+
+
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [
+        ("priority", b"%d" % 2**70),
+        ("priority", b"-%d" % 2**70),
+        ("maxAttempts", b"%d" % 2**70),
+        ("timeoutMs", b"1e308"),
+        ("targetLatencyMs", b"1e308"),
+        ("weight", b"1e308"),
+    ],
+)
+def test_configuration_with_a_number_of_a_route_too_large_is_malformed(field, value):
+    text = json.dumps(CONFIGURATION)
+    path = CONFIGURATION["hosts"][0]["paths"][0]
+    previous = path["backends"][0][field] if field == "weight" else path[field]
+    member = f'"{field}": {previous}'
+    assert member in text
+    body = text.replace(member, f'"{field}": {value.decode()}', 1).encode()
+    assert isinstance(decode_routing(body), Malformed)
