Refuse addresses whose port is out of range or not plain digits

Cause: split_address took what int() takes, so "99999", "-1", " 80", "+80", "8_0" and digits of other scripts passed. connect() raises OverflowError for a port out of range, which neither the connection pool nor a peer's link catches. An entry with such a port was refused already, but the address of a peer comes from the lease or from messages: a lease with port 99999, written by anyone, ended the link's task and with it all of StreamPeers. Entries with spaces or signs in the port were listed.

Ruled out: other odd addresses, such as IPv6, a missing port or a NUL, were refused already, by ipaddress or by ValueError.

Now split_address raises ValueError unless the port is written as a plain number from 0 to 65535; its callers handle that.

--- a/src/balsamway/address.py
+++ b/src/balsamway/address.py
@@ -2,6 +2,11 @@
 
 from __future__ import annotations
 
+import re
+
+MAX_PORT = 65_535
+_PORT = re.compile("0|[1-9][0-9]{0,4}")
+
 
 def split_address(address: str) -> tuple[str, int]:
     """Split an address into IP address and port.
@@ -14,7 +19,9 @@
         does not contain one.
 
     Raises:
-        ValueError: If the port is not a number.
+        ValueError: If the port is not a plain number from 0 to 65535.
     """
     ip, _, port = address.rpartition(":")
+    if _PORT.fullmatch(port) is None or int(port) > MAX_PORT:
+        raise ValueError("the port is not a number from 0 to 65535")
     return ip, int(port)
--- a/src/balsamway/platform/target_decoder.py
+++ b/src/balsamway/platform/target_decoder.py
@@ -54,8 +54,8 @@
         decoded = msgspec.json.decode(body, type=_Entry)
         ip, port = split_address(decoded.address)
         ipaddress.IPv4Address(ip)
-        if not 0 < port < 65_536:
-            raise ValueError(f"port {port} is not between 1 and 65535")
+        if port == 0:
+            raise ValueError("the port is 0")
     except (msgspec.MsgspecError, RecursionError, ValueError) as error:
         logger.warning(
             "target-entry-unreadable",
--- a/tests/platform/test_decoders.py
+++ b/tests/platform/test_decoders.py
@@ -195,3 +195,55 @@
     assert member in text
     body = text.replace(member, f'"{field}": {value.decode()}', 1).encode()
     assert isinstance(decode_routing(body), Malformed)
+
+
+@pytest.mark.parametrize(
+    "port",
+    [
+        "0",
+        "65536",
+        "99999",
+        "-1",
+        "8\u0663",
+        "\u0663",
+        "80 ",
+        " 80",
+        "+80",
+        "8_0",
+        "",
+        "080",
+        "80\n",
+        "9" * 5_000,
+    ],
+    ids=lambda port: ascii(port[:10]),
+)
+def test_entry_with_a_port_out_of_range_or_not_plain_is_refused(port):
+    body = json.dumps(ENTRY | {"address": f"10.0.0.1:{port}"}).encode()
+    assert decode_target("i", body) is None
+
+
+@pytest.mark.parametrize(
+    "address",
+    [
+        "[::1]:80",
+        "::1:80",
+        "10.0.0.1",
+        "",
+        ":80",
+        "010.0.0.1:80",
+        "10.0.0.1\x00:80",
+        "10.0.0.1:80:80",
+        "10.0.1:80",
+        "\uff11\uff10.0.0.1:80",
+    ],
+    ids=ascii,
+)
+def test_entry_with_an_address_that_is_not_ipv4_is_refused(address):
+    body = json.dumps(ENTRY | {"address": address}).encode()
+    assert decode_target("i", body) is None
+
+
+@pytest.mark.parametrize("port", ["1", "65535"])
+def test_entry_with_the_lowest_or_highest_port_is_accepted(port):
+    body = json.dumps(ENTRY | {"address": f"10.0.0.1:{port}"}).encode()
+    assert decode_target("i", body).address == f"10.0.0.1:{port}"
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -111,3 +111,20 @@
     peers.register_handler(PromiseRequest, handler)
     with pytest.raises(ValueError, match="already has a handler"):
         peers.register_handler(PromiseRequest, handler)
+
+
+@pytest.mark.parametrize("address", ["127.0.0.1:99999", "127.0.0.1:-1", "x:y", ""])
+async def test_a_peer_address_with_a_port_out_of_range_ends_no_host(pair, address):
+    first, second = pair
+
+    async def on_leader_query(sender, query):
+        return LeaderQueryAnswer(3, 0.0, 1)
+
+    second.register_handler(LeaderQuery, on_leader_query)
+    good = first._address_of("b")
+    addresses = {"b": good, "odd": address}
+    first._address_of = addresses.get
+    failure = await first.call("odd", LeaderQuery(SHARD), 0.6)
+    assert failure == PeerFailure("timeout")
+    assert (await first.call("b", LeaderQuery(SHARD), 2.0)).epoch == 3
+    assert not first.crashed
