--- a/src/balsamway/discovery/target_directory.py
+++ b/src/balsamway/discovery/target_directory.py
@@ -122,6 +122,16 @@
             self._on_missing(name)
             self._publish()
 
+    def discard(self, name: str) -> None:
+        """Remove an entry at once, since its target can't be used.
+
+        Args:
+            name: The target's name.
+        """
+        if name in self._entries:
+            self._delete(name)
+            self._publish()
+
     def remove_expired(self) -> None:
         """Remove the missing entries whose time to register again is over."""
         expired = [
--- a/src/balsamway/node/platform_adapters.py
+++ b/src/balsamway/node/platform_adapters.py
@@ -33,4 +33,4 @@
     configuration_name: str
     targets_kind: str
     decode_configuration: Callable[[bytes], RoutingConfiguration | Malformed]
-    decode_target: Callable[[str, bytes], TargetEntry | None]
+    decode_target: Callable[[str, bytes], TargetEntry | Malformed]
--- a/src/balsamway/platform/target_decoder.py
+++ b/src/balsamway/platform/target_decoder.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import ipaddress
-import logging
 from typing import Annotated, Literal
 
 import msgspec
 
 from balsamway.address import split_address
 from balsamway.discovery import TargetEntry
+from balsamway.outcome import Malformed
 
 MAX_CAPACITY = 1_000_000
 """The highest capacity that is believed. A higher one would draw the requests
@@ -22,8 +22,6 @@
 Int64 = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
 """Messages between hosts carry integers of 64 bits."""
 
-logger = logging.getLogger(__name__)
-
 
 class _Entry(msgspec.Struct, frozen=True, rename="camel"):
     service: str
@@ -38,8 +36,8 @@
     distinguishes two incarnations with the same name."""
 
 
-def decode_target(name: str, body: bytes) -> TargetEntry | None:
-    """Decode an entry, and log a warning if it is invalid.
+def decode_target(name: str, body: bytes) -> TargetEntry | Malformed:
+    """Decode an entry.
 
     Args:
         name: The name under which the target registered.
@@ -47,7 +45,7 @@
             store can write it.
 
     Returns:
-        The entry, or None if it is invalid.
+        The entry, or the reason why it is invalid.
     """
     try:
         _check_name(name)
@@ -57,11 +55,7 @@
         if port == 0:
             raise ValueError("the port is 0")
     except (msgspec.MsgspecError, RecursionError, ValueError) as error:
-        logger.warning(
-            "target-entry-unreadable",
-            extra={"target": name, "reason": str(error)[:200]},
-        )
-        return None
+        return Malformed(str(error))
     return TargetEntry(
         name=name,
         incarnation=decoded.born,
--- a/tests/platform/test_any_bytes.py
+++ b/tests/platform/test_any_bytes.py
@@ -120,7 +120,7 @@
 @given(bytes_like(ENTRY), st.one_of(st.just("i-1"), st.text()))
 def test_any_entry_is_refused_or_fits_messages_and_headers(body, name):
     entry = decode_target(name, body)
-    if entry is None:
+    if isinstance(entry, Malformed):
         return
     assert isinstance(entry, TargetEntry)
     notice = KeyMapNotice(
--- a/tests/platform/test_decoders.py
+++ b/tests/platform/test_decoders.py
@@ -91,18 +91,20 @@
     ids=str,
 )
 def test_entry_with_an_invalid_field_is_refused(change):
-    assert decode_target("i", json.dumps(ENTRY | change).encode()) is None
+    assert isinstance(
+        decode_target("i", json.dumps(ENTRY | change).encode()), Malformed
+    )
 
 
 @pytest.mark.parametrize("field", ["service", "address", "capacity", "state"])
 def test_entry_without_a_required_field_is_refused(field):
     incomplete = {name: value for name, value in ENTRY.items() if name != field}
-    assert decode_target("i", json.dumps(incomplete).encode()) is None
+    assert isinstance(decode_target("i", json.dumps(incomplete).encode()), Malformed)
 
 
 @pytest.mark.parametrize("body", [b"", b"\xff\xfe", b"[]", b"null", b'"text"'])
 def test_bytes_that_are_not_an_entry_are_refused(body):
-    assert decode_target("i", body) is None
+    assert isinstance(decode_target("i", body), Malformed)
 
 
 def test_configuration_is_decoded():
@@ -138,7 +140,7 @@
 @pytest.mark.parametrize("field", ["zone", "capacity", "version", "unknown"])
 @pytest.mark.parametrize("value", [NESTED, NESTED_OBJECT], ids=["array", "object"])
 def test_entry_with_a_nested_value_is_refused(field, value):
-    assert decode_target("i", with_raw(ENTRY, field, value)) is None
+    assert isinstance(decode_target("i", with_raw(ENTRY, field, value)), Malformed)
 
 
 @pytest.mark.parametrize("value", [NESTED, NESTED_OBJECT], ids=["array", "object"])
@@ -155,19 +157,19 @@
     ids=lambda value: value[:20].decode(),
 )
 def test_entry_with_a_number_out_of_range_is_refused(field, value):
-    assert decode_target("i", with_raw(ENTRY, field, value)) is None
+    assert isinstance(decode_target("i", with_raw(ENTRY, field, value)), Malformed)
 
 
 @pytest.mark.parametrize(
     ("field", "value"), [("warmupLeftMs", b"1e300"), ("capacity", b"1000000000000")]
 )
 def test_entry_with_a_number_too_large_to_be_true_is_refused(field, value):
-    assert decode_target("i", with_raw(ENTRY, field, value)) is None
+    assert isinstance(decode_target("i", with_raw(ENTRY, field, value)), Malformed)
 
 
 @pytest.mark.parametrize("name", ["", "i\r\nHost: x", "i\x00", "i-é", "i" * 5_000])
 def test_entry_under_a_name_that_fits_no_header_is_refused(name):
-    assert decode_target(name, json.dumps(ENTRY).encode()) is None
+    assert isinstance(decode_target(name, json.dumps(ENTRY).encode()), Malformed)
 
 
 @pytest.mark.parametrize("value", [b"%d" % 2**63, b"%d" % 2**70, b"9" * 5_000])
@@ -219,7 +221,7 @@
 )
 def test_entry_with_a_port_out_of_range_or_not_plain_is_refused(port):
     body = json.dumps(ENTRY | {"address": f"10.0.0.1:{port}"}).encode()
-    assert decode_target("i", body) is None
+    assert isinstance(decode_target("i", body), Malformed)
 
 
 @pytest.mark.parametrize(
@@ -240,7 +242,7 @@
 )
 def test_entry_with_an_address_that_is_not_ipv4_is_refused(address):
     body = json.dumps(ENTRY | {"address": address}).encode()
-    assert decode_target("i", body) is None
+    assert isinstance(decode_target("i", body), Malformed)
 
 
 @pytest.mark.parametrize("port", ["1", "65535"])
--- a/tests/store/test_kind_watch.py
+++ b/tests/store/test_kind_watch.py
@@ -9,6 +9,7 @@
 
 from balsamway.discovery import TargetDirectory, TargetEntry
 from balsamway.node.directory_handler import DirectoryHandler
+from balsamway.outcome import Malformed
 from balsamway.store.kind_watch import KindWatch
 from balsamway.store.store import Unavailable
 from tests.fakes.memory_store import MemoryStore
@@ -34,7 +35,7 @@
 
 def decode(name, body):
     if not body:
-        return None
+        return Malformed("empty")
     return TargetEntry(name, 1, "s", body.decode(), "z", 3, False, 0.0)
 
 
