Break only the stream of a message that is too large for a frame

Cause: msgpack's Unpacker.feed raises BufferFull for more than 8 MiB of buffered bytes. It is no ValueError, which read_frames promises for a frame that is too large: it ended the link's task and with it StreamPeers on the reader of a response, and the listener's task, without a log line, on the reader of a call. The objects that a peer passes on during an outage may be that large.

Ruled out: too many nested levels and invalid UTF-8 raise subclasses of ValueError, which were handled.

Now read_frames raises ValueError, and both ends log the broken stream and connect again.

Before: both new tests in test_peers.py failed, one with the host's StreamPeers crashed, one with no log line. After: both pass.

--- a/src/balsamway/peers/_framing.py
+++ b/src/balsamway/peers/_framing.py
@@ -41,7 +41,10 @@
     """
     unpacker = msgpack.Unpacker(max_buffer_size=MAX_FRAME_BYTES, strict_map_key=False)
     while data := await reader.read(READ_SIZE_BYTES):
-        unpacker.feed(data)
+        try:
+            unpacker.feed(data)
+        except msgpack.BufferFull as error:
+            raise ValueError(f"a frame has over {MAX_FRAME_BYTES} bytes") from error
         for parts in unpacker:
             try:
                 yield decode(parts)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -1,13 +1,16 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import random
 
 import pytest
 
 from balsamway.ownership.messages import LeaderQuery, LeaderQueryAnswer, PromiseRequest
+from balsamway.peers._framing import MAX_FRAME_BYTES
 from balsamway.peers.peers import PeerFailure
 from balsamway.peers.stream_peers import StreamPeers
+from balsamway.peers.unhandled import Unhandled
 from balsamway.slices import ShardId
 
 SHARD = ShardId("m", "s")
@@ -128,3 +131,32 @@
     assert failure == PeerFailure("timeout")
     assert (await first.call("b", LeaderQuery(SHARD), 2.0)).epoch == 3
     assert not first.crashed
+
+
+async def test_a_message_too_large_for_a_frame_ends_no_host(pair):
+    first, second = pair
+
+    async def on_leader_query(sender, query):
+        if query.shard.index == 0:
+            return Unhandled("x" * (MAX_FRAME_BYTES + 1))
+        return LeaderQueryAnswer(3, 0.0, 1)
+
+    second.register_handler(LeaderQuery, on_leader_query)
+    too_large = await first.call("b", LeaderQuery(ShardId("m", "s", 0)), 2.0)
+    assert isinstance(too_large, PeerFailure)
+    assert (await first.call("b", LeaderQuery(ShardId("m", "s", 1)), 2.0)).epoch == 3
+    assert not first.crashed
+
+
+async def test_a_call_too_large_for_a_frame_ends_no_stream_of_others(pair, caplog):
+    caplog.set_level(logging.INFO)
+    first, second = pair
+
+    async def on_leader_query(sender, query):
+        return LeaderQueryAnswer(3, 0.0, 1)
+
+    second.register_handler(LeaderQuery, on_leader_query)
+    query = LeaderQuery(ShardId("m" * (MAX_FRAME_BYTES + 1), "s", 0))
+    assert isinstance(await first.call("b", query, 2.0), PeerFailure)
+    assert (await first.call("b", LeaderQuery(SHARD), 2.0)).epoch == 3
+    assert "peer stream broken" in caplog.messages
