--- a/tests/node/test_entry_node.py
+++ b/tests/node/test_entry_node.py
@@ -10,6 +10,8 @@
 import pytest
 from prometheus_client import CollectorRegistry
 
+from balsamway.keyspace.lease_object import LEASE_KIND, LEASE_NAME
+from balsamway.keyspace.record_writer import KEY_RECORD_KIND
 from balsamway.node.entry_node import EntryNode
 from balsamway.node.node_settings import Bounds, NodeSettings
 from balsamway.node.platform_adapters import PlatformAdapters
@@ -323,3 +325,77 @@
         assert "balsamway_entry_configuration_version 3.0" in text
     status, text = await fetch(settings.operators_address, "/state")
     assert json.loads(text)["forwarding"]["version"] == 3
+
+
+ODD_BODIES = {
+    "nested": b"[" * 100_000 + b"]" * 100_000,
+    "nested field": b'{"x":' * 100_000 + b"1" + b"}" * 100_000,
+    "number too large": b'{"service":"plain","address":"127.0.0.1:9","zone":"z1",'
+    b'"capacity":%d,"state":"ready","sequence":1,"born":%d}' % (2**70, 2**70),
+    "port out of range": b'{"service":"plain","address":"127.0.0.1:99999",'
+    b'"zone":"z1","capacity":3,"state":"ready","sequence":1}',
+}
+
+
+@pytest.mark.parametrize("odd", ODD_BODIES.values(), ids=ODD_BODIES)
+async def test_one_nested_or_out_of_range_entry_leaves_the_hosts_at_work(
+    deployment, odd
+):
+    store = deployment.store
+    good = await deployment.add_target("i-1", "plain")
+    replaced = await deployment.add_target("i-2", "plain")
+    store.put("servers", "odd", odd)
+    leader, first = await deployment.add_node("n1")
+    follower, second = await deployment.add_node("n2", (first.peers_address,))
+    cut_off, third = await deployment.add_node(
+        "n3", (first.peers_address, second.peers_address), MemoryStore(down=True)
+    )
+    nodes = (leader, follower, cut_off)
+    await wait_until(lambda: all(node.is_ready() for node in nodes))
+    names_of = [node.directory for node in nodes]
+    await wait_until(
+        lambda: all(
+            sorted(entry.name for entry in directory.entries) == ["i-1", "i-2"]
+            for directory in names_of
+        )
+    )
+    store.put("servers", "i-2", odd)
+    await wait_until(
+        lambda: all(
+            [entry.name for entry in directory.entries] == ["i-1"]
+            for directory in names_of
+        )
+    )
+    replaced.executed.clear()
+    for settings in (first, second, third):
+        assert (await send_request(settings, "/p/x"))[2] == b"i-1"
+    store.put("servers", "i-2", replaced.entry())
+    store.delete("servers", "odd")
+    await wait_until(
+        lambda: all(len(list(directory.entries)) == 2 for directory in names_of)
+    )
+    assert replaced.executed == []
+    assert len(good.executed) == 3
+    assert not any(node.crashed for node in nodes)
+
+
+@pytest.mark.parametrize("odd", ODD_BODIES.values(), ids=ODD_BODIES)
+@pytest.mark.parametrize(
+    ("kind", "name"),
+    [("config", "main"), (LEASE_KIND, LEASE_NAME), (KEY_RECORD_KIND, "keyed")],
+)
+async def test_a_nested_configuration_lease_or_record_ends_no_host(
+    deployment, kind, name, odd
+):
+    await deployment.add_target("i-1", "plain")
+    keyed = await deployment.add_target("i-2", "keyed")
+    first_node, first = await deployment.add_node("n1")
+    second_node, second = await deployment.add_node("n2", (first.peers_address,))
+    await wait_until(lambda: first_node.is_ready() and second_node.is_ready())
+    await wait_until(lambda: keyed.granted)
+    deployment.store.put(kind, name, odd)
+    await asyncio.sleep(1.5)
+    for settings in (first, second):
+        assert (await send_request(settings, "/p/x"))[0] == 200
+    assert not first_node.crashed
+    assert not second_node.crashed
