Refuse a configuration with a route that names no service

Cause: a path with neither service nor backends was decoded into a route without backends, for which WeightedSplit.next_service raises IndexError at each request.

Now decode_routing reports it as Malformed, so that the configuration in force stays. The store accepts valid configurations only, so this is for those that other writers leave.

Before: the new test failed, since the configuration was decoded. After: it passes.

--- a/src/balsamway/platform/configuration_decoder.py
+++ b/src/balsamway/platform/configuration_decoder.py
@@ -86,6 +86,10 @@
         decoded = msgspec.json.decode(body, type=_Configuration)
     except (msgspec.MsgspecError, RecursionError) as error:
         return Malformed(str(error))
+    for host in decoded.hosts:
+        for path in host.paths:
+            if path.service is None and not path.backends:
+                return Malformed(f"the route {path.name} names no service")
     return RoutingConfiguration(
         version=decoded.version,
         routes=tuple(
--- a/tests/platform/test_decoders.py
+++ b/tests/platform/test_decoders.py
@@ -249,3 +249,10 @@
 def test_entry_with_the_lowest_or_highest_port_is_accepted(port):
     body = json.dumps(ENTRY | {"address": f"10.0.0.1:{port}"}).encode()
     assert decode_target("i", body).address == f"10.0.0.1:{port}"
+
+
+def test_configuration_with_a_route_to_no_service_is_malformed():
+    hosts = [{"host": "h", "paths": [dict(CONFIGURATION["hosts"][0]["paths"][1])]}]
+    del hosts[0]["paths"][0]["service"]
+    body = json.dumps(CONFIGURATION | {"hosts": hosts}).encode()
+    assert isinstance(decode_routing(body), Malformed)
