--- a/src/balsamway/platform/wire_types.py
+++ b/src/balsamway/platform/wire_types.py
@@ -10,6 +10,7 @@
 from balsamway.store.store import StoredObject
 
 Revision = Annotated[int, msgspec.Meta(ge=0, le=MAX_REVISION)]
+"""A revision that can be part of a version."""
 
 
 class Metadata(msgspec.Struct, frozen=True):
