Let a draining target return once the store has settled after a restore

A draining incarnation was taken to drain for ever, not only while a restored store may list an older entry. The earlier entry is now held back like the others that a restore may have brought back; the known one stays in force meanwhile.

The tests of any bytes use the highest era, which is the hardest for messages of 64 bits.

--- a/src/balsamway/discovery/outdated_entries.py
+++ b/src/balsamway/discovery/outdated_entries.py
@@ -21,8 +21,8 @@
 class OutdatedEntries:
     """Holds back the entries that a restore may have brought back.
 
-    These are entries of targets that were removed, and of incarnations before
-    the known one.
+    These are entries of targets that were removed, of incarnations before the
+    known one, and of draining targets as if they did not drain.
     """
 
     def __init__(self) -> None:
@@ -69,7 +69,9 @@
         if now() >= self._until:
             return False
         gone_incarnation, _ = self._gone.get(entry.name, (None, 0.0))
-        if known is not None:
+        if known is not None and known.key == entry.key:
+            is_outdated = known.is_draining and not entry.is_draining
+        elif known is not None:
             is_outdated = entry.incarnation < known.incarnation
         else:
             is_outdated = (
--- a/src/balsamway/discovery/target_directory.py
+++ b/src/balsamway/discovery/target_directory.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import logging
-from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from balsamway.clock import now
@@ -103,11 +102,13 @@
         Args:
             entries: All entries in the store.
         """
-        snapshot = {
-            entry.name: entry
-            for entry in entries
-            if not self._outdated.hold_back(entry, self._entries.get(entry.name))
-        }
+        snapshot: dict[str, TargetEntry] = {}
+        for entry in entries:
+            known = self._entries.get(entry.name)
+            if not self._outdated.hold_back(entry, known):
+                snapshot[entry.name] = entry
+            elif known is not None and known.key == entry.key:
+                snapshot[entry.name] = known
         for name in [name for name in self._entries if name not in snapshot]:
             self._on_missing(name)
         for entry in snapshot.values():
@@ -170,9 +171,6 @@
     def _put(self, entry: TargetEntry) -> None:
         previous = self._entries.get(entry.name)
         self._removal_at.pop(entry.name, None)
-        if previous is not None and previous.key == entry.key and previous.is_draining:
-            # A draining target does not return, even if an older copy says so.
-            entry = replace(entry, is_draining=True)
         self._entries[entry.name] = entry
         if previous is None or previous.key != entry.key:
             self._changed_at = now()
--- a/tests/discovery/test_target_directory.py
+++ b/tests/discovery/test_target_directory.py
@@ -120,6 +120,12 @@
     directory.replace([FIRST])
     directory.update(FIRST)
     assert directory.available_targets("s") == ()
+    assert directory.find("i-1").is_draining
+    # The target writes again what the store has lost.
+    directory.update(replace(FIRST, is_draining=True))
+    await asyncio.sleep(6)
+    directory.remove_expired()
+    assert directory.available_targets("s") == ()
     directory.update(replace(FIRST, incarnation=2))
     assert len(directory.available_targets("s")) == 1
 
--- a/tests/platform/test_any_bytes.py
+++ b/tests/platform/test_any_bytes.py
@@ -22,6 +22,7 @@
 from balsamway.platform.target_decoder import decode_target
 from balsamway.routing import RoutingConfiguration
 from balsamway.store.batch import Batch
+from balsamway.store.era import MAX_ERA, version_of
 from balsamway.store.store import StoredObject
 from tests.platform.test_decoders import CONFIGURATION, ENTRY
 
@@ -181,8 +182,8 @@
     page = asyncio.run(decode_response(body, wire.Page))
     if isinstance(page, Malformed):
         return
-    objects = tuple(item.to_stored_object() for item in page.items)
-    batch = Batch(0, page.revision, objects, ())
+    objects = tuple(item.to_stored_object(MAX_ERA) for item in page.items)
+    batch = Batch(0, version_of(MAX_ERA, page.revision), objects, ())
     encode(Frame(0, False, ObjectsChanged(1, "k", batch)))
 
 
@@ -192,8 +193,8 @@
     page = asyncio.run(decode_response(body, wire.WatchPage))
     if isinstance(page, Malformed):
         return
-    objects = tuple(event.object.to_stored_object() for event in page.events)
-    batch = Batch(0, page.revision, objects, ())
+    objects = tuple(event.object.to_stored_object(MAX_ERA) for event in page.events)
+    batch = Batch(0, version_of(MAX_ERA, page.revision), objects, ())
     encode(Frame(0, False, ObjectsChanged(1, "k", batch)))
 
 
