Count a response to an order that may be repeated as lost

Cause: a target may send a response twice, the second time where the next response is expected. Responses to requests are told apart by their id; grants and releases have none. On a connection that was used before, the response to an earlier release counted for a release that was still at work, so that the keys could be granted to another target, and an earlier refusal counted for a grant that the target accepted, so that the grant was left out of the expiry.

Ruled out: an id on orders. A new connection for each release was not needed.

Now, on a connection that was used before, a release counts if its handover was not received there yet, a grant if it has no handover, and a refusal never; such an order counts as lost and is sent again on another connection. A refusal closes its connection. What remains: a repeated acceptance is taken for that of a renewal. It frees no keys, the expiry is the same, and the response after it resets the connection.

--- a/src/balsamway/platform/target_control.py
+++ b/src/balsamway/platform/target_control.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import logging
+import weakref
 from typing import TYPE_CHECKING, Any
 
 import msgspec
@@ -21,12 +23,27 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from balsamway.exchange import ConnectionPool
+    from balsamway.exchange import ConnectionPool, TargetConnection
     from balsamway.keyspace.order_result import GrantResult, ReleaseResult
 
+logger = logging.getLogger(__name__)
+
 
 class PlatformTargetControl:
-    """Send orders with the platform's calls; implements `TargetControl`."""
+    """Send orders with the platform's calls; implements `TargetControl`.
+
+    A faulty target may repeat the response to an earlier order on the same
+    connection, and no response names its order. A response that may be such a
+    repetition counts as lost.
+    """
+
+    def __init__(self) -> None:
+        """Create a control that has sent nothing yet."""
+        self._received_handovers: weakref.WeakKeyDictionary[
+            TargetConnection, set[str]
+        ] = weakref.WeakKeyDictionary()
+        """The handovers received on each open connection. Each release has
+        another one, so they tell a repeated response."""
 
     async def grant(
         self,
@@ -48,7 +65,7 @@
         }
         if handover is not None:
             order["handover"] = handover
-        response = await _send_order(
+        response = await self._send_order(
             pool, target, names.GRANT_PATH, order, timeout_seconds, may_send
         )
         match response:
@@ -71,7 +88,7 @@
     ) -> ReleaseResult:
         """Release keys from a target; see `TargetControl.release`."""
         order = {"from": keys[0], "to": keys[1], "fence": token}
-        response = await _send_order(
+        response = await self._send_order(
             pool, target, names.RELEASE_PATH, order, timeout_seconds
         )
         match response:
@@ -82,54 +99,107 @@
             case _:
                 return response
 
+    async def _send_order(
+        self,
+        pool: ConnectionPool,
+        target: str,
+        path: str,
+        order: dict[str, Any],
+        timeout_seconds: float,
+        may_send: Callable[[], bool] = lambda: True,
+    ) -> HttpResponse | WrongTarget | OrderLost | OrderNotSent:
+        """Send one order over a connection of the pool.
+
+        `may_send` is called right before the order is written, since waiting
+        for a connection may have taken long.
+
+        Returns:
+            The target's response, or why there is no usable one.
+        """
+        request = HttpRequest(
+            "POST",
+            path,
+            (
+                (b"Host", pool.address.encode()),
+                (b"Content-Type", b"application/json"),
+                (names.TARGET_HEADER.encode(), target.encode()),
+            ),
+            msgspec.json.encode(order),
+        )
+        try:
+            async with asyncio.timeout(timeout_seconds):
+                connection = await pool.acquire()
+                if isinstance(connection, NotSent):
+                    return OrderNotSent(connection.reason)
+                try:
+                    if not may_send():
+                        return OrderNotSent("sending the order is no longer allowed")
+                    response = await connection.exchange(request)
+                    if isinstance(response, HttpResponse):
+                        response = self._check_response(connection, request, response)
+                finally:
+                    pool.release(connection)
+        except TimeoutError:
+            return OrderLost(f"no response within {timeout_seconds:.2f} s")
+        match response:
+            case NotSent(reason=reason):
+                return OrderNotSent(reason)
+            case ResponseLost(reason=reason):
+                return OrderLost(reason)
+            case HttpResponse(status=421):
+                responder = response.headers.get(names.ANSWERED_BY_HEADER)
+                if responder is not None and responder != target:
+                    return WrongTarget(responder)
+                return OrderLost("status 421")
+        return response
+
+    def _check_response(
+        self,
+        connection: TargetConnection,
+        request: HttpRequest,
+        response: HttpResponse,
+    ) -> HttpResponse | ResponseLost:
+        """Return the response, or `ResponseLost` if it may be a repetition."""
+        received = self._received_handovers.setdefault(connection, set())
+        handover = response.headers.get(names.HANDOVER_HEADER)
+        doubt = None
+        if connection.exchange_count > 1:
+            doubt = _doubt(request, response, handover, received)
+        if handover is not None:
+            received.add(handover)
+        if doubt is None and response.status == 200:
+            return response
+        connection.close()
+        if doubt is None:
+            return response
+        logger.info(
+            "order-response-doubted",
+            extra={"path": request.path, "status": response.status, "reason": doubt},
+        )
+        return ResponseLost(doubt)
+
 
-async def _send_order(
-    pool: ConnectionPool,
-    target: str,
-    path: str,
-    order: dict[str, Any],
-    timeout_seconds: float,
-    may_send: Callable[[], bool] = lambda: True,
-) -> HttpResponse | WrongTarget | OrderLost | OrderNotSent:
-    """Send one order over a connection of the pool.
+def _doubt(
+    request: HttpRequest,
+    response: HttpResponse,
+    handover: str | None,
+    received_handovers: set[str],
+) -> str | None:
+    """Return why a response may belong to an earlier order on the connection.
 
-    `may_send` is called right before the order is written, since waiting for
-    a connection may have taken long.
+    A repeated acceptance cannot be told from the one of this grant. It frees
+    no keys, and the grant's expiry is the same with either. The response that
+    follows it resets the connection.
 
     Returns:
-        The target's response, or why there is no usable one.
+        The reason, or None if the response counts.
     """
-    request = HttpRequest(
-        "POST",
-        path,
-        (
-            (b"Host", pool.address.encode()),
-            (b"Content-Type", b"application/json"),
-            (names.TARGET_HEADER.encode(), target.encode()),
-        ),
-        msgspec.json.encode(order),
-    )
-    try:
-        async with asyncio.timeout(timeout_seconds):
-            connection = await pool.acquire()
-            if isinstance(connection, NotSent):
-                return OrderNotSent(connection.reason)
-            try:
-                if not may_send():
-                    return OrderNotSent("sending the order is no longer allowed")
-                response = await connection.exchange(request)
-            finally:
-                pool.release(connection)
-    except TimeoutError:
-        return OrderLost(f"no response within {timeout_seconds:.2f} s")
-    match response:
-        case NotSent(reason=reason):
-            return OrderNotSent(reason)
-        case ResponseLost(reason=reason):
-            return OrderLost(reason)
-        case HttpResponse(status=421):
-            responder = response.headers.get(names.ANSWERED_BY_HEADER)
-            if responder is not None and responder != target:
-                return WrongTarget(responder)
-            return OrderLost("status 421")
-    return response
+    if response.status != 200:
+        return f"status {response.status} on a connection that was used before"
+    if request.path == names.GRANT_PATH:
+        return None if handover is None else "a grant's response has a handover"
+    if handover is None:
+        return "a release's response has no handover"
+    if handover in received_handovers:
+        return "the handover was received before"
+    return None
