Close the server's connections of the test of early responses

The warning named a later test, during which the objects were collected. With a collection after each test the socket, the transport and the writer were reported at the right one.

Ruled out: the connection pool; its connections are reset by the fixture.

The same run of tests/platform, entry, node, forwarding, limits, store, discovery and keyspace shows no other unclosed connection. Before: three warnings (socket, transport, writer), after: none of them.

--- a/tests/platform/test_target_transport.py
+++ b/tests/platform/test_target_transport.py
@@ -229,8 +229,10 @@
     """
     body = b"x" * 8_000_000
     received_bytes = []
+    writers = []
 
     async def respond_early(reader, writer):
+        writers.append(writer)
         head = await reader.readuntil(b"\r\n\r\n")
         request_id = head.split(b"Balsamway-Request-Id: ")[1].split(b"\r\n")[0]
         writer.write(answer(request_id.decode(), b"early", 500))
@@ -248,6 +250,10 @@
     second = await send(EarlyTarget, entry_request("POST", "r2", b"y"))
     assert second.verdict.headers["Balsamway-Request-Id"] == "r2"
     server.close()
+    for writer in writers:
+        writer.transport.abort()
+    # The transports close in the next iteration of the event loop.
+    await asyncio.sleep(0)
 
 
 async def test_attempt_does_not_wait_long_for_a_connection(scripted, send):
