Send nothing to targets that say that they are leaving

Cause: nothing read the header with which a target says in its responses that it is leaving; a host knew a leave from the store alone, so a leave during an outage of the store was not seen at all.

A response with the header, of any status, marks the incarnation as leaving at that host. Keyless services use other targets at once and the leaving one only while there is no other. The owner of a key serves it until four fifths of its time to drain are over, counted from its own word, and gets nothing then; every request passes this check right before it is sent. Hosts report the leaving incarnations with their age to the leader, which places no keys on them and passes them on; an incarnation stays leaving whatever the store or a late report says, and a new one at its address or name starts clean.

Weighed: stopping sooner than the bound would take nothing from the target, which goes on serving, and would refuse keys that have no other owner yet.

The fake fleet gives each host a directory of its own, as hosts have.

--- a/src/balsamway/discovery/target_directory.py
+++ b/src/balsamway/discovery/target_directory.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from balsamway.clock import now
+from balsamway.discovery.leaving_targets import LeavingTargets
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -39,6 +40,8 @@
         self._store_recovered_at = float("-inf")
         self._has_snapshot = False
         self._changed_at = float("-inf")
+        self.leaving = LeavingTargets()
+        """The targets that said so themselves, listed as draining or not."""
 
     @property
     def has_snapshot(self) -> bool:
@@ -75,13 +78,26 @@
         return self._entries.get(name)
 
     def available_targets(self, service: str) -> tuple[TargetEntry, ...]:
-        """Return the targets of a service that are not draining.
+        """Return the targets of a service that neither drain nor leave.
 
         Args:
             service: The name of the service.
         """
         return self._by_service.get(service, ())
 
+    def on_leaving(
+        self, key: tuple[str, int], since: float, is_from_response: bool
+    ) -> None:
+        """Record that an incarnation of a target said that it is leaving.
+
+        Args:
+            key: The name and the incarnation of the target.
+            since: When it said so, in event loop time.
+            is_from_response: Whether a response to this host said so.
+        """
+        if self.leaving.add(key, since, is_from_response):
+            self._publish()
+
     def on_store_recovered(self) -> None:
         """Record that the store is available again after an outage."""
         self._store_recovered_at = now()
@@ -169,7 +185,7 @@
     def _publish(self) -> None:
         by_service: dict[str, list[TargetEntry]] = {}
         for entry in self._entries.values():
-            if not entry.is_draining:
+            if not entry.is_draining and self.leaving.since(entry.key) is None:
                 by_service.setdefault(entry.service, []).append(entry)
         self._by_service = {
             service: tuple(entries) for service, entries in by_service.items()
--- a/src/balsamway/forwarding/attempt_loop.py
+++ b/src/balsamway/forwarding/attempt_loop.py
@@ -236,9 +236,9 @@
         """Return whether the target has not left in the meantime."""
         if self._forwarder.targets.find(*state.entry.key) is not state:
             return False
-        if self.service.is_keyed:
-            return not state.is_drain_expired
-        return not state.entry.is_draining
+        if not self.service.is_keyed and state.entry.is_draining:
+            return False
+        return not state.is_drain_expired
 
     def _stopping(self) -> NotRun:
         """Return the refusal of a request that this host must not send."""
@@ -368,6 +368,8 @@
             state.in_flight -= 1
         if result.limit is not None:
             state.limit.on_response(result.limit)
+        if result.is_leaving:
+            self._forwarder.targets.on_leaving(state)
         seconds = now() - started_at
         route, service = self.route.name, self.service.name
         service_times = self._forwarder.service_times
--- a/src/balsamway/forwarding/attempt_result.py
+++ b/src/balsamway/forwarding/attempt_result.py
@@ -48,3 +48,5 @@
     outcome: AttemptOutcome
     limit: LimitAnswer | None = None
     """What the response says about the target's limit; None if nothing."""
+    is_leaving: bool = False
+    """Whether the response says that the target is leaving."""
--- a/src/balsamway/forwarding/service_targets.py
+++ b/src/balsamway/forwarding/service_targets.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from balsamway.clock import now
 from balsamway.exchange import ConnectionPool
 from balsamway.forwarding.target_state import TargetState
 
@@ -78,10 +79,49 @@
     def usable(self, service: str) -> Sequence[TargetState]:
         """Return the targets of a service that may receive requests.
 
+        Targets that are leaving are used only while there are no others.
+
         Args:
             service: The name of the service.
         """
-        return self._usable.get(service, ())
+        return self._usable.get(service) or tuple(
+            state
+            for state in self._states.values()
+            if state.entry.service == service and state.may_be_last_choice
+        )
+
+    def leaving(self) -> Sequence[TargetState]:
+        """Return the states of the targets that said that they are leaving."""
+        return tuple(
+            state for state in self._states.values() if state.leaving_since is not None
+        )
+
+    def dump(self) -> dict[str, object]:
+        """Return the targets that ask for fewer requests, for the dump."""
+        return {
+            state.entry.name: state.dump()
+            for state in self._states.values()
+            if state.leaving_since is not None
+        }
+
+    def on_leaving(self, state: TargetState) -> None:
+        """Record a response that says that its target is leaving.
+
+        Args:
+            state: The state of the target that sent the response.
+        """
+        self._directory.on_leaving(state.entry.key, now(), is_from_response=True)
+
+    def on_leaving_report(self, name: str, incarnation: int, age_ms: int) -> None:
+        """Apply the report of another host that a target is leaving.
+
+        Args:
+            name: The target's name.
+            incarnation: The incarnation of the target.
+            age_ms: How long ago it said so, in milliseconds.
+        """
+        since = now() - max(0, age_ms) / 1000
+        self._directory.on_leaving((name, incarnation), since, is_from_response=False)
 
     def find(self, name: str, incarnation: int) -> TargetState | None:
         """Return the state of one incarnation of a target.
@@ -109,6 +149,8 @@
                 entry.address, self._connection_limit(entry.service), self._on_open
             )
             self._states[key] = TargetState(entry, pool, self._drain_seconds)
+        for key, state in self._states.items():
+            state.leaving_since = self._directory.leaving.since(key)
         services = {entry.service for entry in listed.values()}
         self._usable = {
             service: tuple(
--- a/src/balsamway/forwarding/target_state.py
+++ b/src/balsamway/forwarding/target_state.py
@@ -30,6 +30,9 @@
 """The fraction of its drain time in which a draining target still receives
 requests for the keys that it owns. It is counted from when this host learned
 of the drain, and the remainder allows for the delay until then."""
+LEAVING_FRACTION = 0.8
+"""The same fraction for a target that said itself that it is leaving, counted
+from when it said so. It is larger because that moment is known."""
 WARM_UP_FACTOR = 2.0
 """How many times slower a target is assumed to be during its warm-up."""
 
@@ -50,6 +53,8 @@
         """
         self._drain_seconds = drain_seconds
         self._draining_since = now() if entry.is_draining else None
+        self.leaving_since: float | None = None
+        """When the target said that it is leaving, in event loop time."""
         self.entry = entry
         self.pool = pool
         self.limit = TargetLimit(entry.name)
@@ -75,11 +80,18 @@
     @property
     def is_drain_expired(self) -> bool:
         """Whether the target has drained too long to receive any request."""
-        since = self._draining_since
-        return (
-            since is not None and now() - since > DRAIN_FRACTION * self._drain_seconds
+        return self._has_expired(self._draining_since, DRAIN_FRACTION) or (
+            self._has_expired(self.leaving_since, LEAVING_FRACTION)
         )
 
+    def _has_expired(self, since: float | None, fraction: float) -> bool:
+        return since is not None and now() - since > fraction * self._drain_seconds
+
+    @property
+    def may_be_last_choice(self) -> bool:
+        """Whether the target is leaving, but may still receive requests."""
+        return not self.entry.is_draining and not self.is_drain_expired
+
     @property
     def is_in_backoff(self) -> bool:
         """Whether the target is used only if no other can serve."""
@@ -113,6 +125,15 @@
         """How many times slower than usual the target is assumed to be."""
         return WARM_UP_FACTOR if now() < self._warm_up_ends_at else 1.0
 
+    def dump(self) -> dict[str, object]:
+        """Return why the target receives no requests, for the state dump."""
+        since = self.leaving_since
+        return {
+            "incarnation": self.entry.incarnation,
+            "leaving_seconds": None if since is None else round(now() - since, 3),
+            "may_receive": not self.is_drain_expired,
+        }
+
     def update(self, entry: TargetEntry) -> None:
         """Apply a changed entry of the same target.
 
--- a/src/balsamway/keyspace/messages.py
+++ b/src/balsamway/keyspace/messages.py
@@ -49,6 +49,10 @@
     """For each target whose responses showed it since the last report: its
     incarnation, its limit in requests per second, None if it named none, and
     how many milliseconds ago that was."""
+    leaving: dict[str, tuple[int, int]] = field(default_factory=dict)
+    """For each target that said that it is leaving, and is not listed as
+    draining: its incarnation and how many milliseconds ago it first said
+    so."""
 
 
 @message("fleet")
@@ -69,3 +73,5 @@
     """For some targets that have a limit or had one lately: the incarnation,
     the limit and how many milliseconds ago it was seen. None if the leader is
     of a build that hands out no tokens."""
+    leaving: dict[str, tuple[int, int]] = field(default_factory=dict)
+    """The targets that are leaving, in the form of `LoadNotice.leaving`."""
--- a/src/balsamway/node/entry_node.py
+++ b/src/balsamway/node/entry_node.py
@@ -282,6 +282,7 @@
             "callers": self._caller_listener.dump(),
             "forwarding": self.forwarder.dump(),
             "limits": self._token_client.dump(),
+            "targets": self.targets.dump(),
             "keys": self.key_map.dump(),
             "leading": self.leader.dump(),
             "peers": self._peers.dump(),
--- a/src/balsamway/node/load_reporter.py
+++ b/src/balsamway/node/load_reporter.py
@@ -6,6 +6,7 @@
 
 import mode
 
+from balsamway.clock import now
 from balsamway.keyspace.load_aggregator import report_interval_seconds
 from balsamway.keyspace.messages import FleetNotice, KeyMapNotice, LoadNotice
 
@@ -155,8 +156,20 @@
             self._forwarder.take_key_counts(),
             self._key_map.known_versions(),
             limits,
+            self._leaving_to_send(),
         )
 
+    def _leaving_to_send(self) -> dict[str, tuple[int, int]]:
+        """Return the leaving targets that the store does not show to all."""
+        return {
+            state.entry.name: (
+                state.entry.incarnation,
+                round(1000 * (now() - state.leaving_since)),
+            )
+            for state in self._targets.leaving()
+            if state.leaving_since is not None and not state.entry.is_draining
+        }
+
     def _limits_to_send(self) -> dict[str, tuple[int, float | None, int]]:
         """Return the limits that just changed, and some of the others.
 
@@ -196,6 +209,7 @@
             len(self._aggregator.hosts),
             targets,
             self._limits_to_send(),
+            self._leaving_to_send(),
         )
         self._apply_fleet_notice(notice)
         for host in self._aggregator.hosts:
@@ -208,6 +222,7 @@
             return
         self._aggregator.add(notice)
         self._apply_limits(notice.limits)
+        self._apply_leaving(notice.leaving)
         if self.leader is not None:
             for newer_notice in self.leader.notices_newer_than(notice.seen):
                 self._peers.send(notice.host, newer_notice)
@@ -227,6 +242,8 @@
             if notice.leader != self._host:
                 self._apply_limits(notice.limits)
         self._forwarder.set_host_count(notice.hosts)
+        if notice.leader != self._host:
+            self._apply_leaving(notice.leaving)
         for state in self._targets.all():
             load = notice.targets.get(state.entry.name)
             if load is None:
@@ -236,6 +253,10 @@
             state.remote_in_flight = max(0.0, in_flight - state.in_flight)
             state.service_seconds = service_ms / 1000
 
+    def _apply_leaving(self, leaving: dict[str, tuple[int, int]]) -> None:
+        for name, (incarnation, age_ms) in leaving.items():
+            self._targets.on_leaving_report(name, incarnation, age_ms)
+
     def _apply_limits(self, limits: dict[str, tuple[int, float | None, int]]) -> None:
         for name, (incarnation, requests_per_second, age_ms) in limits.items():
             state = self._targets.find(name, incarnation)
--- a/src/balsamway/node/node_metrics.py
+++ b/src/balsamway/node/node_metrics.py
@@ -65,6 +65,11 @@
             "Targets that name a limit for the requests of all hosts together.",
             lambda: float(len(node.targets.limited())),
         )
+        self._add_gauge(
+            "balsamway_entry_leaving_targets",
+            "Targets that said in a response that they are leaving.",
+            lambda: float(len(node.targets.leaving())),
+        )
 
     def _add_gauge(
         self, name: str, documentation: str, read_value: Callable[[], float]
--- a/src/balsamway/platform/target_transport.py
+++ b/src/balsamway/platform/target_transport.py
@@ -13,6 +13,7 @@
 from balsamway.limits import NamedLimit, NoLimit, UnreadableLimit
 from balsamway.outcome import Completed, MayHaveRun, NotRun, Reason
 from balsamway.platform import names
+from balsamway.platform.target_notices import decode_leaving
 
 if TYPE_CHECKING:
     from balsamway.discovery import TargetEntry
@@ -96,7 +97,13 @@
             return AttemptResult(lost, AttemptOutcome.CONNECTION_LOST)
         case _:
             result = _evaluate_response(response, target, is_first_on_connection)
-            return replace(result, limit=_limit_answer(response, result))
+            if not _is_from_target(response, result):
+                return result
+            return replace(
+                result,
+                limit=_limit_answer(response, result),
+                is_leaving=decode_leaving(response.headers),
+            )
 
 
 def _http_request(
@@ -159,6 +166,13 @@
     )
 
 
+def _is_from_target(response: HttpResponse, result: AttemptResult) -> bool:
+    """Return whether the target itself is known to have sent the response."""
+    if result.outcome is AttemptOutcome.WRONG_TARGET:
+        return False
+    return names.REQUEST_ID_HEADER in response.headers
+
+
 def _limit_answer(response: HttpResponse, result: AttemptResult) -> LimitAnswer | None:
     """Return what a target's response says about its limit.
 
@@ -169,10 +183,6 @@
     Returns:
         The limit, or None if the response says nothing about it.
     """
-    if result.outcome is AttemptOutcome.WRONG_TARGET:
-        return None
-    if names.REQUEST_ID_HEADER not in response.headers:
-        return None
     texts = [
         text.strip()
         for value in response.headers.getall(names.LIMIT_HEADER, ())
--- a/tests/fakes/limited_fleet.py
+++ b/tests/fakes/limited_fleet.py
@@ -70,8 +70,9 @@
         self.name = name
         self.lease = FixedLease(name, fleet.leader)
         self.peers = fleet.network.peers(name)
-        self.targets = ServiceTargets(fleet.directory, lambda: None, 2.0)
-        self.targets.refresh()
+        self.directory = TargetDirectory()
+        self.targets = ServiceTargets(self.directory, lambda: None, 2.0)
+        self.directory.replace(fleet.entries)
         self.addresses = {}
         self.key_map = KeyMap()
         self.aggregator = LoadAggregator()
@@ -138,22 +139,19 @@
             for number in range(target_count)
         }
         self.transport = LimitedTransport(self.targets)
-        self.directory = TargetDirectory()
-        self.directory.replace(
-            [
-                TargetEntry(
-                    name,
-                    1,
-                    "s",
-                    "127.0.0.1:1",
-                    ZONES[number % len(ZONES)],
-                    1000,
-                    False,
-                    0.0,
-                )
-                for number, name in enumerate(self.targets)
-            ]
-        )
+        self.entries = [
+            TargetEntry(
+                name,
+                1,
+                "s",
+                "127.0.0.1:1",
+                ZONES[number % len(ZONES)],
+                1000,
+                False,
+                0.0,
+            )
+            for number, name in enumerate(self.targets)
+        ]
         self.hosts = {
             f"h{number}": LimitedHost(self, f"h{number}", ZONES[number % len(ZONES)])
             for number in range(host_count)
--- a/tests/fakes/scripted_transport.py
+++ b/tests/fakes/scripted_transport.py
@@ -30,6 +30,8 @@
     no_connection: bool = False
     sent: list = field(default_factory=list)
     """The target and the timeout of each attempt."""
+    result_fields: dict = field(default_factory=dict)
+    """The fields of the results of targets that speak of themselves."""
 
     async def send(self, pool, target, request, timeout_seconds):
         self.sent.append((target.name, timeout_seconds))
@@ -39,4 +41,5 @@
             min(len(self.sent), len(self.attempt_outcomes)) - 1
         ]
         await asyncio.sleep(min(self.seconds, timeout_seconds))
-        return AttemptResult(VERDICTS[outcome], outcome)
+        notices = self.result_fields.get(target.name, {})
+        return AttemptResult(VERDICTS[outcome], outcome, **notices)
--- /dev/null
+++ b/tests/platform/test_target_notices.py
@@ -0,0 +1,43 @@
+from __future__ import annotations
+
+import pytest
+
+from tests.fakes.scripted_target import answer
+
+
+@pytest.fixture
+def result_of(scripted, send):
+    """Return a function that returns the result of a response with headers."""
+
+    async def result_of(extra, status=200, request_id="r1", signature="sig"):
+        async def script(received, writer, number):
+            writer.write(answer(request_id, b"own", status, signature, extra))
+
+        return await send(await scripted(script))
+
+    return result_of
+
+
+@pytest.mark.parametrize("status", [200, 404, 421, 429, 500, 503])
+async def test_a_target_says_with_any_status_that_it_is_leaving(result_of, status):
+    refused = "Balsamway-Not-Executed: 1\r\n" if status in (421, 429, 503) else ""
+    result = await result_of(f"{refused}Server-Leaving: 1", status)
+    assert result.is_leaving
+
+
+@pytest.mark.parametrize("text", ["", "0", "true", "10", "1.0"])
+async def test_other_values_do_not_say_that_the_target_is_leaving(result_of, text):
+    assert not (await result_of(f"Server-Leaving: {text}")).is_leaving
+
+
+async def test_a_response_without_the_header_is_of_a_target_that_stays(result_of):
+    assert not (await result_of("X-Own: yes")).is_leaving
+
+
+async def test_another_target_at_the_address_does_not_say_it_for_this_one(result_of):
+    other = "Balsamway-Instance-Id: i-9\r\nServer-Leaving: 1"
+    assert not (await result_of(other, 421)).is_leaving
+
+
+async def test_a_response_to_no_request_does_not_say_it(result_of):
+    assert not (await result_of("Server-Leaving: 1", request_id=None)).is_leaving
