Send nothing to a target that asked for rest

Cause: the time that a target names as it refuses a request with 503 was not read; the host sent to it again after 0.15 s, and refused callers were told 0.25 s.

The adapter decodes decimal seconds, of several times the longest; other forms are ignored with a log line. The rest is bound to the incarnation and bounded by 30 s. Every request passes the check right before its send; the wait for a connection is 0.45 s in place of 0.5 s, so that no request from before the answer arrives half a second after it. After the rest one request at a time probes the target until it has executed one. Other targets serve its requests. If all rest, or the owner of a key does for longer than the request may wait, the request is refused at once, with a Retry-After time after the rest, urgent callers first, spread over time. A rest counts neither as a failure nor as a lost connection.

The refusals moved out of the attempt loop into a module of their own.

--- a/src/balsamway/forwarding/attempt_loop.py
+++ b/src/balsamway/forwarding/attempt_loop.py
@@ -7,6 +7,12 @@
 
 from balsamway.clock import now
 from balsamway.forwarding.attempt_result import AttemptOutcome, AttemptResult
+from balsamway.forwarding.refusals import (
+    host_stops,
+    jitter,
+    limit_used_up,
+    targets_rest,
+)
 from balsamway.forwarding.target_choice import (
     choose_target,
     expected_queue_seconds,
@@ -31,11 +37,6 @@
 takes two ms, so an attempt with less time would not end in time."""
 RETRY_AFTER_SECONDS = 0.25
 """The Retry-After time of a refusal for lack of capacity."""
-STOPPING_RETRY_AFTER_SECONDS = 0.05
-"""The Retry-After time of a refusal because this host is stopping. It is short
-because the retry goes to another host."""
-MIN_LIMIT_RETRY_AFTER_SECONDS = 0.1
-"""The least Retry-After time of a refusal for a target's limit."""
 OWNER_RETRY_AFTER_SECONDS = 0.4
 """The least Retry-After time for a key that has no owner at the moment."""
 MAX_OWNER_WAIT_FRACTION = 0.4
@@ -158,7 +159,9 @@
             if isinstance(admission, HeldBack):
                 self._held_back[state.entry.name] = admission.retry_after_seconds
                 if self.service.is_keyed:
-                    return self._refuse(self._beyond_limit())
+                    return self._refuse(
+                        limit_used_up(self._held_back, self._forwarder.rng)
+                    )
                 continue
             if not self._may_still_send(state):
                 continue
@@ -178,6 +181,8 @@
                     continue
                 case outcome if outcome in _REFUSALS_BY_TARGET:
                     if not self._may_retry_refused(outcome):
+                        if self.service.is_keyed and state.rest.is_active:
+                            verdict = self._targets_rest(state)
                         return self._refuse(verdict)
                     if outcome is AttemptOutcome.KEY_NOT_HELD:
                         await self._wait_for_owner(OWNER_RECHECK_SECONDS)
@@ -193,12 +198,13 @@
         if self.remaining_seconds < MIN_ATTEMPT_SECONDS:
             return NotRun(Reason.OVERLOADED, "no time is left")
         if not self._forwarder.is_sending:
-            return self._stopping()
+            return host_stops(self._forwarder.rng)
         if self.service.is_keyed:
             return await self._find_owner()
         states = self._forwarder.targets.usable(self.service.name)
+        rested = [state for state in states if state.rest.allows_request]
         state = choose_target(
-            self._without_held_back(states),
+            self._without_held_back(rested),
             self._forwarder.zone,
             self.route.objective_seconds,
             self._tried,
@@ -206,8 +212,10 @@
         )
         if state is not None:
             return self._admit(state, mean_service_seconds(states))
+        if states and not rested:
+            return self._targets_rest(*states)
         if self._held_back:
-            return self._beyond_limit()
+            return limit_used_up(self._held_back, self._forwarder.rng)
         return NotRun(
             Reason.NO_TARGET,
             "no target is left",
@@ -223,30 +231,10 @@
                 self._held_back[name] = refusal.retry_after_seconds
         return [state for state in states if state.entry.name not in self._held_back]
 
-    def _beyond_limit(self) -> NotRun:
-        """Return the refusal of a request for which no limit has room."""
-        name, seconds = min(self._held_back.items(), key=lambda entry: entry[1])
-        return NotRun(
-            Reason.OVERLOADED,
-            f"the limit of {name} is used up for {seconds:.3f} s",
-            self._jitter(max(MIN_LIMIT_RETRY_AFTER_SECONDS, seconds)),
-        )
-
     def _may_still_send(self, state: TargetState) -> bool:
-        """Return whether the target has not left in the meantime."""
-        if self._forwarder.targets.find(*state.entry.key) is not state:
-            return False
-        if not self.service.is_keyed and state.entry.is_draining:
-            return False
-        return not state.is_drain_expired
-
-    def _stopping(self) -> NotRun:
-        """Return the refusal of a request that this host must not send."""
-        return NotRun(
-            Reason.STOPPING,
-            "this host stops",
-            self._jitter(STOPPING_RETRY_AFTER_SECONDS),
-        )
+        """Return whether the target has neither left nor asked for rest."""
+        is_listed = self._forwarder.targets.find(*state.entry.key) is state
+        return is_listed and state.may_receive(self.service.is_keyed)
 
     def _admit(
         self, state: TargetState, default_seconds: float
@@ -313,10 +301,13 @@
                 expected_at = owner.accept_expected_at
             if owner is not None and owner.has_accepted and state is not None:
                 if not self._forwarder.is_sending:
-                    return self._stopping()
-                if not state.is_in_backoff:
+                    return host_stops(self._forwarder.rng)
+                if not state.is_in_backoff and state.rest.allows_request:
                     return self._admit_owner(state)
-                expected_at = state.backoff_until
+                rest_ends_at = now() + state.rest.remaining_seconds
+                expected_at = max(state.backoff_until, rest_ends_at)
+                if rest_ends_at > wait_until:
+                    return self._targets_rest(state)
             # A request that cannot be served in time is refused at once
             # instead of waiting for the move.
             is_too_late = expected_at > wait_until
@@ -360,6 +351,7 @@
         self._may_have_run = True
         was_unqueued = state.has_free_slot
         state.in_flight += 1
+        state.rest.on_sent()
         try:
             result = await self._forwarder.transport.send(
                 state.pool, state.entry, self.request, self.remaining_seconds
@@ -368,6 +360,7 @@
             state.in_flight -= 1
         if result.limit is not None:
             state.limit.on_response(result.limit)
+        state.rest.on_ended(result.outcome, result.rest, started_at)
         if result.is_leaving:
             self._forwarder.targets.on_leaving(state)
         seconds = now() - started_at
@@ -441,4 +434,7 @@
         return verdict
 
     def _jitter(self, seconds: float) -> float:
-        return seconds * self._forwarder.rng.uniform(0.7, 1.3)
+        return jitter(seconds, self._forwarder.rng)
+
+    def _targets_rest(self, *states: TargetState) -> NotRun:
+        return targets_rest(states, self.route.priority, self._forwarder.rng)
--- a/src/balsamway/forwarding/attempt_result.py
+++ b/src/balsamway/forwarding/attempt_result.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from balsamway.forwarding.rest_answer import RestAnswer
     from balsamway.limits import LimitAnswer
     from balsamway.outcome import Verdict
 
@@ -50,3 +51,5 @@
     """What the response says about the target's limit; None if nothing."""
     is_leaving: bool = False
     """Whether the response says that the target is leaving."""
+    rest: RestAnswer | None = None
+    """The rest that a refusal asks for; None if the response asks for none."""
--- /dev/null
+++ b/src/balsamway/forwarding/refusals.py
@@ -0,0 +1,66 @@
+"""Refusals of requests that no target may receive now."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from balsamway.forwarding.target_rest import seconds_until_return
+from balsamway.outcome import NotRun, Reason
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Mapping, Sequence
+
+    from balsamway.forwarding.target_state import TargetState
+
+STOPPING_RETRY_AFTER_SECONDS = 0.05
+"""The Retry-After time of a refusal because this host is stopping. It is short
+because the retry goes to another host."""
+MIN_LIMIT_RETRY_AFTER_SECONDS = 0.1
+"""The least Retry-After time of a refusal for a target's limit."""
+
+
+def jitter(seconds: float, rng: random.Random) -> float:
+    """Return a time that is up to a third shorter or longer."""
+    return seconds * rng.uniform(0.7, 1.3)
+
+
+def limit_used_up(held_back: Mapping[str, float], rng: random.Random) -> NotRun:
+    """Return the refusal of a request for which no limit has room.
+
+    Args:
+        held_back: The seconds until there is room, by target.
+        rng: Spreads the callers.
+    """
+    name, seconds = min(held_back.items(), key=lambda entry: entry[1])
+    return NotRun(
+        Reason.OVERLOADED,
+        f"the limit of {name} is used up for {seconds:.3f} s",
+        jitter(max(MIN_LIMIT_RETRY_AFTER_SECONDS, seconds), rng),
+    )
+
+
+def targets_rest(
+    states: Sequence[TargetState], priority: int, rng: random.Random
+) -> NotRun:
+    """Return the refusal of a request whose targets all rest.
+
+    Args:
+        states: The targets; at least one.
+        priority: The priority of the request's route.
+        rng: Spreads the callers.
+    """
+    state = min(states, key=lambda state: state.rest.remaining_seconds)
+    seconds = state.rest.remaining_seconds
+    return NotRun(
+        Reason.OVERLOADED,
+        f"{state.entry.name} asked for rest for another {seconds:.3f} s",
+        seconds_until_return(seconds, priority, rng),
+    )
+
+
+def host_stops(rng: random.Random) -> NotRun:
+    """Return the refusal of a request that this host must not send."""
+    return NotRun(
+        Reason.STOPPING, "this host stops", jitter(STOPPING_RETRY_AFTER_SECONDS, rng)
+    )
--- a/src/balsamway/forwarding/service_targets.py
+++ b/src/balsamway/forwarding/service_targets.py
@@ -96,12 +96,16 @@
             state for state in self._states.values() if state.leaving_since is not None
         )
 
+    def resting(self) -> Sequence[TargetState]:
+        """Return the states of the targets that rest or are probed again."""
+        return tuple(state for state in self._states.values() if state.rest.is_active)
+
     def dump(self) -> dict[str, object]:
         """Return the targets that ask for fewer requests, for the dump."""
         return {
             state.entry.name: state.dump()
             for state in self._states.values()
-            if state.leaving_since is not None
+            if state.leaving_since is not None or state.rest.is_active
         }
 
     def on_leaving(self, state: TargetState) -> None:
--- a/src/balsamway/forwarding/target_state.py
+++ b/src/balsamway/forwarding/target_state.py
@@ -7,6 +7,7 @@
 
 from balsamway.clock import now
 from balsamway.forwarding.attempt_result import AttemptOutcome
+from balsamway.forwarding.target_rest import TargetRest
 from balsamway.limits import TargetLimit
 
 if TYPE_CHECKING:
@@ -58,6 +59,7 @@
         self.entry = entry
         self.pool = pool
         self.limit = TargetLimit(entry.name)
+        self.rest = TargetRest(entry.name)
         self.in_flight = 0
         self.remote_in_flight = 0.0
         """The mean number of requests from other entry hosts in flight."""
@@ -87,6 +89,17 @@
     def _has_expired(self, since: float | None, fraction: float) -> bool:
         return since is not None and now() - since > fraction * self._drain_seconds
 
+    def may_receive(self, is_key_owner: bool) -> bool:
+        """Return whether a request may be sent to the target now.
+
+        Args:
+            is_key_owner: Whether the target owns the key of the request, so
+                that no other can serve it.
+        """
+        if self.entry.is_draining and not is_key_owner:
+            return False
+        return self.rest.allows_request and not self.is_drain_expired
+
     @property
     def may_be_last_choice(self) -> bool:
         """Whether the target is leaving, but may still receive requests."""
@@ -131,7 +144,8 @@
         return {
             "incarnation": self.entry.incarnation,
             "leaving_seconds": None if since is None else round(now() - since, 3),
-            "may_receive": not self.is_drain_expired,
+            "rest_seconds": round(self.rest.remaining_seconds, 3),
+            "may_receive": self.may_receive(is_key_owner=True),
         }
 
     def update(self, entry: TargetEntry) -> None:
--- a/src/balsamway/node/node_metrics.py
+++ b/src/balsamway/node/node_metrics.py
@@ -70,6 +70,11 @@
             "Targets that said in a response that they are leaving.",
             lambda: float(len(node.targets.leaving())),
         )
+        self._add_gauge(
+            "balsamway_entry_resting_targets",
+            "Targets that asked this host for rest and are not back yet.",
+            lambda: float(len(node.targets.resting())),
+        )
 
     def _add_gauge(
         self, name: str, documentation: str, read_value: Callable[[], float]
--- a/src/balsamway/platform/target_notices.py
+++ b/src/balsamway/platform/target_notices.py
@@ -2,16 +2,25 @@
 
 from __future__ import annotations
 
+import re
 from typing import TYPE_CHECKING
 
+from balsamway.forwarding.rest_answer import RestAsked, UnreadableRest
 from balsamway.platform import names
 
 if TYPE_CHECKING:
     from multidict import CIMultiDictProxy
 
+    from balsamway.forwarding.rest_answer import RestAnswer
+
 LEAVING_VALUE = "1"
 """The value that says that the target is leaving; no other has a meaning."""
 
+REST_STATUS = 503
+"""The status of the refusals with which a target may ask for rest."""
+DECIMAL_SECONDS = re.compile(r"[0-9]{1,40}(\.[0-9]{0,40})?")
+"""A time in seconds. Dates are not used by the platform's targets."""
+
 
 def decode_leaving(headers: CIMultiDictProxy[str]) -> bool:
     """Return whether the target says that it is leaving.
@@ -22,6 +31,27 @@
     return LEAVING_VALUE in _header_texts(headers, names.LEAVING_HEADER)
 
 
+def decode_rest(status: int, headers: CIMultiDictProxy[str]) -> RestAnswer | None:
+    """Return the rest that a target asks for as it refuses a request.
+
+    Of several times the longest counts.
+
+    Args:
+        status: The status of the response.
+        headers: The headers of the response.
+
+    Returns:
+        The rest, or None if the response asks for none.
+    """
+    texts = _header_texts(headers, names.RETRY_AFTER_HEADER)
+    if status != REST_STATUS or not texts:
+        return None
+    for text in texts:
+        if not DECIMAL_SECONDS.fullmatch(text):
+            return UnreadableRest(text)
+    return RestAsked(max(float(text) for text in texts))
+
+
 def _header_texts(headers: CIMultiDictProxy[str], name: str) -> list[str]:
     """Return the comma-separated values of a header, of all its lines."""
     return [
--- a/src/balsamway/platform/target_transport.py
+++ b/src/balsamway/platform/target_transport.py
@@ -13,7 +13,7 @@
 from balsamway.limits import NamedLimit, NoLimit, UnreadableLimit
 from balsamway.outcome import Completed, MayHaveRun, NotRun, Reason
 from balsamway.platform import names
-from balsamway.platform.target_notices import decode_leaving
+from balsamway.platform.target_notices import decode_leaving, decode_rest
 
 if TYPE_CHECKING:
     from balsamway.discovery import TargetEntry
@@ -21,9 +21,10 @@
     from balsamway.exchange import ConnectionPool, HttpResponse
     from balsamway.limits import LimitAnswer
 
-ACQUIRE_TIMEOUT_SECONDS = 0.5
-"""The longest wait for a free connection. The target may begin to drain
-during this wait, and must get no new requests two seconds after that."""
+ACQUIRE_TIMEOUT_SECONDS = 0.45
+"""The longest wait for a free connection. The target may begin to drain or ask
+for rest during this wait, and must get no new requests two seconds after the
+former and half a second after the latter."""
 SEND_MARGIN_SECONDS = 0.01
 """How long before the deadline the wait for a connection ends. The result
 then says that the request was not sent; at the deadline it might have been."""
@@ -103,6 +104,7 @@
                 result,
                 limit=_limit_answer(response, result),
                 is_leaving=decode_leaving(response.headers),
+                rest=decode_rest(response.status, response.headers),
             )
 
 
--- a/tests/platform/test_target_notices.py
+++ b/tests/platform/test_target_notices.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from balsamway.forwarding.rest_answer import RestAsked, UnreadableRest
 from tests.fakes.scripted_target import answer
 
 
@@ -41,3 +42,44 @@
 
 async def test_a_response_to_no_request_does_not_say_it(result_of):
     assert not (await result_of("Server-Leaving: 1", request_id=None)).is_leaving
+
+
+REFUSED = "Balsamway-Not-Executed: 1\r\n"
+
+
+@pytest.mark.parametrize(
+    "text, seconds",
+    [("2", 2.0), ("0.75", 0.75), ("0", 0.0), ("1" * 30, float("1" * 30))],
+)
+async def test_a_refusal_asks_for_rest_in_decimal_seconds(result_of, text, seconds):
+    result = await result_of(f"{REFUSED}Retry-After: {text}", 503)
+    assert result.rest == RestAsked(seconds)
+
+
+@pytest.mark.parametrize(
+    "text", ["", "-1", "nan", "inf", "1e3", "0x2", "soon", "1" * 41]
+)
+async def test_a_rest_of_another_form_is_unreadable(result_of, text):
+    result = await result_of(f"{REFUSED}Retry-After: {text}", 503)
+    assert result.rest == UnreadableRest(text)
+
+
+async def test_a_date_is_an_unreadable_rest(result_of):
+    date = "Sat, 05 Dec 2026 08:00:00 GMT"
+    result = await result_of(f"{REFUSED}Retry-After: {date}", 503)
+    assert isinstance(result.rest, UnreadableRest)
+
+
+async def test_of_two_rests_in_one_head_the_longer_one_counts(result_of):
+    twice = "Retry-After: 2\r\nRetry-After: 3"
+    assert (await result_of(REFUSED + twice, 503)).rest == RestAsked(3.0)
+
+
+@pytest.mark.parametrize("status", [200, 421, 429, 500])
+async def test_other_responses_ask_for_no_rest(result_of, status):
+    assert (await result_of(f"{REFUSED}Retry-After: 2", status)).rest is None
+
+
+async def test_a_refusal_of_no_request_asks_for_no_rest(result_of):
+    result = await result_of(f"{REFUSED}Retry-After: 2", 503, request_id=None)
+    assert result.rest is None
