--- a/tests/keyspace/test_key_leader.py
+++ b/tests/keyspace/test_key_leader.py
@@ -132,6 +132,29 @@
     deployment.check()
 
 
+async def test_a_leaving_target_hands_over_its_keys_before_it_is_listed(deployment):
+    await deployment.start("a")
+    key = deployment.targets.all["t2"].entry().key
+    now = asyncio.get_running_loop().time()
+    deployment.directory.on_leaving(key, now, is_from_response=False)
+    assert await deployment.unowned_seconds(3) < 0.3
+    assert not any(deployment.targets.all["t2"].holding(k) for k in range(0, 65536, 64))
+    assert deployment.targets.handovers > 0
+    deployment.list()
+    await asyncio.sleep(3)
+    assert not any(deployment.targets.all["t2"].holding(k) for k in range(0, 65536, 64))
+    deployment.check()
+
+
+async def test_if_all_targets_leave_their_keys_stay_where_they_are(deployment):
+    await deployment.start("a")
+    now = asyncio.get_running_loop().time()
+    for target in deployment.targets.all.values():
+        deployment.directory.on_leaving(target.entry().key, now, is_from_response=False)
+    assert await deployment.unowned_seconds(3) == 0.0
+    deployment.check()
+
+
 async def test_keys_of_a_lost_target_are_owned_again_within_five_seconds(deployment):
     await deployment.start("a")
     deployment.targets.all["t2"].up = False
--- a/tests/keyspace/test_messages.py
+++ b/tests/keyspace/test_messages.py
@@ -42,7 +42,16 @@
     return codec.encode(codec.Frame(0, False, message))
 
 
-@pytest.mark.parametrize("message", [FLEET, LOAD, KEY_MAP])
+@pytest.mark.parametrize(
+    "message",
+    [
+        FLEET,
+        LOAD,
+        KEY_MAP,
+        replace(FLEET, leaving={"i-1": (2, 350)}),
+        replace(LOAD, leaving={"i-1": (2, 350)}),
+    ],
+)
 def test_a_message_comes_back_as_it_was_sent(message):
     assert (
         codec.decode(msgpack.unpackb(encoded(message), strict_map_key=False)).message
@@ -68,6 +77,20 @@
     ) <= 0.25 * CONTROL_BYTES_PER_SECOND
 
 
+def test_leaving_targets_add_little_to_the_messages_of_a_large_deployment():
+    leaving = dict.fromkeys(NAMES[: TARGETS // 10], (1_775_923_530_046, 1350))
+    with_leaving = replace(FLEET, leaving=leaving)
+    added = len(encoded(with_leaving)) - len(encoded(FLEET))
+    assert added / report_interval_seconds(HOSTS) <= 0.15 * CONTROL_BYTES_PER_SECOND
+
+
+@pytest.mark.parametrize("message", [FLEET, LOAD])
+def test_a_message_of_an_older_build_names_no_leaving_targets(message):
+    parts = msgpack.unpackb(encoded(message), strict_map_key=False)
+    del parts[3]["leaving"]
+    assert codec.decode(parts).message.leaving == {}
+
+
 def test_a_host_in_a_large_deployment_receives_no_more_than_the_goal():
     assert (
         len(encoded(FLEET)) / report_interval_seconds(HOSTS) <= CONTROL_BYTES_PER_SECOND
