Explain requests that were not sent to a resting or leaving target

Cause: explain looked 3 s back, and a rest may last 30 s; it also printed what other hosts heard of a target, which says nothing of this host's requests.

The lines of the host itself are looked up 30 s back. The test failed before: it got the request's own line alone.

--- a/src/balsamway/commands/explain.py
+++ b/src/balsamway/commands/explain.py
@@ -17,6 +17,8 @@
 
 SECONDS_BEFORE = 3.0
 """How long before a request's start related entries are printed."""
+LASTING_SECONDS_BEFORE = 30.0
+"""The same for events whose effect lasts; no rest is longer."""
 SECONDS_AFTER = 0.5
 """How long after a request's end related entries are printed."""
 TIME_FORMAT = "%Y-%m-%d %H:%M:%S,%f"
@@ -32,6 +34,12 @@
     }
 )
 """Events that affect every request on the host where they occur."""
+LASTING_EVENTS = frozenset({"target-leaving", "target-rests"})
+"""Events that keep a host from sending to a target for a longer time."""
+EVENTS_OF_OWN_HOST = frozenset(
+    {"target-leaving", "target-rested", "target-rests", "target-seen"}
+)
+"""Events that tell what one host knows of a target."""
 HIDDEN_FIELDS = frozenset({"time", "level", "logger", "event", "host", "zone"})
 """Fields that are not printed after the event."""
 
@@ -109,13 +117,19 @@
         for entry in entries
         if entry in own
         or (
-            first - SECONDS_BEFORE <= _timestamp(entry) <= last + SECONDS_AFTER
+            first - _seconds_before(entry) <= _timestamp(entry) <= last + SECONDS_AFTER
             and _is_related(entry, targets, hosts, keys)
         )
     ]
     return sorted(related, key=_timestamp)
 
 
+def _seconds_before(entry: dict[str, Any]) -> float:
+    if entry["event"] in LASTING_EVENTS:
+        return LASTING_SECONDS_BEFORE
+    return SECONDS_BEFORE
+
+
 def _is_related(
     entry: dict[str, Any], targets: set[str], hosts: set[Any], keys: set[int]
 ) -> bool:
@@ -126,7 +140,7 @@
         return any(entry["first"] <= key <= entry["last"] for key in keys)
     if event == "keys-moved":
         return any(_contains(move, key) for move in entry["moves"] for key in keys)
-    if event == "target-seen" and entry.get("host") not in hosts:
+    if event in EVENTS_OF_OWN_HOST and entry.get("host") not in hosts:
         return False
     return event.startswith("target-") and entry.get("target") in targets
 
--- a/src/balsamway/forwarding/target_rest.py
+++ b/src/balsamway/forwarding/target_rest.py
@@ -74,7 +74,7 @@
     @property
     def allows_request(self) -> bool:
         """Whether a request may be sent to the target now."""
-        return self.remaining_seconds <= 0
+        return not self._needs_probe or self.remaining_seconds <= 0
 
     @property
     def remaining_seconds(self) -> float:
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -34,10 +34,28 @@
     ),
 ]
 
+RESTED_ID = "8c41d07be2a35f68"
+RESTED_ENTRIES = [
+    entry(6.0, "target-rests", "n1", target="i-3", asked_seconds=9.0),
+    entry(6.0, "target-rests", "n2", target="i-3", asked_seconds=9.0),
+    entry(7.0, "target-leaving", "n1", target="i-3", source="report"),
+    entry(7.0, "target-rests", "n1", target="i-4", asked_seconds=9.0),
+    entry(
+        14.0,
+        "request-ended",
+        request_id=RESTED_ID,
+        key=50,
+        ms=1.0,
+        reason="overloaded",
+        detail="i-3 asked for rest for another 1.000 s",
+        attempts=[],
+    ),
+]
+
 
 def run_explain(tmp_path, capsys, request_id=ID):
     log = tmp_path / "log"
-    lines = [f"  1.5 n1 {json.dumps(entry)}" for entry in ENTRIES]
+    lines = [f"  1.5 n1 {json.dumps(entry)}" for entry in ENTRIES + RESTED_ENTRIES]
     log.write_text("\n".join(["no json", "{broken", *lines]))
     status = main(["explain", request_id, str(log)])
     return status, capsys.readouterr().out.splitlines()
@@ -57,6 +75,17 @@
     assert 'reason="moving"' in lines[-1]
 
 
+def test_a_request_is_printed_with_the_rest_and_the_leave_of_its_target(
+    tmp_path, capsys
+):
+    _, lines = run_explain(tmp_path, capsys, RESTED_ID)
+    assert [line.split(" ")[2:4] for line in lines] == [
+        ["n1", "target-rests"],
+        ["n1", "target-leaving"],
+        ["n1", "request-ended"],
+    ]
+
+
 def test_an_unknown_request_is_an_error(tmp_path, capsys):
     status, lines = run_explain(tmp_path, capsys, "unknown")
     assert (status, lines) == (2, [])
