--- a/src/balsamway/platform/target_transport.py
+++ b/src/balsamway/platform/target_transport.py
@@ -13,6 +13,7 @@
 from balsamway.limits import NamedLimit, NoLimit, UnreadableLimit
 from balsamway.outcome import Completed, MayHaveRun, NotRun, Reason
 from balsamway.platform import names
+from balsamway.platform.target_notices import decode_leaving, decode_rest
 
 if TYPE_CHECKING:
     from balsamway.discovery import TargetEntry
@@ -20,9 +21,10 @@
     from balsamway.exchange import ConnectionPool, HttpResponse
     from balsamway.limits import LimitAnswer
 
-ACQUIRE_TIMEOUT_SECONDS = 0.5
-"""The longest wait for a free connection. The target may begin to drain
-during this wait, and must get no new requests two seconds after that."""
+ACQUIRE_TIMEOUT_SECONDS = 0.45
+"""The longest wait for a free connection. The target may begin to drain or ask
+for rest during this wait, and must get no new requests two seconds after the
+former and half a second after the latter."""
 SEND_MARGIN_SECONDS = 0.01
 """How long before the deadline the wait for a connection ends. The result
 then says that the request was not sent; at the deadline it might have been."""
@@ -96,7 +98,14 @@
             return AttemptResult(lost, AttemptOutcome.CONNECTION_LOST)
         case _:
             result = _evaluate_response(response, target, is_first_on_connection)
-            return replace(result, limit=_limit_answer(response, result))
+            if not _is_from_target(response, result):
+                return result
+            return replace(
+                result,
+                limit=_limit_answer(response, result),
+                is_leaving=decode_leaving(response.headers),
+                rest=decode_rest(response.status, response.headers),
+            )
 
 
 def _http_request(
@@ -159,6 +168,13 @@
     )
 
 
+def _is_from_target(response: HttpResponse, result: AttemptResult) -> bool:
+    """Return whether the target itself is known to have sent the response."""
+    if result.outcome is AttemptOutcome.WRONG_TARGET:
+        return False
+    return names.REQUEST_ID_HEADER in response.headers
+
+
 def _limit_answer(response: HttpResponse, result: AttemptResult) -> LimitAnswer | None:
     """Return what a target's response says about its limit.
 
@@ -169,10 +185,6 @@
     Returns:
         The limit, or None if the response says nothing about it.
     """
-    if result.outcome is AttemptOutcome.WRONG_TARGET:
-        return None
-    if names.REQUEST_ID_HEADER not in response.headers:
-        return None
     texts = [
         text.strip()
         for value in response.headers.getall(names.LIMIT_HEADER, ())
