Keep requests that end targets from being sent to further ones

Cause: nothing counted the ends of targets under a request. Callers send a request that ends its target again, under a new id and to another host, so it ended one target after the other; with exclusive keys it waited, with its copies, for the next owner of its key.

Ruled out: a bound on the attempts of one request (each try is a request of its own); waiting for a permit from one host for every suspect (most ends are by themselves, and the wait would cost all that were lost with them).

Now hosts report the fingerprints of requests that were lost at a confirmed end (connections are refused) to the leader, which passes them to all hosts. Two ends quarantine a request for 10 s, three for 60 s; requests that cannot be told apart take turns; an answer clears a request. The check wraps the transport and the entry, so the loop of attempts is unchanged.

--- a/src/balsamway/forwarding/attempt_result.py
+++ b/src/balsamway/forwarding/attempt_result.py
@@ -38,6 +38,8 @@
     """The exchange ended before the response was complete."""
     TIMED_OUT = "late"
     """No response arrived within the timeout."""
+    QUARANTINED = "quarantined"
+    """The request was not sent, because targets had ended under it."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/balsamway/node/entry_node.py
+++ b/src/balsamway/node/entry_node.py
@@ -14,6 +14,7 @@
 from balsamway.daemon.operator_listener import OperatorListener
 from balsamway.discovery import TargetDirectory
 from balsamway.entry import EntryListener
+from balsamway.exchange.refusal_probe import is_refusing
 from balsamway.forwarding.forwarder import Forwarder
 from balsamway.forwarding.forwarding_settings import ForwardingSettings
 from balsamway.forwarding.request_log import RequestLog
@@ -36,14 +37,19 @@
 from balsamway.node.watch_relay import MAX_WATCH_SECONDS, WatchRelay
 from balsamway.outcome import Malformed
 from balsamway.peers.stream_peers import StreamPeers
+from balsamway.quarantine.guarded_transport import GuardedTransport
+from balsamway.quarantine.quarantine import Quarantine
+from balsamway.quarantine.quarantine_metrics import QuarantineMetrics
 from balsamway.store.kind_watch import KindWatch
 from balsamway.store.store import StoredObject
 
 if TYPE_CHECKING:
     from prometheus_client import CollectorRegistry
 
+    from balsamway.entry import EntryRequest
     from balsamway.node.node_settings import NodeSettings
     from balsamway.node.platform_adapters import PlatformAdapters
+    from balsamway.outcome import Verdict
     from balsamway.routing import RoutingConfiguration
 
 TARGETS_COALESCE_SECONDS = 0.3
@@ -124,17 +130,25 @@
             LimitMetrics(registry),
             self._rng,
         )
+        aggregator = LoadAggregator()
+        self._quarantine = Quarantine(
+            settings.host,
+            self._peers,
+            lambda: self._reporter.leader_name,
+            lambda: aggregator.hosts,
+            is_refusing,
+            QuarantineMetrics(registry),
+        )
         self.forwarder = Forwarder(
             settings.zone,
             self.targets,
             self.key_map,
-            adapters.transport,
+            GuardedTransport(adapters.transport, self._quarantine),
             self._token_client,
             ForwardingSettings(bounds.retry_ratio, bounds.retry_burst),
             (RequestLog(), metrics),
             self._rng,
         )
-        aggregator = LoadAggregator()
         self._reporter = LoadReporter(
             settings.host,
             settings.zone,
@@ -158,7 +172,7 @@
         )
         self._reporter.leader = self.leader
         self._caller_listener = EntryListener(
-            settings.callers_address, adapters.codec, self.forwarder.forward
+            settings.callers_address, adapters.codec, self._forward
         )
         self._readiness_listener = ReadinessListener(
             settings.readiness_address, adapters.readiness_path, self.is_ready
@@ -232,6 +246,7 @@
             self.leader,
             self._reporter,
             self._token_client,
+            self._quarantine,
             self._snapshot_sync,
             self._watch_relay,
             self._caller_listener,
@@ -282,6 +297,7 @@
             "callers": self._caller_listener.dump(),
             "forwarding": self.forwarder.dump(),
             "limits": self._token_client.dump(),
+            "quarantine": self._quarantine.dump(),
             "keys": self.key_map.dump(),
             "leading": self.leader.dump(),
             "peers": self._peers.dump(),
@@ -308,6 +324,12 @@
         """The number of callers' requests in progress."""
         return self._caller_listener.in_progress
 
+    async def _forward(self, request: EntryRequest) -> Verdict:
+        refusal = self._quarantine.refusal(request)
+        if refusal is not None:
+            return refusal
+        return await self.forwarder.forward(request)
+
     def _health(self) -> Health:
         version = self.forwarder.dump()["version"]
         configurations = {"routes": version} if isinstance(version, int) else {}
--- a/src/balsamway/node/load_reporter.py
+++ b/src/balsamway/node/load_reporter.py
@@ -91,6 +91,14 @@
         ]
         return max(known_leaders, default=None)
 
+    @property
+    def leader_name(self) -> str | None:
+        """The name of the leader, which is this host while it leads."""
+        if self._lease.epoch is not None:
+            return self._host
+        known = self.known_leader
+        return None if known is None else known[1]
+
     @property
     def token_leader(self) -> tuple[int, str] | None:
         """The epoch and name of the leader that hands out tokens, if known."""
--- a/src/balsamway/outcome/reason.py
+++ b/src/balsamway/outcome/reason.py
@@ -41,6 +41,8 @@
     ANSWER_TRUNCATED = "answer-truncated"
     ANSWER_MISMATCHED = "answer-mismatched"
     DEADLINE_EXCEEDED = "deadline-exceeded"
+    QUARANTINED = "quarantined"
+    """Targets ended while the request, or one like it, ran there."""
     CANCELLED = "cancelled"
     INTERNAL_ERROR = "internal-error"
     TARGET_ERROR = "target-error"
--- a/tests/node/test_entry_node.py
+++ b/tests/node/test_entry_node.py
@@ -323,3 +323,41 @@
         assert "balsamway_entry_configuration_version 3.0" in text
     status, text = await fetch(settings.operators_address, "/state")
     assert json.loads(text)["forwarding"]["version"] == 3
+
+
+async def test_request_that_ends_targets_is_not_sent_to_all_of_them(deployment):
+    """Guards against passing a deadly request on for as long as it is sent."""
+    nodes = [await deployment.add_node(name) for name in ("n1", "n2")]
+    ended = []
+
+    def end_at_deadly_request(target):
+        execute = target.server.script
+
+        async def script(received, writer, number):
+            if received.path == "/p/deadly":
+                ended.append(target.name)
+                await target.server.stop()
+                return
+            await execute(received, writer, number)
+
+        target.server.script = script
+
+    for index in range(6):
+        target = await deployment.add_target(f"i-{index}", "plain")
+        end_at_deadly_request(target)
+    for node, _ in nodes:
+        await wait_until(node.is_ready)
+        await wait_until(lambda node=node: len(node.targets.usable("plain")) == 6)
+    await wait_until(lambda: any(node.lease.epoch for node, _ in nodes))
+    # The report of a load tells each host who leads.
+    await asyncio.sleep(1)
+    statuses = []
+    for index in range(6):
+        _, settings = nodes[index % 2]
+        response = await send_request(settings, "/p/deadly", request_id=f"d{index}")
+        statuses.append(response[0])
+        await asyncio.sleep(0.2)
+    assert len(ended) == 2
+    assert statuses == [502, 502, 503, 503, 503, 503]
+    for _, settings in nodes:
+        assert (await send_request(settings, "/p/innocent"))[0] == 200
--- /dev/null
+++ b/tests/quarantine/test_quarantine_of_a_fleet.py
@@ -0,0 +1,109 @@
+"""Hosts that share the ends of targets."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+from prometheus_client import CollectorRegistry
+
+from balsamway.outcome import Reason
+from balsamway.quarantine.quarantine import Quarantine
+from balsamway.quarantine.quarantine_metrics import QuarantineMetrics
+from tests.fakes.faults import Faults
+from tests.fakes.network import FakeNetwork
+
+pytestmark = pytest.mark.looptime
+
+RETRY_SECONDS = 0.01
+"""A caller's retry takes longer, with its new connection."""
+
+
+class Fleet:
+    """Hosts without targets; `refusing` has the addresses that refuse."""
+
+    def __init__(self, host_count, leader="h0"):
+        self.network = FakeNetwork(Faults(), 0.001)
+        self.refusing = set()
+        self.leader = leader
+        self.names = [f"h{index}" for index in range(host_count)]
+        self.hosts = [
+            Quarantine(
+                name,
+                self.network.peers(name),
+                lambda: self.leader,
+                lambda: self.names,
+                self.is_refusing,
+                QuarantineMetrics(CollectorRegistry()),
+            )
+            for name in self.names
+        ]
+
+    async def is_refusing(self, address):
+        await asyncio.sleep(0.001)
+        return address in self.refusing
+
+    async def end(self, host, target, *requests):
+        self.refusing.add(target.address)
+        lost = [self.hosts[host].on_lost(request, target) for request in requests]
+        await asyncio.gather(*lost)
+
+    def refusing_hosts(self, request):
+        return sum(host.refusal(request) is not None for host in self.hosts)
+
+
+@pytest.mark.parametrize("host_count", [9, 12, 91, 195])
+async def test_second_end_reaches_all_hosts_before_a_retry(
+    host_count, request_to, target
+):
+    fleet = Fleet(host_count)
+    await fleet.end(1, target("i-1"), request_to("/deadly"))
+    await asyncio.sleep(RETRY_SECONDS)
+    assert fleet.refusing_hosts(request_to("/deadly")) == 0
+    await asyncio.sleep(1)
+    messages = fleet.network.messages
+    await fleet.end(2, target("i-2"), request_to("/deadly"))
+    await asyncio.sleep(RETRY_SECONDS)
+    assert fleet.refusing_hosts(request_to("/deadly")) == host_count
+    assert fleet.refusing_hosts(request_to("/innocent")) == 0
+    assert fleet.network.messages - messages == host_count - 1
+    refusal = fleet.hosts[0].refusal(request_to("/deadly"))
+    assert refusal.reason is Reason.QUARANTINED
+
+
+async def test_lost_connection_of_a_live_target_is_no_end(request_to, target):
+    fleet = Fleet(2)
+    for name in ("i-1", "i-2", "i-3"):
+        await fleet.hosts[1].on_lost(request_to("/a"), target(name))
+        await asyncio.sleep(1)
+    assert fleet.refusing_hosts(request_to("/a")) == 0
+    assert fleet.network.messages == 0
+
+
+async def test_answer_clears_the_suspicion_on_all_hosts(request_to, target):
+    fleet = Fleet(9)
+    for name in ("i-1", "i-2"):
+        await fleet.end(1, target(name), request_to("/a"))
+        await asyncio.sleep(1)
+    assert fleet.refusing_hosts(request_to("/a")) == 9
+    fleet.hosts[5].on_answered(request_to("/a"))
+    await asyncio.sleep(RETRY_SECONDS)
+    assert fleet.refusing_hosts(request_to("/a")) == 0
+
+
+async def test_host_without_a_leader_counts_the_ends_that_it_notices(
+    request_to, target
+):
+    fleet = Fleet(9, leader=None)
+    for name in ("i-1", "i-2"):
+        await fleet.end(1, target(name), request_to("/a"))
+        await asyncio.sleep(1)
+    assert fleet.refusing_hosts(request_to("/a")) == 1
+
+
+async def test_requests_lost_at_one_end_are_reported_together(request_to, target):
+    fleet = Fleet(9)
+    requests = [request_to(f"/{index}") for index in range(20)]
+    await fleet.end(1, target("i-1"), *requests)
+    await asyncio.sleep(RETRY_SECONDS)
+    assert fleet.network.messages == 8
--- a/tests/test_documented_events.py
+++ b/tests/test_documented_events.py
@@ -20,6 +20,7 @@
     "node",
     "observe",
     "platform",
+    "quarantine",
     "store",
 )
 EVENT = re.compile(r'logger\.(?:info|warning|error|exception)\(\s*"([a-z-]+)"')
