Explain a request in quarantine by the ends of targets under it

Cause: balsamway explain printed the refusal alone, and not the ends on other hosts that led to it, which may be a minute older.

Conclusion: ends that name the request's fingerprint are printed as well. test_refusal_in_quarantine_is_printed_with_the_ends_under_it failed before: it got the refusal's line only.

--- a/src/balsamway/commands/explain.py
+++ b/src/balsamway/commands/explain.py
@@ -90,7 +90,8 @@
     Returns:
         The request's own entries, and those about its targets, its key and
         its host from shortly before its start to shortly after its end, in
-        order of time.
+        order of time. For a request in quarantine also the earlier ends of
+        targets under it.
     """
     entries = list(entries)
     own = [entry for entry in entries if entry.get("request_id") == request_id]
@@ -104,10 +105,12 @@
     targets.update(str(entry.get("detail", "")).split(" ")[0] for entry in own)
     hosts = {entry.get("host") for entry in own}
     keys = {entry["key"] for entry in own if entry.get("key") is not None}
+    suspects = {entry["fingerprint"] for entry in own if "fingerprint" in entry}
     related = [
         entry
         for entry in entries
         if entry in own
+        or (_timestamp(entry) <= last and _has_ended_under(entry, suspects))
         or (
             first - SECONDS_BEFORE <= _timestamp(entry) <= last + SECONDS_AFTER
             and _is_related(entry, targets, hosts, keys)
@@ -131,6 +134,13 @@
     return event.startswith("target-") and entry.get("target") in targets
 
 
+def _has_ended_under(entry: dict[str, Any], suspects: set[str]) -> bool:
+    """Return whether a target ended under one of the fingerprints."""
+    return entry["event"] == "target-ended" and not suspects.isdisjoint(
+        entry.get("under", ())
+    )
+
+
 def _contains(move: str, key: int) -> bool:
     first, _, last = move.partition(">")[0].partition("-")
     return int(first) <= key <= int(last)
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -65,3 +65,22 @@
 def test_a_missing_file_is_an_error(tmp_path, capsys):
     assert main(["explain", ID, str(tmp_path / "none")]) == 2
     assert "none" in capsys.readouterr().err
+
+
+def test_refusal_in_quarantine_is_printed_with_the_ends_under_it(tmp_path, capsys):
+    """Guards against an explanation that does not name the ended targets."""
+    entries = [
+        entry(1.0, "target-ended", "n2", target="i-1", under={"ab12": "/a/b"}),
+        entry(2.0, "target-ended", "n3", target="i-2", under={"ab12": "/a/b"}),
+        entry(2.5, "target-ended", "n3", target="i-3", under={"ffff": "/c"}),
+        entry(9.0, "request-quarantined", request_id=ID, fingerprint="ab12"),
+    ]
+    log = tmp_path / "log"
+    log.write_text("\n".join(json.dumps(entry) for entry in entries))
+    assert main(["explain", ID, str(log)]) == 0
+    lines = capsys.readouterr().out.splitlines()
+    assert [line.split(" ")[2:4] for line in lines] == [
+        ["n2", "target-ended"],
+        ["n3", "target-ended"],
+        ["n1", "request-quarantined"],
+    ]
