--- a/src/balsamway/platform/store_client.py
+++ b/src/balsamway/platform/store_client.py
@@ -20,7 +20,7 @@
 from balsamway.platform import names
 from balsamway.platform import wire_types as wire
 from balsamway.platform.page_decoder import UNREADABLE_NAME, decode_response
-from balsamway.store.era import MAX_ERA, era_of, revision_of, version_of
+from balsamway.store.era import era_of, parse_era, revision_of, version_of
 from balsamway.store.object_store import Changes, HistoryGone, Listing
 from balsamway.store.store import (
     Absent,
@@ -44,8 +44,6 @@
 outage is detected."""
 MAX_CONNECTIONS = 8
 """The maximum number of open connections to the store."""
-MAX_ERA_DIGITS = len(str(MAX_ERA))
-"""The most digits of a store's era."""
 MAX_PAGES = 1_000
 """The maximum number of pages that are read of one list."""
 
@@ -158,7 +156,8 @@
         if expected_version is not None and era_of(expected_version) < self._era:
             # The store compares revisions only, and a restored one gives them
             # out again.
-            return await self._refuse(kind, name)
+            found = await self.read(kind, name)
+            return found if isinstance(found, Unavailable) else Conflict(found)
         metadata: dict[str, Any] = {"name": name}
         if expected_version is not None:
             metadata["revision"] = revision_of(expected_version)
@@ -177,11 +176,6 @@
         self._counts.count("write", result)
         return result
 
-    async def _refuse(self, kind: str, name: str) -> WriteResult:
-        """Return the result of a write whose condition can't hold."""
-        found = await self.read(kind, name)
-        return found if isinstance(found, Unavailable) else Conflict(found)
-
     async def _get(
         self,
         path: str,
@@ -255,17 +249,8 @@
         if not isinstance(response, HttpResponse):
             return self._era
         text = response.headers.get(names.STORE_ERA_HEADER)
-        if text is None:
-            return self._era
-        # The bound on the length keeps a long number from being converted.
-        if len(text) > MAX_ERA_DIGITS or not (text.isascii() and text.isdigit()):
-            logger.warning("store-era-unreadable", extra={"value": text[:40]})
-            return self._era
-        era = int(text)
-        if era > MAX_ERA:
-            logger.warning("store-era-unreadable", extra={"value": text[:40]})
-            return self._era
-        return era
+        era = None if text is None else parse_era(text)
+        return self._era if era is None else era
 
 
 def _path(kind: str, name: str = "", query: dict[str, str] | None = None) -> str:
--- a/src/balsamway/platform/target_control.py
+++ b/src/balsamway/platform/target_control.py
@@ -4,12 +4,12 @@
 
 import asyncio
 import logging
-import weakref
 from typing import TYPE_CHECKING, Any
 
 import msgspec
 
 from balsamway.exchange import HttpRequest, HttpResponse, NotSent, ResponseLost
+from balsamway.keyspace.order_response_doubts import OrderResponseDoubts
 from balsamway.keyspace.order_result import (
     Accepted,
     OrderLost,
@@ -39,11 +39,7 @@
 
     def __init__(self) -> None:
         """Create a control that has sent nothing yet."""
-        self._received_handovers: weakref.WeakKeyDictionary[
-            TargetConnection, set[str]
-        ] = weakref.WeakKeyDictionary()
-        """The handovers received on each open connection. Each release has
-        another one, so they tell a repeated response."""
+        self._doubts = OrderResponseDoubts()
 
     async def grant(
         self,
@@ -160,13 +156,12 @@
         response: HttpResponse,
     ) -> HttpResponse | ResponseLost:
         """Return the response, or `ResponseLost` if it may be a repetition."""
-        received = self._received_handovers.setdefault(connection, set())
-        handover = response.headers.get(names.HANDOVER_HEADER)
-        doubt = None
-        if connection.exchange_count > 1:
-            doubt = _doubt(request, response, handover, received)
-        if handover is not None:
-            received.add(handover)
+        doubt = self._doubts.check(
+            connection,
+            request.path == names.GRANT_PATH,
+            response.status == 200,
+            response.headers.get(names.HANDOVER_HEADER),
+        )
         if doubt is None and response.status == 200:
             return response
         connection.close()
@@ -177,29 +172,3 @@
             extra={"path": request.path, "status": response.status, "reason": doubt},
         )
         return ResponseLost(doubt)
-
-
-def _doubt(
-    request: HttpRequest,
-    response: HttpResponse,
-    handover: str | None,
-    received_handovers: set[str],
-) -> str | None:
-    """Return why a response may belong to an earlier order on the connection.
-
-    A repeated acceptance cannot be told from the one of this grant. It frees
-    no keys, and the grant's expiry is the same with either. The response that
-    follows it resets the connection.
-
-    Returns:
-        The reason, or None if the response counts.
-    """
-    if response.status != 200:
-        return f"status {response.status} on a connection that was used before"
-    if request.path == names.GRANT_PATH:
-        return None if handover is None else "a grant's response has a handover"
-    if handover is None:
-        return "a release's response has no handover"
-    if handover in received_handovers:
-        return "the handover was received before"
-    return None
--- a/src/balsamway/store/era.py
+++ b/src/balsamway/store/era.py
@@ -9,6 +9,8 @@
 
 from __future__ import annotations
 
+import logging
+
 NUMBER_BITS = 32
 """The bits of epochs and fencing tokens that one era can count up. With the
 highest era they stay below 2**53, so that any JSON parser reads them."""
@@ -21,6 +23,25 @@
 era 0."""
 MAX_ERA = 2**20 - 1
 """The highest era. Versions then fit into 63 bits."""
+MAX_ERA_DIGITS = len(str(MAX_ERA))
+"""The most digits of an era."""
+
+logger = logging.getLogger(__name__)
+
+
+def parse_era(text: str) -> int | None:
+    """Return the era that a store names, or None if it can't be read.
+
+    Args:
+        text: The decimal number, not trusted.
+    """
+    # The bound on the length keeps a long number from being converted.
+    if len(text) <= MAX_ERA_DIGITS and text.isascii() and text.isdigit():
+        era = int(text)
+        if era <= MAX_ERA:
+            return era
+    logger.warning("store-era-unreadable", extra={"value": text[:40]})
+    return None
 
 
 def version_of(era: int, revision: int) -> int:
