Wait for what the test of deadly requests needs, not for a second

The second that it waited was too short for a host that lost the claim of the first lease and reads it after its poll interval. A host that lost the claim of an absent lease reads it again at once, as before the eras.

--- a/src/balsamway/keyspace/leader_lease.py
+++ b/src/balsamway/keyspace/leader_lease.py
@@ -218,14 +218,15 @@
             era: The era of the store.
 
         Returns:
-            Whether this host leads now.
+            Whether the lease need not be read again after the usual time,
+            because it was claimed just now or this host leads.
         """
         known = self._known
         if known is None or known.era < era or known.replaces is not None:
             self._known, self._known_since = absent_lease(era), now()
         if not was_restored(era) and self._may_claim:
             await self._claim(absent_lease(era))
-            return self._epoch is not None
+            return True
         return await self._claim_if_free()
 
     async def _claim_if_free(self) -> bool:
--- a/tests/node/test_entry_node.py
+++ b/tests/node/test_entry_node.py
@@ -425,8 +425,8 @@
         await wait_until(node.is_ready)
         await wait_until(lambda node=node: len(node.targets.usable("plain")) == 6)
     await wait_until(lambda: any(node.lease.epoch for node, _ in nodes))
-    # The report of a load tells each host who leads.
-    await asyncio.sleep(1)
+    # The leader passes reports on to the hosts that have reported their load.
+    await wait_until(lambda: all(node._reporter.host_count == 2 for node, _ in nodes))
     statuses = []
     for index in range(6):
         _, settings = nodes[index % 2]
