Do not bring back targets that a restored store stopped listing

A target that registered 2 s after a restore was held back because it had been dropped at 1.8 s, and a second restore did not renew that time.

--- a/src/balsamway/discovery/outdated_entries.py
+++ b/src/balsamway/discovery/outdated_entries.py
@@ -29,11 +29,16 @@
         self._gone: dict[str, tuple[int, float]] = {}
         """The incarnation of removed targets, and when they were removed."""
         self._held_back: dict[str, TargetEntry] = {}
-        self._until = float("-inf")
+        self._restored_at = float("-inf")
+        """The event loop time of the last restore."""
+
+    @property
+    def _is_settling(self) -> bool:
+        return now() < self._restored_at + HOLD_BACK_SECONDS
 
     def on_restored(self) -> None:
         """Record that the store was restored."""
-        self._until = now() + HOLD_BACK_SECONDS
+        self._restored_at = now()
 
     def on_gone(self, entry: TargetEntry) -> None:
         """Record that a target was removed.
@@ -47,6 +52,10 @@
         }
         self._gone[entry.name] = (entry.incarnation, now())
 
+    def forget_listed(self) -> None:
+        """Forget what is held back, as a snapshot says what is listed now."""
+        self._held_back = {}
+
     def on_unlisted(self, name: str) -> None:
         """Record that the store does not list a target any more.
 
@@ -66,25 +75,39 @@
             Whether it is held back.
         """
         self._held_back.pop(entry.name, None)
-        if now() >= self._until:
+        if not self._is_settling:
             return False
-        gone_incarnation, _ = self._gone.get(entry.name, (None, 0.0))
         if known is not None and known.key == entry.key:
             is_outdated = known.is_draining and not entry.is_draining
         elif known is not None:
             is_outdated = entry.incarnation < known.incarnation
         else:
-            is_outdated = (
-                gone_incarnation is not None and entry.incarnation <= gone_incarnation
-            )
+            is_outdated = self._is_of_gone_target(entry)
         if is_outdated:
             self._held_back[entry.name] = entry
         return is_outdated
 
     def take_due(self) -> tuple[TargetEntry, ...]:
         """Return the entries that are still listed and no longer held back."""
-        if not self._held_back or now() < self._until:
+        if not self._held_back or self._is_settling:
             return ()
         due = tuple(self._held_back.values())
         self._held_back = {}
         return due
+
+    def _is_of_gone_target(self, entry: TargetEntry) -> bool:
+        """Return whether an entry is of a target that was removed.
+
+        One that was removed since the restore was missing from the copy, so
+        that a later entry of the same incarnation was written since.
+
+        Args:
+            entry: The entry that the store lists.
+        """
+        gone = self._gone.get(entry.name)
+        if gone is None:
+            return False
+        incarnation, gone_at = gone
+        if entry.incarnation == incarnation:
+            return gone_at <= self._restored_at
+        return entry.incarnation < incarnation
--- a/src/balsamway/discovery/target_directory.py
+++ b/src/balsamway/discovery/target_directory.py
@@ -118,6 +118,7 @@
         Args:
             entries: All entries in the store.
         """
+        self._outdated.forget_listed()
         snapshot: dict[str, TargetEntry] = {}
         for entry in entries:
             known = self._entries.get(entry.name)
@@ -164,6 +165,7 @@
         Args:
             name: The target's name.
         """
+        self._outdated.on_unlisted(name)
         if name in self._entries:
             self._delete(name)
             self._publish()
@@ -208,7 +210,7 @@
     def _on_missing(self, name: str) -> None:
         removal_at = self._store_recovered_at + REREGISTRATION_SECONDS
         if removal_at > now() and not self._entries[name].is_draining:
-            self._removal_at.setdefault(name, removal_at)
+            self._removal_at[name] = removal_at
             return
         self._delete(name)
 
--- a/tests/discovery/test_target_directory.py
+++ b/tests/discovery/test_target_directory.py
@@ -155,3 +155,51 @@
     await asyncio.sleep(6)
     directory.remove_expired()
     assert directory.available_targets("s") == (restarted,)
+
+
+async def test_a_target_that_a_later_snapshot_lacks_does_not_return():
+    directory = TargetDirectory()
+    directory.replace([FIRST, SECOND])
+    directory.remove("i-1")
+    directory.on_store_restored()
+    directory.replace([FIRST, SECOND])
+    await asyncio.sleep(3)
+    directory.replace([SECOND])
+    await asyncio.sleep(2)
+    directory.remove_expired()
+    assert available_names(directory) == ["i-2"]
+
+
+async def test_a_target_that_registers_late_after_a_restore_is_used_at_once():
+    directory = TargetDirectory()
+    directory.replace([FIRST, SECOND])
+    directory.on_store_restored()
+    directory.replace([FIRST])
+    await asyncio.sleep(REREGISTRATION_SECONDS + 0.1)
+    directory.remove_expired()
+    assert available_names(directory) == ["i-1"]
+    directory.update(SECOND)
+    assert available_names(directory) == ["i-1", "i-2"]
+
+
+async def test_a_second_restore_renews_the_time_to_register():
+    directory = TargetDirectory()
+    directory.replace([FIRST, SECOND])
+    for _ in range(2):
+        directory.on_store_restored()
+        directory.replace([FIRST])
+        await asyncio.sleep(1.0)
+    directory.remove_expired()
+    assert available_names(directory) == ["i-1", "i-2"]
+
+
+async def test_an_unreadable_entry_is_not_used_when_a_restore_has_settled():
+    directory = TargetDirectory()
+    directory.replace([FIRST, SECOND])
+    directory.remove("i-1")
+    directory.on_store_restored()
+    directory.replace([FIRST, SECOND])
+    directory.discard("i-1")
+    await asyncio.sleep(5)
+    directory.remove_expired()
+    assert available_names(directory) == ["i-2"]
