Let a host that follows the leader learn of a restore from it

Found in review of the second matter: a host that makes no calls, because the leader confirms its copy, watched from its last revision when that lapsed.

--- a/src/balsamway/store/kind_watch.py
+++ b/src/balsamway/store/kind_watch.py
@@ -181,6 +181,14 @@
             revision: The revision up to which the leader knows all changes.
             age: Seconds since the store's response to the leader.
         """
+        if 0 <= self._known_revision and era_of(self._known_revision) < era_of(
+            last_change_revision
+        ):
+            # The restored store may have given out the known revision again,
+            # and would let a watch from there wait.
+            self._watch_revision = None
+            self._confirmed_until = float("-inf")
+            return
         if self._known_revision < last_change_revision or age >= CONFIRMATION_SECONDS:
             return
         if self.is_failing:
