--- a/src/balsamway/store/kind_watch.py
+++ b/src/balsamway/store/kind_watch.py
@@ -218,13 +218,17 @@
                 await self._watch(self._watch_revision)
 
     async def _read_snapshot(self) -> None:
+        known_revision = self._known_revision
         match await self._store.list(self._kind):
             case Listing(objects=objects, revision=revision):
-                if revision < self._known_revision:
+                if revision < known_revision:
                     await self._on_failure("the snapshot is older than what is known")
                     return
                 self._on_response()
-                self._replace_all(objects, revision)
+                # Changes up to a later revision may have arrived from the
+                # leader during the call.
+                if revision >= self._known_revision:
+                    self._replace_all(objects, revision)
                 self._watch_revision = self._known_revision
             case Unavailable(reason=reason):
                 await self._on_failure(reason)
--- a/tests/store/test_restored_watch.py
+++ b/tests/store/test_restored_watch.py
@@ -7,6 +7,8 @@
 
 from balsamway.store.era import version_of
 from balsamway.store.kind_watch import KindWatch
+from balsamway.store.object_store import HistoryGone
+from tests.fakes.memory_store import MemoryStore
 from tests.fakes.unaware_store import UnawareStore
 
 pytestmark = pytest.mark.looptime
@@ -67,3 +69,32 @@
         await asyncio.sleep(0.4)
     await watch.stop()
     assert handler.received[b"13"] - acknowledged_at < MAX_APPLY_SECONDS
+
+
+async def test_a_list_that_the_leader_overtakes_is_no_failure():
+    class SlowStore(MemoryStore):
+        lists = 0
+
+        async def list(self, kind):
+            result = await super().list(kind)
+            self.lists += 1
+            if self.lists > 1:
+                await asyncio.sleep(0.25)
+            return result
+
+        async def watch(self, kind, after_revision, wait_seconds):
+            if self.lists == 1:
+                await asyncio.sleep(0.2)
+                return HistoryGone()
+            return await super().watch(kind, after_revision, wait_seconds)
+
+    store = SlowStore(era=1)
+    store.put("config", "main", b"11")
+    watch = KindWatch(store, "config", Recorder(), 2.0, 0.05, random.Random(1))
+    await watch.start()
+    await asyncio.sleep(0.3)
+    store.put("lease", "x", b"")
+    watch.on_confirmed(version_of(1, 2), store.version, 0.0)
+    await asyncio.sleep(0.3)
+    assert not watch.is_failing
+    await watch.stop()
