--- a/src/balsamway/platform/store_client.py
+++ b/src/balsamway/platform/store_client.py
@@ -75,7 +75,6 @@
         objects: list[StoredObject] = []
         after: str | None = None
         revision: int | None = None
-        first_era: int | None = None
         for _ in range(MAX_PAGES):
             query: dict[str, str] = {} if after is None else {"after": after}
             page, era = await self._get(
@@ -87,8 +86,8 @@
             if revision is None:
                 # The first page's revision makes a later watch return the
                 # changes that happen between the pages.
-                revision, first_era = version_of(era, page.revision), era
-            if era != first_era:
+                revision = version_of(era, page.revision)
+            if era_of(revision) != era:
                 return Unavailable("the store was restored between two pages")
             if not page.has_more or not page.items:
                 return Listing(tuple(objects), revision)
@@ -190,9 +189,8 @@
             for everything else. Also the era of the store that responded.
         """
         request = HttpRequest("GET", path, ((b"Host", self._host),))
-        response = await self._call(request, timeout_seconds)
         result: Any
-        match response:
+        match response := await self._call(request, timeout_seconds):
             case HttpResponse(status=200, body=body):
                 result = await decode_response(body, cls)
                 if isinstance(result, Malformed):
@@ -203,8 +201,11 @@
                 result = Unavailable(f"status {status}")
             case ResponseLost(reason=reason) | NotSent(reason=reason):
                 result = Unavailable(reason)
+        era = self._era_of(response)
+        if era < self._era:
+            result = Unavailable(f"response of era {era} after era {self._era}")
         self._counts.count(operation, result)
-        return result, self._era_of(response)
+        return result, era
 
     async def _call(
         self, request: HttpRequest, timeout_seconds: float
--- a/tests/platform/test_store_client.py
+++ b/tests/platform/test_store_client.py
@@ -280,3 +280,12 @@
     result = await store.write("k", "a", b"{}", found.version)
     assert result.current.version > found.version
     assert all(request.method == "GET" for request in server.received)
+
+
+async def test_a_response_of_an_earlier_era_is_not_used(start_store):
+    _, store = await start_store(
+        encode_in_era(2, {"items": [], "asOf": 30}),
+        encode_in_era(1, {"items": [item("a", 90)], "asOf": 99}),
+    )
+    await store.list("k")
+    assert isinstance(await store.list("k"), Unavailable)
