Release keys from a restarted target too, instead of taking them for free

A target that restarts under its name and address accepts grants that are meant for its earlier incarnation, before its entry says that it restarted.

A later incarnation proves nothing now: it is sent the release as well, under a token above those grants, at its listed address.

--- a/src/balsamway/keyspace/order_dispatcher.py
+++ b/src/balsamway/keyspace/order_dispatcher.py
@@ -8,6 +8,7 @@
 from balsamway.keyspace.control_connections import ControlConnections
 from balsamway.keyspace.grant_renewer import GrantRenewer
 from balsamway.keyspace.release_keys import release_keys
+from balsamway.keyspace.target_incarnation import TargetIncarnation
 
 if TYPE_CHECKING:
     import asyncio
@@ -16,7 +17,6 @@
     from balsamway.discovery import TargetDirectory
     from balsamway.keyspace.service_keys import ServiceKeys
     from balsamway.keyspace.target_control import TargetControl
-    from balsamway.keyspace.target_incarnation import TargetIncarnation
 
 
 class OrderDispatcher:
@@ -117,10 +117,9 @@
             release = release_keys(
                 self._keys,
                 pending,
-                self._connections_to(owner),
+                functools.partial(self._release_connections, owner),
                 self._control,
                 self._is_leader,
-                functools.partial(self._has_new_incarnation, owner),
                 self._on_released,
             )
             pending.task = tasks.create_task(release)
@@ -155,7 +154,12 @@
             connections = self._connections[owner] = ControlConnections(listed.address)
         return connections
 
-    def _has_new_incarnation(self, owner: TargetIncarnation) -> bool:
-        # An entry of an earlier incarnation is an outdated one.
+    def _release_connections(
+        self, owner: TargetIncarnation
+    ) -> ControlConnections | None:
+        """Return the connections to an owner or its later incarnation."""
         listed = self._directory.find(owner.name)
-        return listed is not None and listed.incarnation > owner.incarnation
+        # An entry of an earlier incarnation is an outdated one.
+        if listed is not None and listed.incarnation > owner.incarnation:
+            return self._connections_to(TargetIncarnation(*listed.key))
+        return self._connections_to(owner)
--- a/src/balsamway/keyspace/release_keys.py
+++ b/src/balsamway/keyspace/release_keys.py
@@ -27,39 +27,35 @@
 async def release_keys(
     keys: ServiceKeys,
     pending: PendingRelease,
-    connections: ControlConnections | None,
+    find_connections: Callable[[], ControlConnections | None],
     control: TargetControl,
     is_leader: Callable[[], bool],
-    has_new_incarnation: Callable[[], bool],
     on_done: Callable[[], None],
 ) -> None:
     """Wait until a previous owner certainly owns none of a segment's keys.
 
-    That is certain when the target has responded to a release, when that
-    incarnation of the target has ended, or when its grants have expired. A
-    refused connection proves nothing, since a partition may refuse
-    connections too.
+    That is certain when the target has responded to a release, when another
+    target has its address, or when its grants have expired. A refused
+    connection proves nothing, since a partition may refuse connections too.
+    Neither does a later incarnation, which may have accepted grants before its
+    entry was known. It has to release the keys as well.
 
     Args:
         keys: The keys of the service.
         pending: The segment and its previous owner.
-        connections: The connections to the previous owner, or None if its
-            address is unknown.
+        find_connections: Returns the connections to the previous owner or its
+            later incarnation, or None if its address is unknown.
         control: Sends the orders.
         is_leader: Tells whether this host leads at this moment.
-        has_new_incarnation: Tells whether another incarnation of the target
-            is known.
         on_done: Called when the keys are released, or when the release takes
             longer than expected.
     """
     while True:
         how = ""
         handover: str | None = None
-        if has_new_incarnation():
-            how = "started again"
-        elif now() >= pending.expires_at:
+        if now() >= pending.expires_at:
             how = "lapsed"
-        elif connections is None:
+        elif (connections := find_connections()) is None:
             pending.is_unresponsive = True
         elif is_leader():
             result = await control.release(
--- a/tests/keyspace/test_key_leader.py
+++ b/tests/keyspace/test_key_leader.py
@@ -381,3 +381,33 @@
     deployment.directory.update(outdated)
     assert await deployment.unowned_seconds(8) < MAX_UNOWNED_SECONDS
     deployment.check()
+
+
+@pytest.mark.parametrize("seconds_until_listed", [0.3, 1.0, 2.0])
+@pytest.mark.parametrize("is_draining", [False, True])
+async def test_a_restarted_target_releases_the_keys_that_it_was_granted_since(
+    deployment, seconds_until_listed, is_draining
+):
+    await deployment.start("a")
+    restarted = deployment.targets.all["t2"]
+    deployment.targets.restart("t2")
+    # The new incarnation accepts grants before its entry is known.
+    await asyncio.sleep(seconds_until_listed)
+    deployment.directory.update(restarted.entry(is_draining))
+    assert await deployment.unowned_seconds(8) < MAX_UNOWNED_SECONDS
+    deployment.check()
+
+
+@pytest.mark.parametrize("seconds_until_listed", [0.3, 1.0, 2.0])
+@pytest.mark.parametrize("is_draining", [False, True])
+async def test_a_target_releases_the_keys_granted_under_an_outdated_entry(
+    deployment, seconds_until_listed, is_draining
+):
+    target = deployment.targets.all["t2"]
+    target.incarnation = 7
+    await deployment.start("a")
+    deployment.directory.update(replace(target.entry(), incarnation=6))
+    await asyncio.sleep(seconds_until_listed)
+    deployment.directory.update(target.entry(is_draining))
+    assert await deployment.unowned_seconds(8) < MAX_UNOWNED_SECONDS
+    deployment.check()
