--- a/src/balsamway/platform/wire_types.py
+++ b/src/balsamway/platform/wire_types.py
@@ -16,7 +16,7 @@
 class Metadata(msgspec.Struct, frozen=True):
     """The name of an object, and the revision at which it was last written."""
 
-    name: str
+    name: Annotated[str, msgspec.Meta(min_length=1)]
     revision: Revision = 0
 
 
--- a/tests/platform/test_any_bytes.py
+++ b/tests/platform/test_any_bytes.py
@@ -203,3 +203,8 @@
 def test_any_object_is_malformed_or_has_a_name(body):
     item = asyncio.run(decode_response(body, wire.Item))
     assert isinstance(item, Malformed) or item.metadata.name
+
+
+def test_an_object_without_a_name_is_malformed():
+    body = b'{"metadata":{"name":""},"spec":{}}'
+    assert isinstance(asyncio.run(decode_response(body, wire.Item)), Malformed)
