Read a restored lease once more before it is claimed

The test failed before. Epochs and tokens begin at their era's first number in every era, as an era of 1 after 0 would otherwise repeat them; a store whose first era is 0 and that loses lease and record at its first restore is not covered.

--- a/src/balsamway/keyspace/leader_lease.py
+++ b/src/balsamway/keyspace/leader_lease.py
@@ -238,9 +238,29 @@
         known = self._known
         if known is None or not self._may_claim or not self._is_free(known):
             return False
+        if not known.is_current and not await self._is_latest(known):
+            return False
         await self._claim(known)
         return self._epoch is not None
 
+    async def _is_latest(self, known: StoredLease) -> bool:
+        """Return whether the last known lease is still stored.
+
+        A stale read may return a lease of before a restore as one of the
+        present era, whose version may be given out again.
+
+        Args:
+            known: The last known lease.
+        """
+        match await self._lease_object.read():
+            case StoredLease() as found:
+                self._adopt(found)
+                return found == known
+            case Absent(era=era):
+                self._adopt(absent_lease(era))
+                return absent_lease(era) == known
+        return False
+
     def _is_free(self, known: StoredLease) -> bool:
         """Return whether this host may claim a lease.
 
@@ -385,7 +405,7 @@
         Unlike a stale read, it is the latest version even if its number is
         lower than that of a version that was read before.
         """
-        if self._known is None or stored.version != self._known.version:
+        if stored != self._known:
             if self._known is not None and stored.era < self._known.era:
                 return
             self._known = stored
--- a/src/balsamway/keyspace/lease_object.py
+++ b/src/balsamway/keyspace/lease_object.py
@@ -57,6 +57,15 @@
         found = await self._store.read(LEASE_KIND, LEASE_NAME, allow_stale=True)
         return _decode_lease(found) if isinstance(found, StoredObject) else found
 
+    async def read(self) -> LeaseResult:
+        """Read the latest version of the lease.
+
+        Returns:
+            The lease, or why there is none.
+        """
+        found = await self._store.read(LEASE_KIND, LEASE_NAME)
+        return _decode_lease(found) if isinstance(found, StoredObject) else found
+
     async def put(self, lease: Lease, version: int | None) -> LeaseResult:
         """Replace one version of the lease.
 
--- a/src/balsamway/store/era.py
+++ b/src/balsamway/store/era.py
@@ -81,7 +81,7 @@
     Args:
         era: The era of the store.
     """
-    return era << NUMBER_BITS if was_restored(era) else 0
+    return era << NUMBER_BITS
 
 
 def revision_of(version: int) -> int:
--- a/tests/keyspace/test_leader_lease.py
+++ b/tests/keyspace/test_leader_lease.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from dataclasses import replace
 
 import pytest
 
@@ -11,6 +12,7 @@
     LeaderLease,
 )
 from balsamway.keyspace.lease_object import LEASE_KIND
+from balsamway.store.era import revision_of, version_of
 from tests.fakes.memory_store import MemoryStore
 
 pytestmark = pytest.mark.looptime
@@ -245,3 +247,24 @@
     hosts.stores["b"].read = read_stale
     await asyncio.sleep(4)
     assert hosts.leading() == ["b"]
+
+
+async def test_a_stale_read_of_before_a_restore_is_not_claimed(hosts):
+    hosts.store.era = 1
+    await hosts.start("a")
+    await asyncio.sleep(8)
+    copy = hosts.store.copy()
+    await asyncio.sleep(2.25)
+    lost = hosts.store.objects[(LEASE_KIND, "keys")]
+    hosts.store.restore(copy)
+    # Stale reads return the lost lease under the header of the new era.
+    stale = replace(lost, version=version_of(2, revision_of(lost.version)))
+    read = hosts.store.read
+
+    async def read_stale(kind, name, allow_stale=False):
+        return stale if allow_stale else await read(kind, name)
+
+    hosts.store.read = read_stale
+    await hosts.start("b")
+    assert await hosts.watch(10) == 1
+    assert hosts.leading() == ["a"]
