Refuse a lease whose era is out of range

Found in the last read of this change: the era that leases carry now was not checked like their other numbers. An odd lease of another writer, found by a leader whose own was lost by a restore, would be sent to the other hosts and end the leader (OverflowError in msgpack).

--- a/src/balsamway/keyspace/lease_object.py
+++ b/src/balsamway/keyspace/lease_object.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from balsamway.keyspace.stored_lease import Lease, StoredLease
+from balsamway.store.era import MAX_ERA
 from balsamway.store.store import (
     Absent,
     Conflict,
@@ -115,6 +116,8 @@
         lease = msgspec.json.decode(found.body, type=Lease)
         if not (0 <= lease.epoch < MAX_INTEGER and 0 <= lease.beat <= MAX_INTEGER):
             raise ValueError("the epoch or the beat is out of range")
+        if not 0 <= lease.era <= MAX_ERA:
+            raise ValueError("the era is out of range")
     except (msgspec.MsgspecError, RecursionError, ValueError) as error:
         logger.warning("lease-unreadable", extra={"reason": str(error)[:200]})
         lease = Lease(0, UNREADABLE_HOST, "", 0)
--- a/tests/platform/test_any_bytes.py
+++ b/tests/platform/test_any_bytes.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -27,8 +28,13 @@
 from tests.platform.test_decoders import CONFIGURATION, ENTRY
 
 MAX_EXAMPLES = 150
-LEASE = {"epoch": 4, "host": "a", "address": "10.0.0.1:1", "beat": 7}
-RECORD = {"epoch": 4, "next_token": 9, "segments": [[0, 65535, "i", 1, 3, []]]}
+LEASE = {"epoch": 4, "host": "a", "address": "10.0.0.1:1", "beat": 7, "era": 2}
+RECORD = {
+    "epoch": 4,
+    "next_token": 9,
+    "segments": [[0, 65535, "i", 1, 3, []]],
+    "era": 2,
+}
 ODD_TEXTS = st.sampled_from(
     [
         "1e400",
@@ -176,6 +182,13 @@
     encode(Frame(0, False, StoreProgress(0.0, stored, {})))
 
 
+@pytest.mark.parametrize("era", [2**63, 2**70, -(2**70)])
+def test_a_lease_whose_era_is_out_of_range_fits_messages(era):
+    body = b'{"epoch":4,"host":"a","address":"a:1","beat":7,"era":%d}' % era
+    stored = asyncio.run(LeaseObject(OneObjectStore(body)).read_stale())
+    encode(Frame(0, False, StoreProgress(0.0, stored, {})))
+
+
 @settings(max_examples=MAX_EXAMPLES, deadline=None)
 @given(bytes_like(PAGE))
 def test_any_page_is_malformed_or_fits_messages(body):
