Keep requests from a target for the whole time that it asks for rest

The bound is 15 minutes now. A target that asks for more than 45 minutes would still be probed three times in that span, or more often if it does not answer the probes. The three new cases failed before.

--- a/src/balsamway/commands/explain.py
+++ b/src/balsamway/commands/explain.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING, Any
 
 from balsamway.commands.subcommand import EXIT_ERROR, EXIT_OK, Subcommand
+from balsamway.forwarding.target_rest import MAX_REST_SECONDS
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator
@@ -17,7 +18,7 @@
 
 SECONDS_BEFORE = 3.0
 """How long before a request's start related entries are printed."""
-LASTING_SECONDS_BEFORE = 30.0
+LASTING_SECONDS_BEFORE = MAX_REST_SECONDS
 """The same for events whose effect lasts; no rest is longer."""
 SECONDS_AFTER = 0.5
 """How long after a request's end related entries are printed."""
--- a/src/balsamway/forwarding/target_rest.py
+++ b/src/balsamway/forwarding/target_rest.py
@@ -13,9 +13,9 @@
 if TYPE_CHECKING:
     import random
 
-MAX_REST_SECONDS = 30.0
-"""Bounds the time that a target may ask for. A longer one is probed then, with
-one request at a time."""
+MAX_REST_SECONDS = 900.0
+"""Bounds the time that a target may ask for, so that a wrong value does not
+exclude it for good. It is probed then, with one request at a time."""
 REST_MARGIN_SECONDS = 0.01
 """Added to the time that the target asked for, since requests reach it sooner
 than its response reached this host."""
--- a/tests/forwarding/test_target_rest.py
+++ b/tests/forwarding/test_target_rest.py
@@ -90,6 +90,16 @@
     assert not resting.allows_request
 
 
+@pytest.mark.parametrize("seconds", [31.0, 120.0, 600.0])
+async def test_a_long_rest_is_not_probed_before_its_end(seconds):
+    rest = TargetRest("i-1")
+    rest.on_ended(AttemptOutcome.SHED, RestAsked(seconds), now())
+    await asyncio.sleep(seconds - 0.1)
+    assert not rest.allows_request
+    await asyncio.sleep(0.2)
+    assert rest.allows_request
+
+
 async def test_a_rest_is_bounded():
     rest = TargetRest("i-1")
     rest.on_ended(AttemptOutcome.SHED, RestAsked(1e30), now())
