Word the code of restored stores as a reader would look for it

Read once more: the help of the era's metric spoke of a count of restores, though the first era is 1; a docstring named writes only; the rule for a free lease stood there twice; a record was made with one era and given another. No behaviour changes.

--- a/src/balsamway/keyspace/key_leader.py
+++ b/src/balsamway/keyspace/key_leader.py
@@ -188,10 +188,10 @@
                 stored: int | None = version
                 found_era = era_of(version)
             case Absent(era=found_era):
-                record, stored = KeyRecord(epoch, 1, (), found_era), None
-                if was_restored(found_era):
-                    record = replace(record, era=found_era - 1)
-                else:
+                # A restored store may have lost a record of an earlier era.
+                record_era = found_era - 1 if was_restored(found_era) else found_era
+                record, stored = KeyRecord(epoch, 1, (), record_era), None
+                if record_era == found_era:
                     grants_expire_at = now()
             case _:
                 await self.sleep(RETRY_DELAY_SECONDS)
--- a/src/balsamway/keyspace/leader_lease.py
+++ b/src/balsamway/keyspace/leader_lease.py
@@ -271,16 +271,12 @@
         unchanged_seconds = now() - self._known_since
         if now() < self._standing_down_until and unchanged_seconds < STAND_DOWN_SECONDS:
             return False
-        if not known.is_current:
-            is_free = unchanged_seconds > LEASE_DURATION_SECONDS + CLAIM_MARGIN_SECONDS
-        elif not lease.host:
-            is_free = True
-        elif self._is_first_read and self._is_own(lease):
-            # The leader was an earlier process on this host, which this
-            # process has replaced.
-            is_free = True
-        else:
-            is_free = unchanged_seconds > LEASE_DURATION_SECONDS + CLAIM_MARGIN_SECONDS
+        # An earlier process on this host that led has been replaced by this
+        # one.
+        is_released = not lease.host or (self._is_first_read and self._is_own(lease))
+        is_free = (known.is_current and is_released) or (
+            unchanged_seconds > LEASE_DURATION_SECONDS + CLAIM_MARGIN_SECONDS
+        )
         return is_free and (
             self._reaches_most_targets() or unchanged_seconds > STAND_DOWN_SECONDS
         )
@@ -400,10 +396,10 @@
         return True
 
     def _adopt(self, stored: StoredLease) -> None:
-        """Replace the last known lease by the response to a write.
+        """Replace the last known lease by what a current response says.
 
-        Unlike a stale read, it is the latest version even if its number is
-        lower than that of a version that was read before.
+        Unlike the result of a stale read, it is the latest version even if
+        its number is lower than that of a version that was read before.
         """
         if stored != self._known:
             if self._known is not None and stored.era < self._known.era:
--- a/src/balsamway/store/call_counts.py
+++ b/src/balsamway/store/call_counts.py
@@ -28,7 +28,7 @@
         )
         self._era = Gauge(
             "balsamway_platform_store_era",
-            "How often the store was restored from an older copy, as it says.",
+            "The era of the store, which rises by one with each restore.",
             registry=registry,
         )
         self._totals: dict[str, int] = {}
--- a/src/balsamway/store/era.py
+++ b/src/balsamway/store/era.py
@@ -12,8 +12,8 @@
 import logging
 
 NUMBER_BITS = 32
-"""The bits of epochs and fencing tokens that one era can count up. With the
-highest era they stay below 2**53, so that any JSON parser reads them."""
+"""The bits of the epochs and fencing tokens of one era, from the lowest on.
+With the highest era they stay below 2**53, which any JSON parser reads."""
 REVISION_BITS = 40
 """The bits of a version for the store's revision, from the lowest on."""
 MAX_REVISION = 2**REVISION_BITS - 1
@@ -63,6 +63,15 @@
     return version >> REVISION_BITS
 
 
+def revision_of(version: int) -> int:
+    """Return the store's own revision of a version.
+
+    Args:
+        version: The version.
+    """
+    return version & MAX_REVISION
+
+
 def was_restored(era: int) -> bool:
     """Return whether a store may have lost what it acknowledged before.
 
@@ -82,12 +91,3 @@
         era: The era of the store.
     """
     return era << NUMBER_BITS
-
-
-def revision_of(version: int) -> int:
-    """Return the store's own revision of a version.
-
-    Args:
-        version: The version.
-    """
-    return version & MAX_REVISION
