--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -521,6 +521,10 @@
         self.body = b""
         self.headers = {}
         self.error = ""
+        self.was_kept = False
+        """Whether the connection had carried a request before."""
+        self.was_closed = False
+        """Whether the connection ended without an answer."""
 
     @property
     def seconds(self):
@@ -566,7 +570,7 @@
         writer = None
         try:
             async with asyncio.timeout(wait_seconds or deadline_ms / 1000):
-                reader, writer = await self._connection()
+                reader, writer, answer.was_kept = await self._connection()
                 answer.sent_at = time.monotonic()
                 writer.write(data)
                 start, headers, found = await read_message(reader)
@@ -579,6 +583,7 @@
         except TimeoutError:
             answer.error = "no answer in time"
         except (OSError, EOFError) as error:
+            answer.was_closed = writer is not None
             answer.error = f"{type(error).__name__}: {error}"
         finally:
             if writer is not None:
@@ -596,8 +601,8 @@
         while self._idle:
             reader, writer = self._idle.pop()
             if not reader.at_eof() and not writer.transport.is_closing():
-                return reader, writer
-        return await asyncio.open_connection(*self.host.front)
+                return reader, writer, True
+        return *await asyncio.open_connection(*self.host.front), False
 
 
 async def every(interval, count, send):
