Review: a case of an instance that is never granted keys again

Cause: a grant renewer that got no answers stops for good, and relies on the keys being moved to another target. Without another target nothing moves, so the renewer is never replaced.

Case: review/3 leaves half of the orders to the one instance of a keyed service unanswered for 5.5 s and carries them out late. The rule is CONFIG, for a route that is added 24 s after that.

--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -22,6 +22,8 @@
 ROOT = Path(__file__).resolve().parents[2]
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 KEY_COUNT = 65_536
+METRICS_PORT = 9464
+"""The port for metrics that the deploy file names."""
 STARTED_AT = time.monotonic()
 
 
@@ -54,6 +56,17 @@
     return ports
 
 
+def free_ip(number):
+    """Return a loopback address at which the metrics port is free."""
+    while True:
+        ip = f"127.{random.randrange(16, 255)}.{random.randrange(1, 255)}.{number}"
+        try:
+            socket.create_server((ip, METRICS_PORT)).close()
+        except OSError:
+            continue
+        return ip
+
+
 async def read_message(reader):
     """Read one HTTP message with a length; return start line, headers, body."""
     head = await reader.readuntil(b"\r\n\r\n")
@@ -274,6 +287,8 @@
         self._fences = [0] * KEY_COUNT
         self._held_until = [0.0] * KEY_COUNT
         self.keep_alive_seconds = 10
+        self.arrived = None
+        """When the order that is carried out arrived, if that was earlier."""
 
     async def start(self):
         await super().start()
@@ -361,7 +376,7 @@
         if max(self._fences[first : last + 1]) > fence:
             status = 409
         else:
-            until = time.monotonic() + order["holdMs"] / 1000
+            until = (self.arrived or time.monotonic()) + order["holdMs"] / 1000
             count = last - first + 1
             self._fences[first : last + 1] = [fence] * count
             self._held_until[first : last + 1] = [until] * count
@@ -397,7 +412,7 @@
         self.record = record
         self.name = f"edge-{number}"
         self.zone = zone
-        self.ip = f"127.83.{random.randrange(1, 255)}.{number}"
+        self.ip = free_ip(number)
         front, ready, control, *inner = free_ports(self.ip, 5)
         self.front = (self.ip, front)
         self.ready = (self.ip, ready)
