--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -12,6 +12,7 @@
 import json
 import os
 import random
+import shutil
 import signal
 import socket
 import tempfile
@@ -68,7 +69,7 @@
 
 
 async def read_message(reader):
-    """Read one HTTP message with a length; return start line, headers, body."""
+    """Read one HTTP message with a length: its start line, headers, body."""
     head = await reader.readuntil(b"\r\n\r\n")
     lines = head.decode("latin-1").split("\r\n")
     headers = {}
@@ -408,7 +409,7 @@
 class EntryHost:
     """One `balsamwayd`, started with the command of the deploy file."""
 
-    def __init__(self, record, store, number, zone="z1", log_folder=None):
+    def __init__(self, record, store, number, zone="z1"):
         self.record = record
         self.name = f"edge-{number}"
         self.zone = zone
@@ -521,9 +522,8 @@
         if self.process is not None:
             await self.process.wait()
 
-    def log_tail(self, lines=5):
-        text = self.log_path.read_text(errors="replace")
-        return text.splitlines()[-lines:]
+    def remove_folder(self):
+        shutil.rmtree(self._folder, ignore_errors=True)
 
 
 class Answer:
@@ -631,7 +631,7 @@
 
 
 def run(folder, case):
-    """Run a case and exit with 1 if the rule broke, 0 if it held, 2 if neither.
+    """Run a case; exit with 1 if the rule broke, 0 if it held, 2 if neither.
 
     The case is a coroutine function that gets the record and a list for what
     must be ended, and returns whether the rule was broken.
@@ -650,6 +650,7 @@
         finally:
             for host in to_end:
                 await host.kill()
+                host.remove_folder()
             others = asyncio.all_tasks() - {asyncio.current_task()}
             for task in others:
                 task.cancel()
