--- a/review/5/case.py
+++ b/review/5/case.py
@@ -5,7 +5,7 @@
 from pathlib import Path
 
 HERE = Path(__file__).resolve().parent
-sys.path.insert(0, str(HERE.parent / "common"))
+sys.path.insert(0, str(HERE.parent))
 
 from harness import TROUBLE, Client, EntryHost, Instance, Store, every, run  # noqa: E402
 
@@ -20,7 +20,7 @@
     def route(name, service):
         return {
             "name": name,
-            "pathPrefix": "/orders/",
+            "pathPrefix": "/entries/",
             "routeType": "unsafe",
             "timeoutMs": 1500,
             "targetLatencyMs": 500,
@@ -29,16 +29,16 @@
             "maxAttempts": 2,
         }
 
-    hosts = [{"host": "lids.example", "paths": [route("orders", "pedidos")]}]
+    hosts = [{"host": "logs.example", "paths": [route("entries", "filings")]}]
     if has_second_host:
         hosts.append(
-            {"host": "press.example", "paths": [route(second_name, "prensas")]}
+            {"host": "claims.example", "paths": [route(second_name, "claims")]}
         )
     return {
         "version": version,
         "services": [
-            {"name": "pedidos", "healthPath": "/health", "maxConnections": 110},
-            {"name": "prensas", "healthPath": "/health", "maxConnections": 110},
+            {"name": "filings", "healthPath": "/health", "maxConnections": 51},
+            {"name": "claims", "healthPath": "/health", "maxConnections": 51},
         ],
         "limits": {
             "maxHeaderBytes": 16384,
@@ -56,7 +56,7 @@
     store.put("config", "main", configuration(7, False, ""))
     instances = [
         Instance(record, store, service, f"{service}-{number}")
-        for service in ("pedidos", "prensas")
+        for service in ("filings", "claims")
         for number in range(4)
     ]
     for instance in instances:
@@ -69,20 +69,26 @@
         raise RuntimeError("the entry host is not ready")
     client = Client(record, host)
     while (
-        await client.send("check", "POST", "/orders/0", "lids.example", 1500)
+        await client.send("check", "POST", "/entries/0", "logs.example", 1500)
     ).status != 200:
         await asyncio.sleep(0.3)
     client.answers.clear()
 
     async def change():
         await asyncio.sleep(CHANGE_AT_S)
-        name = "orders" if TROUBLE else "press-orders"
+        name = "entries" if TROUBLE else "claim-entries"
         store.put("config", "main", configuration(11, True, name))
-        record.say(f"press.example is added, with a route named {name}")
+        record.say(f"claims.example is added, with a route named {name}")
 
     def send(number):
         return client.send(
-            "lid-order", "POST", f"/orders/{number}", "lids.example", 1500, None, b"x"
+            "repair-filing",
+            "POST",
+            f"/entries/{number}",
+            "logs.example",
+            1500,
+            None,
+            b"x",
         )
 
     await asyncio.gather(
@@ -91,14 +97,14 @@
     foreign = {
         request_id
         for instance in instances
-        if instance.service == "prensas"
+        if instance.service == "claims"
         for request_id in instance.ran
     }
     wrong = [answer for answer in client.answers if answer.request_id in foreign]
     served = sum(answer.status == 200 for answer in client.answers)
     record.say(
-        f"{served} of {len(client.answers)} requests to lids.example served;"
-        f" {len(wrong)} of them were run by prensas"
+        f"{served} of {len(client.answers)} requests to logs.example served;"
+        f" {len(wrong)} of them were run by claims"
     )
     return bool(wrong)
 
--- a/review/common/harness.py
+++ b/review/harness.py
@@ -20,7 +20,7 @@
 import tomllib
 from pathlib import Path
 
-ROOT = Path(__file__).resolve().parents[2]
+ROOT = Path(__file__).resolve().parents[1]
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 KEY_COUNT = 65_536
 METRICS_PORT = 9464
