Move what is not translation out of the platform adapter

The connections to the store, the process of an entry host and the checks of addresses do not depend on the platform's names. No behaviour changes; the tests of the adapter pass unchanged.

--- a/src/balsamway/platform/store_client.py
+++ b/src/balsamway/platform/store_client.py
@@ -2,25 +2,17 @@
 
 from __future__ import annotations
 
-import asyncio
-import logging
 from typing import TYPE_CHECKING, Any
 from urllib.parse import quote, urlencode
 
 import msgspec
 
-from balsamway.exchange import (
-    ConnectionPool,
-    HttpRequest,
-    HttpResponse,
-    NotSent,
-    ResponseLost,
-)
+from balsamway.exchange import HttpRequest, HttpResponse, NotSent, ResponseLost
 from balsamway.outcome import Malformed
 from balsamway.platform import names
 from balsamway.platform import wire_types as wire
 from balsamway.platform.page_decoder import UNREADABLE_NAME, decode_response
-from balsamway.store.era import era_of, parse_era, revision_of, version_of
+from balsamway.store.era import era_of, revision_of, version_of
 from balsamway.store.object_store import Changes, HistoryGone, Listing
 from balsamway.store.store import (
     Absent,
@@ -30,6 +22,7 @@
     WriteUnknown,
     Written,
 )
+from balsamway.store.store_connections import StoreConnections
 
 if TYPE_CHECKING:
     from balsamway.store.call_counts import CallCounts
@@ -42,13 +35,9 @@
 LIST_TIMEOUT_SECONDS = 0.6
 """The longest time for one page of a list. It bounds how late the end of an
 outage is detected."""
-MAX_CONNECTIONS = 8
-"""The maximum number of open connections to the store."""
 MAX_PAGES = 1_000
 """The maximum number of pages that are read of one list."""
 
-logger = logging.getLogger(__name__)
-
 
 class StoreClient:
     """Call the platform's store over HTTP; implements `ObjectStore`."""
@@ -60,15 +49,14 @@
             address: The store's `ip:port`.
             counts: The metrics that each call is counted in.
         """
-        self._pool = ConnectionPool(address, MAX_CONNECTIONS)
+        self._connections = StoreConnections(address, names.STORE_ERA_HEADER, counts)
         self._host = address.encode()
         self._counts = counts
-        self._era = 0
 
     @property
     def era(self) -> int:
         """The highest era of the store that a response named."""
-        return self._era
+        return self._connections.era
 
     async def list(self, kind: str) -> ListResult:
         """Read all objects of a kind, page by page; see `ObjectStore.list`."""
@@ -105,7 +93,7 @@
         self, kind: str, after_revision: int, wait_seconds: float
     ) -> WatchResult:
         """Wait for changes of objects of a kind; see `ObjectStore.watch`."""
-        if era_of(after_revision) < self._era:
+        if era_of(after_revision) < self.era:
             return HistoryGone()
         after = revision_of(after_revision)
         query = {"watch": str(after), "waitMs": str(int(wait_seconds * 1000))}
@@ -152,7 +140,7 @@
         self, kind: str, name: str, body: bytes, expected_version: int | None
     ) -> WriteResult:
         """Update one object conditionally; see `ObjectStore.write`."""
-        if expected_version is not None and era_of(expected_version) < self._era:
+        if expected_version is not None and era_of(expected_version) < self.era:
             # The store compares revisions only, and a restored one gives them
             # out again.
             found = await self.read(kind, name)
@@ -170,8 +158,8 @@
             ),
             msgspec.json.encode(document),
         )
-        response = await self._call(request, CALL_TIMEOUT_SECONDS)
-        result = await _write_result(name, response, self._era_of(response))
+        response = await self._connections.call(request, CALL_TIMEOUT_SECONDS)
+        result = await _write_result(name, response, self._connections.era_of(response))
         self._counts.count("write", result)
         return result
 
@@ -190,7 +178,7 @@
         """
         request = HttpRequest("GET", path, ((b"Host", self._host),))
         result: Any
-        match response := await self._call(request, timeout_seconds):
+        match response := await self._connections.call(request, timeout_seconds):
             case HttpResponse(status=200, body=body):
                 result = await decode_response(body, cls)
                 if isinstance(result, Malformed):
@@ -201,58 +189,12 @@
                 result = Unavailable(f"status {status}")
             case ResponseLost(reason=reason) | NotSent(reason=reason):
                 result = Unavailable(reason)
-        era = self._era_of(response)
-        if era < self._era:
-            result = Unavailable(f"response of era {era} after era {self._era}")
+        era = self._connections.era_of(response)
+        if era < self.era:
+            result = Unavailable(f"response of era {era} after era {self.era}")
         self._counts.count(operation, result)
         return result, era
 
-    async def _call(
-        self, request: HttpRequest, timeout_seconds: float
-    ) -> HttpResponse | ResponseLost | NotSent:
-        """Send a request over a connection of the pool.
-
-        A request is sent at most once. It is tried on another connection only
-        if nothing was written to the first.
-        """
-        try:
-            async with asyncio.timeout(timeout_seconds):
-                while True:
-                    connection = await self._pool.acquire()
-                    if isinstance(connection, NotSent):
-                        return connection
-                    try:
-                        response = await connection.exchange(request)
-                    finally:
-                        self._pool.release(connection)
-                    # `NotSent` means that an idle connection had been closed,
-                    # so that nothing was written.
-                    if not isinstance(response, NotSent):
-                        self._note_era(response)
-                        return response
-        except TimeoutError:
-            return ResponseLost(f"no response within {timeout_seconds} s")
-
-    def _note_era(self, response: HttpResponse | ResponseLost) -> None:
-        era = self._era_of(response)
-        if era > self._era:
-            logger.warning(
-                "store-era-changed", extra={"era": era, "previous": self._era}
-            )
-            self._era = era
-            self._counts.era_changed(era)
-
-    def _era_of(self, response: HttpResponse | ResponseLost | NotSent) -> int:
-        """Return the era of the store that sent a response.
-
-        A response without a readable era counts as one of the last known era.
-        """
-        if not isinstance(response, HttpResponse):
-            return self._era
-        text = response.headers.get(names.STORE_ERA_HEADER)
-        era = None if text is None else parse_era(text)
-        return self._era if era is None else era
-
 
 def _path(kind: str, name: str = "", query: dict[str, str] | None = None) -> str:
     path = f"/objects/{quote(kind)}"
--- a/src/balsamway/settings.py
+++ b/src/balsamway/settings.py
@@ -4,11 +4,16 @@
 
 from dataclasses import dataclass, field
 from pathlib import Path
-from typing import TypeVar
+from typing import TYPE_CHECKING, TypeVar
 
 import msgspec
 import pyjson5
 
+from balsamway.address import MAX_PORT, is_ipv4_address
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
 T = TypeVar("T")
 
 
@@ -94,3 +99,41 @@
         raise SettingsError(f"{path}: {error.strerror}") from error
     except (pyjson5.Json5Exception, msgspec.ValidationError) as error:
         raise SettingsError(f"{path}: {error}") from error
+
+
+def check_ip(key: str, ip: str) -> None:
+    """Check an IP address of the settings.
+
+    Args:
+        key: The key of the address in the settings file.
+        ip: The address.
+
+    Raises:
+        SettingsError: If it is not an IPv4 address.
+    """
+    if not is_ipv4_address(ip):
+        raise SettingsError(f"{key}: {ip!r} has no valid IPv4 address")
+
+
+def check_addresses(listeners: Mapping[str, str], others: Mapping[str, str]) -> None:
+    """Check addresses of the settings, and that no two listeners share one.
+
+    Args:
+        listeners: The `ip:port` of each listener, by its key in the file. The
+            ports are digits.
+        others: The other addresses, by their keys.
+
+    Raises:
+        SettingsError: If one is invalid. The message names key and value.
+    """
+    for key, address in ({**listeners, **others}).items():
+        ip, _, port = address.rpartition(":")
+        if not is_ipv4_address(ip):
+            raise SettingsError(f"{key}: {address!r} has no valid IPv4 address")
+        if not 0 < int(port) <= MAX_PORT:
+            raise SettingsError(f"{key}: {address!r} has no valid port")
+    keys_by_address: dict[str, str] = {}
+    for key, address in listeners.items():
+        other_key = keys_by_address.setdefault(address, key)
+        if other_key != key:
+            raise SettingsError(f"{key}: {address!r} is also {other_key}")
