Keep the rest of a configuration in force when a part can't be decoded

The configuration is decoded part by part. A route of an unknown type counts as unsafe; one that can't be decoded is refused with 503, never 404; a limit has its default; a service without a readable name is left out. One log line and one gauge tell it for each version. Route type "upload" is known now, as are the fields for cold targets, regions and evacuations in the settings.

--- a/src/balsamway/commands/explain.py
+++ b/src/balsamway/commands/explain.py
@@ -26,6 +26,7 @@
 HOST_EVENTS = frozenset(
     {
         "configuration-adopted",
+        "configuration-partly-unreadable",
         "draining",
         "keys-taken-over",
         "leadership-lost",
--- a/src/balsamway/forwarding/forwarder.py
+++ b/src/balsamway/forwarding/forwarder.py
@@ -31,6 +31,8 @@
 REFUSAL_RETRY_AFTER_SECONDS = 0.3
 """The Retry-After time of a request that this host refuses before any attempt
 because it has no configuration, or no service, for it yet."""
+MAX_LOGGED_PROBLEMS = 5
+"""Bounds the logged problems of one configuration."""
 
 logger = logging.getLogger(__name__)
 
@@ -109,6 +111,15 @@
                 "routes": len(configuration.routes),
             },
         )
+        if configuration.problems:
+            logger.error(
+                "configuration-partly-unreadable",
+                extra={
+                    "version": configuration.version,
+                    "problems": len(configuration.problems),
+                    "first": configuration.problems[:MAX_LOGGED_PROBLEMS],
+                },
+            )
         return True
 
     def set_host_count(self, host_count: int) -> None:
@@ -159,7 +170,7 @@
         choice = self._routes.choose(request.host, request.path)
         if choice is None:
             return self._refuse(request, Reason.NO_ROUTE)
-        service = configuration.services.get(choice.service)
+        service = configuration.services.get(choice.service or "")
         if service is None:
             return self._refuse(request, Reason.NO_TARGET)
         budget = self.budget(service.name)
--- a/src/balsamway/node/node_metrics.py
+++ b/src/balsamway/node/node_metrics.py
@@ -40,6 +40,11 @@
             "The version of the configuration in force; 0 without one.",
             lambda: _configuration_version(node),
         )
+        self._add_gauge(
+            "balsamway_entry_configuration_problems",
+            "Parts of the configuration in force that could not be decoded.",
+            lambda: _configuration_problems(node),
+        )
         self._add_gauge(
             "balsamway_entry_configuration_age_seconds",
             "Since the store last told of the configuration; -1 if never.",
@@ -87,5 +92,10 @@
     return float(configuration.version) if configuration is not None else 0.0
 
 
+def _configuration_problems(node: EntryNode) -> float:
+    configuration = node.forwarder.configuration
+    return float(len(configuration.problems)) if configuration is not None else 0.0
+
+
 def _age_or_minus_one(seconds: float | None) -> float:
     return -1.0 if seconds is None else seconds
--- a/src/balsamway/node/node_settings.py
+++ b/src/balsamway/node/node_settings.py
@@ -3,6 +3,10 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
 
 
 @dataclass(frozen=True, slots=True)
@@ -22,6 +26,13 @@
     entry hosts together."""
     max_grant_seconds: float = 10.0
     """The longest grant of keys to a target, in seconds."""
+    warmup_excess: float = 1.5
+    """The factor by which a cold target's rate may be exceeded."""
+    warmup_slack: float = 8.0
+    """The number of requests that a cold target may get beyond that."""
+    evacuate_seconds: float | None = None
+    """The time, in seconds, within which requests to the targets of an
+    evacuated zone must stop. None if zones are not evacuated."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,3 +54,12 @@
     bounds: Bounds = field(default_factory=Bounds)
     memory_megabytes: float = 300.0
     """The memory that the process may use."""
+    max_descriptors: int = 4_096
+    """The file descriptors that the process may have open."""
+    region_by_zone: Mapping[str, str] = field(default_factory=dict)
+    """The region of each availability zone, as far as it is known."""
+
+    @property
+    def evacuates_zones(self) -> bool:
+        """Whether the operator may ask for the evacuation of a zone."""
+        return self.bounds.evacuate_seconds is not None
--- a/src/balsamway/platform/configuration_decoder.py
+++ b/src/balsamway/platform/configuration_decoder.py
@@ -1,4 +1,8 @@
-"""Decode the operator's configuration."""
+"""Decode the operator's configuration.
+
+A part that can't be decoded is left out and reported, and the rest is used:
+one new word must not put every route out of service.
+"""
 
 from __future__ import annotations
 
@@ -7,6 +11,7 @@
 import msgspec
 
 from balsamway.outcome import Malformed
+from balsamway.partial_decoder import DECODE_ERRORS, PartialDecoder, decode_or_none
 from balsamway.routing import (
     Backend,
     CallerLimits,
@@ -28,6 +33,9 @@
 DEFAULT_MAX_CONNECTIONS = 50
 """The number of connections that each target of a service accepts, where the
 configuration does not set it."""
+UNDECODED_ROUTE_TIMEOUT_SECONDS = 1.0
+"""The timeout of a route that could not be decoded. Its requests are refused
+at once."""
 
 
 class _Backend(msgspec.Struct, frozen=True):
@@ -38,18 +46,25 @@
 class _Path(msgspec.Struct, frozen=True, rename="camel"):
     name: str
     path_prefix: str
-    route_type: RouteType
+    route_type: str
     timeout_ms: Positive
     target_latency_ms: Positive = 1_000.0
     priority: Int64 = 0
     max_attempts: PositiveInt = 1
     service: str | None = None
     backends: list[_Backend] = []
+    allowed_regions: list[str] | None = None
+
+
+class _PathMatch(msgspec.Struct, frozen=True, rename="camel"):
+    """What is needed of a path to know which requests it matches."""
+
+    path_prefix: str
 
 
 class _Host(msgspec.Struct, frozen=True):
     host: str
-    paths: list[_Path]
+    paths: list[msgspec.Raw]
 
 
 class _Service(msgspec.Struct, frozen=True, rename="camel"):
@@ -57,6 +72,15 @@
     max_connections: PositiveInt = DEFAULT_MAX_CONNECTIONS
     sharded: bool = False
     warm_s: NonNegative = 0.0
+    warmup_s: NonNegative = 0.0
+    warmup_per_s: Positive | None = None
+
+
+class _RequiredService(msgspec.Struct, frozen=True):
+    """What can't be assumed of a service whose other fields are unknown."""
+
+    name: str
+    sharded: bool = False
 
 
 class _Limits(msgspec.Struct, frozen=True, rename="camel"):
@@ -68,9 +92,9 @@
 
 class _Configuration(msgspec.Struct, frozen=True):
     version: Int64
-    hosts: list[_Host]
-    services: list[_Service]
-    limits: _Limits = _Limits()
+    hosts: list[msgspec.Raw]
+    services: list[msgspec.Raw]
+    limits: msgspec.Raw = msgspec.Raw(b"{}")
 
 
 def decode_routing(body: bytes) -> RoutingConfiguration | Malformed:
@@ -80,37 +104,103 @@
         body: The stored value, JSON.
 
     Returns:
-        The configuration, or the reason why it can't be decoded.
+        The configuration, with the problems of the parts that were left out,
+        or the reason why none of it can be decoded.
     """
     try:
         decoded = msgspec.json.decode(body, type=_Configuration)
-    except (msgspec.MsgspecError, RecursionError) as error:
+    except DECODE_ERRORS as error:
         return Malformed(str(error))
-    for host in decoded.hosts:
-        for path in host.paths:
-            if path.service is None and not path.backends:
-                return Malformed(f"the route {path.name} names no service")
+    decoder = PartialDecoder()
+    routes = [
+        route
+        for index, host in enumerate(decoded.hosts)
+        for route in _decode_host(decoder, host, f"hosts[{index}]")
+    ]
+    services = [
+        _decode_service(decoder, service, f"services[{index}]")
+        for index, service in enumerate(decoded.services)
+    ]
+    limits = decoder.decode_fields(decoded.limits, _Limits, "limits")
     return RoutingConfiguration(
         version=decoded.version,
-        routes=tuple(
-            _route(host.host, path) for host in decoded.hosts for path in host.paths
-        ),
-        services={
-            service.name: RoutedService(
-                service.name, service.max_connections, service.sharded, service.warm_s
-            )
-            for service in decoded.services
-        },
+        routes=tuple(routes),
+        services={service.name: service for service in services if service is not None},
         limits=CallerLimits(
-            max_header_bytes=decoded.limits.max_header_bytes,
-            max_body_bytes=decoded.limits.max_body_bytes,
-            header_timeout_seconds=decoded.limits.header_timeout_ms / 1000,
-            idle_timeout_seconds=decoded.limits.idle_timeout_ms / 1000,
+            max_header_bytes=limits.max_header_bytes,
+            max_body_bytes=limits.max_body_bytes,
+            header_timeout_seconds=limits.header_timeout_ms / 1000,
+            idle_timeout_seconds=limits.idle_timeout_ms / 1000,
         ),
+        problems=decoder.problems,
+    )
+
+
+def _decode_host(decoder: PartialDecoder, body: msgspec.Raw, part: str) -> list[Route]:
+    host = decoder.decode(body, _Host, part)
+    if host is None:
+        return []
+    routes = [
+        _decode_path(decoder, host.host, path, f"{part}.paths[{index}]")
+        for index, path in enumerate(host.paths)
+    ]
+    return [route for route in routes if route is not None]
+
+
+def _decode_path(
+    decoder: PartialDecoder, host: str, body: msgspec.Raw, part: str
+) -> Route | None:
+    path = decoder.decode(body, _Path, part)
+    if path is None:
+        match = decode_or_none(body, _PathMatch)
+        return None if match is None else _undecoded_route(host, match.path_prefix)
+    if path.service is None and not path.backends:
+        decoder.add_problem(part, f"the route {path.name} names no service")
+        return _undecoded_route(host, path.path_prefix)
+    try:
+        route_type = RouteType(path.route_type)
+    except ValueError:
+        # The strictest type is the only one that can do no harm.
+        route_type = RouteType.UNSAFE
+        decoder.add_problem(part, f"unknown route type {path.route_type!r}")
+    return _route(host, path, route_type)
+
+
+def _undecoded_route(host: str, path_prefix: str) -> Route:
+    """Return a route whose requests are refused instead of not found."""
+    return Route(
+        name="undecoded",
+        host=host.lower(),
+        path_prefix=path_prefix,
+        type=RouteType.UNSAFE,
+        timeout_seconds=UNDECODED_ROUTE_TIMEOUT_SECONDS,
+        objective_seconds=UNDECODED_ROUTE_TIMEOUT_SECONDS,
+        priority=0,
+        max_attempts=1,
+        backends=(),
+    )
+
+
+def _decode_service(
+    decoder: PartialDecoder, body: msgspec.Raw, part: str
+) -> RoutedService | None:
+    service = decoder.decode(body, _Service, part)
+    if service is None:
+        required = decode_or_none(body, _RequiredService)
+        if required is None:
+            return None
+        service = _Service(required.name, sharded=required.sharded)
+    return RoutedService(
+        service.name,
+        service.max_connections,
+        service.sharded,
+        service.warm_s,
+        service.warmup_s,
+        service.warmup_per_s,
     )
 
 
-def _route(host: str, path: _Path) -> Route:
+def _route(host: str, path: _Path, route_type: RouteType) -> Route:
     backends = tuple(
         Backend(backend.service, backend.weight) for backend in path.backends
     )
@@ -120,10 +210,11 @@
         name=path.name,
         host=host.lower(),
         path_prefix=path.path_prefix,
-        type=path.route_type,
+        type=route_type,
         timeout_seconds=path.timeout_ms / 1000,
         objective_seconds=path.target_latency_ms / 1000,
         priority=path.priority,
         max_attempts=path.max_attempts,
         backends=backends,
+        allowed_regions=frozenset(path.allowed_regions or ()),
     )
--- a/src/balsamway/platform/page_decoder.py
+++ b/src/balsamway/platform/page_decoder.py
@@ -12,15 +12,13 @@
 
 from balsamway.json_outline import find_part, split_json
 from balsamway.outcome import Malformed
+from balsamway.partial_decoder import DECODE_ERRORS
 from balsamway.platform import wire_types as wire
 
 UNREADABLE_SPEC = msgspec.Raw(b"")
 """Replaces a value that can't be decoded. No decoder takes it for valid."""
 UNREADABLE_NAME = ""
 """Replaces a name that can't be decoded."""
-DECODE_ERRORS = (msgspec.MsgspecError, RecursionError)
-"""What `msgspec.json.decode` raises; the second for a value that is nested
-too deeply."""
 
 
 class _Name(msgspec.Struct, frozen=True):
--- a/src/balsamway/platform/settings.py
+++ b/src/balsamway/platform/settings.py
@@ -9,9 +9,9 @@
 
 import msgspec
 
-from balsamway.address import MAX_PORT, is_ipv4_address
+from balsamway.address import MAX_PORT
 from balsamway.node.node_settings import Bounds, NodeSettings
-from balsamway.settings import SettingsError
+from balsamway.settings import SettingsError, check_addresses, check_ip
 
 SETTINGS_VARIABLE = "BALSAMWAY_NODE_FILE"
 """The environment variable that holds the path of the settings file."""
@@ -28,6 +28,7 @@
 
 class _Limits(msgspec.Struct, frozen=True, rename="camel"):
     memory_mb: Positive = 300
+    max_fds: Annotated[int, msgspec.Meta(gt=0)] = 4_096
 
 
 class _Self(msgspec.Struct, frozen=True):
@@ -47,6 +48,7 @@
     internal_ports: Annotated[list[Port], msgspec.Meta(min_length=2, max_length=2)]
     listen: _Listen
     seeds: list[Address] = []
+    zones: dict[str, str] = {}
 
 
 class _Store(msgspec.Struct, frozen=True, rename="camel"):
@@ -63,6 +65,9 @@
     retry_budget_ratio: Annotated[float, msgspec.Meta(ge=0)] = 0.2
     retry_slack: Annotated[float, msgspec.Meta(ge=0)] = 50.0
     hold_max_ms: Positive = 10_000.0
+    warmup_excess: Positive = 1.5
+    warmup_slack: Annotated[float, msgspec.Meta(ge=0)] = 8.0
+    evacuate_ms: Positive | None = None
 
 
 class _Terms(msgspec.Struct, frozen=True):
@@ -82,35 +87,19 @@
 
 
 def _check_addresses(file: _File) -> None:
-    """Check each address, and that no two listeners share one.
-
-    Raises:
-        SettingsError: If one is invalid. The message names key and value.
-    """
+    """Check each address; see `balsamway.settings.check_addresses`."""
     listen = file.network.listen
-    if not is_ipv4_address(file.self.ip):
-        raise SettingsError(f"self.ip: {file.self.ip!r} has no valid IPv4 address")
     listeners = {
         "network.listen.front": listen.front,
         "network.listen.readyAddress": listen.ready_address,
     }
     if listen.control is not None:
         listeners["network.listen.control"] = listen.control
-    seeds = {
+    others = {
         f"network.seeds.{index}": seed for index, seed in enumerate(file.network.seeds)
-    }
-    store = {"platform.platform.address": file.platform.platform.address}
-    for key, address in (listeners | seeds | store).items():
-        ip, _, port = address.rpartition(":")
-        if not is_ipv4_address(ip):
-            raise SettingsError(f"{key}: {address!r} has no valid IPv4 address")
-        if not 0 < int(port) <= MAX_PORT:
-            raise SettingsError(f"{key}: {address!r} has no valid port")
-    keys_by_address: dict[str, str] = {}
-    for key, address in listeners.items():
-        other_key = keys_by_address.setdefault(address, key)
-        if other_key != key:
-            raise SettingsError(f"{key}: {address!r} is also {other_key}")
+    } | {"platform.platform.address": file.platform.platform.address}
+    check_ip("self.ip", file.self.ip)
+    check_addresses(listeners, others)
 
 
 def read_node_settings(path: Path) -> NodeSettings:
@@ -158,11 +147,18 @@
         store_address=decoded.platform.platform.address,
         metrics_address=f"{decoded.self.ip}:{METRICS_PORT}",
         memory_megabytes=decoded.self.limits.memory_mb,
+        max_descriptors=decoded.self.limits.max_fds,
+        region_by_zone=decoded.network.zones,
         bounds=Bounds(
             drain_seconds=bounds.drain_ms / 1000,
             grace_seconds=bounds.grace_s,
             retry_ratio=bounds.retry_budget_ratio,
             retry_burst=bounds.retry_slack,
             max_grant_seconds=bounds.hold_max_ms / 1000,
+            warmup_excess=bounds.warmup_excess,
+            warmup_slack=bounds.warmup_slack,
+            evacuate_seconds=(
+                None if bounds.evacuate_ms is None else bounds.evacuate_ms / 1000
+            ),
         ),
     )
--- a/src/balsamway/routing/active_routes.py
+++ b/src/balsamway/routing/active_routes.py
@@ -21,7 +21,8 @@
     """The route of a request, and the service that its split chose."""
 
     route: Route
-    service: str
+    service: str | None
+    """None if the route has no service that could be decoded."""
 
 
 class ActiveRoutes:
--- a/src/balsamway/routing/route.py
+++ b/src/balsamway/routing/route.py
@@ -32,7 +32,10 @@
     max_attempts: int
     """Bounds the attempts of one request that reach a target."""
     backends: tuple[Backend, ...]
-    """The services, at least one, in the order of the configuration."""
+    """The services, in the order of the configuration. Without any, the route
+    could not be decoded as a whole, and its requests are refused."""
+    allowed_regions: frozenset[str] = frozenset()
+    """The regions whose targets may serve the requests. Empty means all."""
 
     @property
     def id(self) -> RouteId:
--- a/src/balsamway/routing/route_type.py
+++ b/src/balsamway/routing/route_type.py
@@ -12,3 +12,5 @@
     """A request may be retried even if an earlier attempt may have run."""
     UNSAFE = "unsafe"
     """A request may be retried only if it is known not to have run."""
+    UPLOAD = "upload"
+    """As `UNSAFE`, and its body may be large."""
--- a/src/balsamway/routing/routed_service.py
+++ b/src/balsamway/routing/routed_service.py
@@ -16,3 +16,10 @@
     """Whether each key has one owner among the targets at a time."""
     warm_seconds: float = 0.0
     """How long requests for a key are slow after a move without a handover."""
+    warmup_seconds: float = 0.0
+    """How long a target is slow after a start; 0 if it is not known to be."""
+    warmup_requests_per_second: float | None = None
+    """The rate that a target accepts from all hosts while it is cold.
+
+    None if it names no such rate.
+    """
--- a/src/balsamway/routing/routing_configuration.py
+++ b/src/balsamway/routing/routing_configuration.py
@@ -22,6 +22,8 @@
     routes: tuple[Route, ...]
     services: Mapping[str, RoutedService]
     limits: CallerLimits = field(default_factory=CallerLimits)
+    problems: tuple[str, ...] = ()
+    """What could not be decoded, and is therefore not in force."""
 
     @property
     def keyed_services(self) -> tuple[str, ...]:
--- a/src/balsamway/routing/weighted_split.py
+++ b/src/balsamway/routing/weighted_split.py
@@ -23,6 +23,7 @@
         Args:
             backends: The services and their weights. Services of weight 0 are
                 used only if there is no other.
+                There may be none at all.
             rng: Draws the first credits.
         """
         weighted = [backend for backend in backends if backend.weight > 0]
@@ -36,8 +37,10 @@
         """The services and weights among which the requests are split."""
         return self._backends
 
-    def next_service(self) -> str:
-        """Return the name of the service for the next request."""
+    def next_service(self) -> str | None:
+        """Return the name of the service for the next request, if any."""
+        if not self._choices:
+            return None
         if len(self._choices) == 1:
             return self._choices[0].service
         chosen = 0
