Keep short urgent requests away from targets that run long ones

A share of the targets, the same for all hosts by a hash of their names, is meant for short requests where routes of one service differ in their objective by a factor of three or more. Services with keys or one kind of request are not touched. Separation by measured service times was tried first: half of the hosts did not separate, since each sees too few requests.

--- a/src/balsamway/forwarding/attempt_loop.py
+++ b/src/balsamway/forwarding/attempt_loop.py
@@ -209,6 +209,9 @@
             self.route.objective_seconds,
             self._tried,
             self._forwarder.rng,
+            self._forwarder.work_separation.preference(
+                self.route.id, self.service.name, len(states)
+            ),
         )
         if state is not None:
             return self._admit(state, mean_service_seconds(states))
--- a/src/balsamway/forwarding/forwarder.py
+++ b/src/balsamway/forwarding/forwarder.py
@@ -11,6 +11,7 @@
 from balsamway.forwarding.attempt_loop import AttemptLoop
 from balsamway.forwarding.retry_budget import RetryBudget
 from balsamway.forwarding.service_time_estimates import ServiceTimeEstimates
+from balsamway.forwarding.work_separation import WorkSeparation
 from balsamway.outcome import NotRun, Reason
 from balsamway.routing import ActiveRoutes
 
@@ -78,6 +79,7 @@
         self._last_attempt_at = math.inf
         self._key_counts: dict[str, dict[int, int]] = {}
         self.service_times = ServiceTimeEstimates()
+        self.work_separation = WorkSeparation()
 
     @property
     def configuration(self) -> RoutingConfiguration | None:
@@ -100,6 +102,7 @@
         self._configuration = configuration
         for removed in self._routes.replace(configuration.routes):
             self.service_times.forget_route(removed)
+        self.work_separation.replace(configuration.routes)
         self.targets.set_limits(
             tuple(configuration.services.values()), self._host_count
         )
@@ -178,6 +181,7 @@
         if service.is_keyed and request.key is not None:
             counts = self._key_counts.setdefault(service.name, {})
             counts[request.key] = counts.get(request.key, 0) + 1
+        self.work_separation.record(choice.route.id, service.name)
         attempt_loop = AttemptLoop(self, request, choice.route, service, budget)
         verdict = await self._run_until_deadline(attempt_loop, request)
         for observer in self._observers:
--- a/src/balsamway/forwarding/target_choice.py
+++ b/src/balsamway/forwarding/target_choice.py
@@ -7,9 +7,10 @@
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Collection, Sequence
+    from collections.abc import Collection, Iterator, Sequence
 
     from balsamway.forwarding.target_state import TargetState
+    from balsamway.forwarding.work_separation import TargetPreference
 
 OTHER_ZONE_PENALTY_FRACTION = 0.2
 """The penalty of a target in another zone, as a fraction of the route's
@@ -36,6 +37,7 @@
     objective_seconds: float,
     tried: Collection[str],
     rng: random.Random,
+    preference: TargetPreference | None = None,
 ) -> TargetState | None:
     """Choose the target that is expected to respond first.
 
@@ -48,6 +50,7 @@
         objective_seconds: The latency objective of the route.
         tried: The names of the targets that the request was sent to already.
         rng: Samples the targets that are compared.
+        preference: Which targets suit the request; None if all do.
 
     Returns:
         A target, or None if there is none left to try.
@@ -69,14 +72,32 @@
             expected_response_seconds(state, mean_seconds)
             + FAILURE_PENALTY_SECONDS * state.failure_rate
         )
+        if preference is not None and not preference.suits(state.position):
+            seconds += preference.penalty_seconds
         return seconds if state.entry.zone == zone else seconds + zone_penalty
 
-    local = [state for state in candidates if state.entry.zone == zone]
-    remote = [state for state in candidates if state.entry.zone != zone]
-    sample = [*_sample(local, mean_seconds, rng), *_sample(remote, mean_seconds, rng)]
+    sample = [
+        state
+        for group in _groups(candidates, zone, preference)
+        for state in _sample(group, mean_seconds, rng)
+    ]
     return min(sample, key=cost)
 
 
+def _groups(
+    states: Sequence[TargetState], zone: str, preference: TargetPreference | None
+) -> Iterator[Sequence[TargetState]]:
+    """Divide targets into the groups of which a sample each is compared."""
+    parts = [states]
+    if preference is not None:
+        suited = [state for state in states if preference.suits(state.position)]
+        others = [state for state in states if not preference.suits(state.position)]
+        parts = [suited, others]
+    for part in parts:
+        yield [state for state in part if state.entry.zone == zone]
+        yield [state for state in part if state.entry.zone != zone]
+
+
 def _sample(
     states: Sequence[TargetState], mean_seconds: float, rng: random.Random
 ) -> list[TargetState]:
--- a/src/balsamway/forwarding/target_state.py
+++ b/src/balsamway/forwarding/target_state.py
@@ -8,6 +8,7 @@
 from balsamway.clock import now
 from balsamway.forwarding.attempt_result import AttemptOutcome
 from balsamway.forwarding.target_rest import TargetRest
+from balsamway.forwarding.work_separation import position_of
 from balsamway.limits import TargetLimit
 
 if TYPE_CHECKING:
@@ -57,6 +58,8 @@
         self.leaving_since: float | None = None
         """When the target said that it is leaving, in event loop time."""
         self.entry = entry
+        self.position = position_of(entry.name)
+        """The target's position in an order that all hosts share."""
         self.pool = pool
         self.limit = TargetLimit(entry.name)
         self.rest = TargetRest(entry.name)
