--- a/src/balsamway/forwarding/work_separation.py
+++ b/src/balsamway/forwarding/work_separation.py
@@ -8,11 +8,10 @@
 
 from __future__ import annotations
 
+import zlib
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-import xxhash
-
 from balsamway.clock import now
 
 if TYPE_CHECKING:
@@ -78,7 +77,7 @@
     Args:
         target: The name of the target.
     """
-    return xxhash.xxh32_intdigest(target.encode()) / HASH_RANGE
+    return zlib.crc32(target.encode()) / HASH_RANGE
 
 
 @dataclass(slots=True)
