Send nothing new to the targets of an evacuated zone

Cause: the operator can ask for the evacuation of a zone by an entry evacuations/ZONE, and hosts did not know of such entries.

Change: where the settings have evacuateMs, hosts watch the kind as they watch targets, through the leader's relay. Targets of an evacuated zone are not available for requests or keys, also not as a last choice, after a wait for a token or after one for a connection. Owners of keys get requests for half of the time to evacuate. Routes with allowedRegions use the targets of these regions only. Until the evacuations are known a host sends nothing.

--- a/src/balsamway/commands/explain.py
+++ b/src/balsamway/commands/explain.py
@@ -33,10 +33,13 @@
         "leadership-taken",
         "store-lost",
         "store-regained",
+        "zone-evacuated",
+        "zone-evacuation-ended",
+        "zone-evacuation-held",
     }
 )
 """Events that affect every request on the host where they occur."""
-LASTING_EVENTS = frozenset({"target-leaving", "target-rests"})
+LASTING_EVENTS = frozenset({"target-leaving", "target-rests", "zone-evacuated"})
 """Events that keep a host from sending to a target for a longer time."""
 EVENTS_OF_OWN_HOST = frozenset(
     {"target-leaving", "target-rested", "target-rests", "target-seen"}
--- a/src/balsamway/discovery/target_directory.py
+++ b/src/balsamway/discovery/target_directory.py
@@ -8,6 +8,7 @@
 from balsamway.clock import now
 from balsamway.discovery.leaving_targets import LeavingTargets
 from balsamway.discovery.outdated_entries import OutdatedEntries
+from balsamway.evacuation import EvacuatedZones
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -32,7 +33,13 @@
     target. It is kept for `REREGISTRATION_SECONDS` after the outage.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, evacuated_zones: EvacuatedZones | None = None) -> None:
+        """Create a directory without entries.
+
+        Args:
+            evacuated_zones: The zones whose targets are not available. None if
+                zones are not evacuated.
+        """
         self._entries: dict[str, TargetEntry] = {}
         self._removal_at: dict[str, float] = {}
         """The event loop time at which a missing entry is removed, by name."""
@@ -44,6 +51,9 @@
         self._outdated = OutdatedEntries()
         self.leaving = LeavingTargets()
         """The targets that said so themselves, listed as draining or not."""
+        self.evacuated_zones = evacuated_zones or EvacuatedZones()
+        """The zones whose targets are not available."""
+        self.evacuated_zones.add_listener(self._publish)
 
     @property
     def has_snapshot(self) -> bool:
@@ -80,7 +90,9 @@
         return self._entries.get(name)
 
     def available_targets(self, service: str) -> tuple[TargetEntry, ...]:
-        """Return the targets of a service that neither drain nor leave.
+        """Return the targets of a service that may get any request and key.
+
+        They neither drain nor leave, and their zones are not evacuated.
 
         Args:
             service: The name of the service.
@@ -224,7 +236,11 @@
     def _publish(self) -> None:
         by_service: dict[str, list[TargetEntry]] = {}
         for entry in self._entries.values():
-            if not entry.is_draining and self.leaving.since(entry.key) is None:
+            if (
+                not entry.is_draining
+                and self.leaving.since(entry.key) is None
+                and self.evacuated_zones.find(entry.zone) is None
+            ):
                 by_service.setdefault(entry.service, []).append(entry)
         self._by_service = {
             service: tuple(entries) for service, entries in by_service.items()
--- a/src/balsamway/exchange/connection_pool.py
+++ b/src/balsamway/exchange/connection_pool.py
@@ -60,6 +60,8 @@
         self._idle: list[TargetConnection] = []
         self._in_use: set[TargetConnection] = set()
         self._opening_count = 0
+        self.may_use: Callable[[], bool] = lambda: True
+        """Tells whether a connection may be used after the wait for it."""
         self.lost = 0
         """The number of connections that ended unexpectedly."""
         self._waiters: collections.deque[asyncio.Future[None]] = collections.deque()
@@ -75,11 +77,15 @@
         The caller must return the connection with `release`.
 
         Returns:
-            The connection, or `NotSent` if none could be opened.
+            The connection, or `NotSent` if none could be opened or used.
         """
         connection = await self._take_or_open()
-        if not isinstance(connection, NotSent):
-            self._in_use.add(connection)
+        if isinstance(connection, NotSent):
+            return connection
+        if not self.may_use():
+            self.release(connection)
+            return NotSent("the target must not be used any more", is_withheld=True)
+        self._in_use.add(connection)
         return connection
 
     def release(self, connection: TargetConnection) -> None:
--- a/src/balsamway/exchange/not_sent.py
+++ b/src/balsamway/exchange/not_sent.py
@@ -13,3 +13,6 @@
     is_reset_by_target: bool = False
     """Whether the target accepted the connection and then reset it, as it does
     while it has too many."""
+    is_withheld: bool = False
+    """Whether this host withheld the request, because its target must not be
+    used any more."""
--- a/src/balsamway/forwarding/attempt_loop.py
+++ b/src/balsamway/forwarding/attempt_loop.py
@@ -8,9 +8,11 @@
 from balsamway.clock import now
 from balsamway.forwarding.attempt_result import AttemptOutcome, AttemptResult
 from balsamway.forwarding.refusals import (
+    all_evacuated,
     host_stops,
     jitter,
     limit_used_up,
+    region_not_allowed,
     targets_rest,
 )
 from balsamway.forwarding.target_choice import (
@@ -174,6 +176,7 @@
                     AttemptOutcome.UNREACHABLE
                     | AttemptOutcome.CONNECTION_REFUSED
                     | AttemptOutcome.STALE_CONNECTION
+                    | AttemptOutcome.WITHHELD
                 ):
                     unreachable_attempts += 1
                     if unreachable_attempts >= MAX_UNREACHABLE_ATTEMPTS:
@@ -199,9 +202,15 @@
             return NotRun(Reason.OVERLOADED, "no time is left")
         if not self._forwarder.is_sending:
             return host_stops(self._forwarder.rng)
+        if self._forwarder.targets.is_evacuated(self.service.name):
+            return all_evacuated(self.service.name, self._forwarder.rng)
         if self.service.is_keyed:
             return await self._find_owner()
-        states = self._forwarder.targets.usable(self.service.name)
+        states = [
+            state
+            for state in self._forwarder.targets.usable(self.service.name)
+            if self._is_region_allowed(state)
+        ]
         rested = [state for state in states if state.rest.allows_request]
         state = choose_target(
             self._without_held_back(rested),
@@ -222,6 +231,9 @@
             self._jitter(RETRY_AFTER_SECONDS),
         )
 
+    def _is_region_allowed(self, state: TargetState) -> bool:
+        return self._forwarder.regions.allows(self.route, state.entry.zone)
+
     def _without_held_back(self, states: Sequence[TargetState]) -> list[TargetState]:
         """Return the targets whose limit may have room for the request."""
         for state in states:
@@ -232,7 +244,7 @@
         return [state for state in states if state.entry.name not in self._held_back]
 
     def _may_still_send(self, state: TargetState) -> bool:
-        """Return whether the target has neither left nor asked for rest."""
+        """Return whether the target has not left, been evacuated or rested."""
         is_listed = self._forwarder.targets.find(*state.entry.key) is state
         return is_listed and state.may_receive(self.service.is_keyed)
 
@@ -296,6 +308,8 @@
             expected_at = wait_until
             if owner is not None:
                 state = self._forwarder.targets.find(owner.name, owner.incarnation)
+                if state is not None and not self._is_region_allowed(state):
+                    return region_not_allowed(state, self._forwarder.rng)
                 if state is not None and state.is_drain_expired:
                     state = None
                 expected_at = owner.accept_expected_at
@@ -378,6 +392,7 @@
             self._may_have_run = may_have_run_before
         if result.outcome not in (
             AttemptOutcome.STALE_CONNECTION,
+            AttemptOutcome.WITHHELD,
             AttemptOutcome.KEY_NOT_HELD,
         ):
             self._tried.add(state.entry.name)
--- a/src/balsamway/forwarding/attempt_result.py
+++ b/src/balsamway/forwarding/attempt_result.py
@@ -35,6 +35,9 @@
     it has too many."""
     STALE_CONNECTION = "stale-connection"
     """An idle connection had been closed before anything was written."""
+    WITHHELD = "withheld"
+    """The zone of the target was evacuated while the attempt waited for a
+    connection, before anything was written."""
     CONNECTION_LOST = "broken"
     """The exchange ended before the response was complete."""
     TIMED_OUT = "late"
--- a/src/balsamway/forwarding/forwarder.py
+++ b/src/balsamway/forwarding/forwarder.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 from balsamway.clock import now
+from balsamway.evacuation import Regions
 from balsamway.forwarding.attempt_loop import AttemptLoop
 from balsamway.forwarding.retry_budget import RetryBudget
 from balsamway.forwarding.service_time_estimates import ServiceTimeEstimates
@@ -59,7 +60,7 @@
             owners: Looks up the owners of keys.
             transport: Sends the attempts.
             admission: Keeps the limits that targets name.
-            settings: The bounds on retries.
+            settings: The bounds on retries, and the regions of zones.
             observers: Are notified when a request ends.
             rng: Chooses among targets and adds jitter to delays.
         """
@@ -69,6 +70,7 @@
         self.transport = transport
         self.admission = admission
         self.rng = rng
+        self.regions = Regions(settings.region_by_zone)
         self._observers = observers
         self._settings = settings
         self._configuration: RoutingConfiguration | None = None
--- a/src/balsamway/forwarding/forwarding_settings.py
+++ b/src/balsamway/forwarding/forwarding_settings.py
@@ -2,7 +2,11 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
 
 RETRY_FRACTION = 0.7
 """The fraction of the allowed retries that is used. Each host counts only its
@@ -19,6 +23,8 @@
     """The retries allowed in addition, for all hosts together."""
     min_host_count: int = 12
     """The number of entry hosts that share the bounds until more are known."""
+    region_by_zone: Mapping[str, str] = field(default_factory=dict)
+    """The region of each availability zone, as far as it is known."""
 
     @property
     def host_retry_ratio(self) -> float:
--- a/src/balsamway/forwarding/refusals.py
+++ b/src/balsamway/forwarding/refusals.py
@@ -19,6 +19,13 @@
 MIN_LIMIT_RETRY_AFTER_SECONDS = 0.1
 """The least Retry-After time of a refusal for a target's limit."""
 
+EVACUATED_RETRY_AFTER_SECONDS = 1.0
+"""The Retry-After time of a refusal because all targets are evacuated. Nobody
+knows when that ends; a change is known everywhere within 1.5 s."""
+NOT_ALLOWED_RETRY_AFTER_SECONDS = 1.0
+"""The Retry-After time of a refusal because the owner of a key is in a region
+that the route does not allow. Keys move within seconds."""
+
 
 def jitter(seconds: float, rng: random.Random) -> float:
     """Return a time that is up to a third shorter or longer."""
@@ -59,6 +66,34 @@
     )
 
 
+def all_evacuated(service: str, rng: random.Random) -> NotRun:
+    """Return the refusal of a request whose targets are all evacuated.
+
+    Args:
+        service: The service, whose targets are all in evacuated zones.
+        rng: Spreads the callers.
+    """
+    return NotRun(
+        Reason.NO_TARGET,
+        f"all targets of {service} are in evacuated zones",
+        jitter(EVACUATED_RETRY_AFTER_SECONDS, rng),
+    )
+
+
+def region_not_allowed(state: TargetState, rng: random.Random) -> NotRun:
+    """Return the refusal of a request whose route excludes its key's owner.
+
+    Args:
+        state: The owner of the request's key.
+        rng: Spreads the callers.
+    """
+    return NotRun(
+        Reason.NO_TARGET,
+        f"{state.entry.name} is in a region that the route does not allow",
+        jitter(NOT_ALLOWED_RETRY_AFTER_SECONDS, rng),
+    )
+
+
 def host_stops(rng: random.Random) -> NotRun:
     """Return the refusal of a request that this host must not send."""
     return NotRun(
--- a/src/balsamway/forwarding/service_targets.py
+++ b/src/balsamway/forwarding/service_targets.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 from typing import TYPE_CHECKING
 
 from balsamway.clock import now
@@ -49,6 +50,10 @@
         self._usable: dict[str, tuple[TargetState, ...]] = {}
         self._connection_limits: dict[str, int] = {}
         self._hosts = 1
+        self._keyed: frozenset[str] = frozenset()
+        """The services with exclusive keys."""
+        self._evacuated: frozenset[str] = frozenset()
+        """The services with targets in evacuated zones only."""
         directory.add_listener(self.refresh)
 
     def set_limits(self, services: Sequence[RoutedService], host_count: int) -> None:
@@ -58,6 +63,9 @@
             services: The services of the configuration in force.
             host_count: The number of entry hosts that share the connections.
         """
+        self._keyed = frozenset(
+            service.name for service in services if service.is_keyed
+        )
         self._connection_limits = {
             service.name: max(
                 MIN_CONNECTIONS,
@@ -94,6 +102,15 @@
             if state.entry.service == service and state.may_be_last_choice
         )
 
+    def is_evacuated(self, service: str) -> bool:
+        """Return whether all targets of a service are in evacuated zones.
+
+        Args:
+            service: The name of the service. One without targets has none in
+                an evacuated zone.
+        """
+        return service in self._evacuated
+
     def leaving(self) -> Sequence[TargetState]:
         """Return the states of the targets that said that they are leaving."""
         return tuple(
@@ -109,7 +126,9 @@
         return {
             state.entry.name: state.dump()
             for state in self._states.values()
-            if state.leaving_since is not None or state.rest.is_active
+            if state.leaving_since is not None
+            or state.rest.is_active
+            or state.evacuation is not None
         }
 
     def on_leaving(self, state: TargetState) -> None:
@@ -159,10 +178,19 @@
                 self._on_open,
                 budget=self._budget,
             )
-            self._states[key] = TargetState(entry, pool, self._drain_seconds)
+            state = TargetState(entry, pool, self._drain_seconds)
+            pool.may_use = functools.partial(self._may_use_connection, state)
+            self._states[key] = state
         for key, state in self._states.items():
             state.leaving_since = self._directory.leaving.since(key)
+            zones = self._directory.evacuated_zones
+            state.evacuation = zones.find(state.entry.zone)
         services = {entry.service for entry in listed.values()}
+        self._evacuated = frozenset(services) - {
+            state.entry.service
+            for state in self._states.values()
+            if state.evacuation is None
+        }
         self._usable = {
             service: tuple(
                 self._states[entry.key]
@@ -181,5 +209,12 @@
         for state in self._states.values():
             state.pool.close_idle()
 
+    def _may_use_connection(self, state: TargetState) -> bool:
+        """Return whether a request may be written that waited until now."""
+        evacuation = state.evacuation
+        return evacuation is None or evacuation.may_receive(
+            state.entry.service in self._keyed
+        )
+
     def _connection_limit(self, service: str) -> int:
         return self._connection_limits.get(service, MIN_CONNECTIONS)
--- a/src/balsamway/forwarding/target_state.py
+++ b/src/balsamway/forwarding/target_state.py
@@ -12,6 +12,7 @@
 
 if TYPE_CHECKING:
     from balsamway.discovery import TargetEntry
+    from balsamway.evacuation import Evacuation
     from balsamway.exchange import ConnectionPool
 
 LATENCY_WEIGHT = 0.15
@@ -56,6 +57,8 @@
         self._draining_since = now() if entry.is_draining else None
         self.leaving_since: float | None = None
         """When the target said that it is leaving, in event loop time."""
+        self.evacuation: Evacuation | None = None
+        """The evacuation of the target's zone; None if it is not evacuated."""
         self.entry = entry
         self.pool = pool
         self.limit = TargetLimit(entry.name)
@@ -81,7 +84,12 @@
 
     @property
     def is_drain_expired(self) -> bool:
-        """Whether the target has drained too long to receive any request."""
+        """Whether the target must receive no request, not even for its keys.
+
+        It has drained, or its zone is evacuated, for too long.
+        """
+        if self.evacuation is not None and not self.evacuation.may_receive(True):
+            return True
         return self._has_expired(self._draining_since, DRAIN_FRACTION) or (
             self._has_expired(self.leaving_since, LEAVING_FRACTION)
         )
@@ -98,12 +106,18 @@
         """
         if self.entry.is_draining and not is_key_owner:
             return False
+        if self.evacuation is not None and not is_key_owner:
+            return False
         return self.rest.allows_request and not self.is_drain_expired
 
     @property
     def may_be_last_choice(self) -> bool:
         """Whether the target is leaving, but may still receive requests."""
-        return not self.entry.is_draining and not self.is_drain_expired
+        return (
+            not self.entry.is_draining
+            and not self.is_drain_expired
+            and self.evacuation is None
+        )
 
     @property
     def is_in_backoff(self) -> bool:
@@ -144,6 +158,7 @@
         return {
             "incarnation": self.entry.incarnation,
             "leaving_seconds": None if since is None else round(now() - since, 3),
+            "is_evacuated": self.evacuation is not None,
             "rest_seconds": round(self.rest.remaining_seconds, 3),
             "may_receive": self.may_receive(is_key_owner=True),
         }
@@ -189,7 +204,11 @@
                 self._on_unreachable()
             case AttemptOutcome.WRONG_TARGET:
                 self._on_unreachable()
-            case AttemptOutcome.KEY_NOT_HELD | AttemptOutcome.STALE_CONNECTION:
+            case (
+                AttemptOutcome.KEY_NOT_HELD
+                | AttemptOutcome.STALE_CONNECTION
+                | AttemptOutcome.WITHHELD
+            ):
                 pass
             case AttemptOutcome.FAILED:
                 self._consecutive_unreachable = 0
--- a/src/balsamway/node/entry_node.py
+++ b/src/balsamway/node/entry_node.py
@@ -14,6 +14,7 @@
 from balsamway.daemon.operator_listener import OperatorListener
 from balsamway.discovery import TargetDirectory
 from balsamway.entry import EntryListener
+from balsamway.evacuation import EvacuatedZones
 from balsamway.exchange import ResponseBudget
 from balsamway.exchange.refusal_probe import is_refusing
 from balsamway.forwarding.forwarder import Forwarder
@@ -31,6 +32,7 @@
 from balsamway.limits.token_client import TokenClient
 from balsamway.node.configuration_handler import ConfigurationHandler
 from balsamway.node.directory_handler import DirectoryHandler
+from balsamway.node.evacuation_watches import evacuation_watches
 from balsamway.node.load_reporter import LoadReporter
 from balsamway.node.node_metrics import NodeMetrics
 from balsamway.node.peer_snapshot_sync import PeerSnapshotSync
@@ -98,7 +100,8 @@
         self._is_draining = False
         store = adapters.store
         self._store = store
-        self.directory = TargetDirectory()
+        self.evacuated_zones = EvacuatedZones(settings.bounds.evacuate_seconds)
+        self.directory = TargetDirectory(self.evacuated_zones)
         metrics = RequestMetrics(registry)
         self._response_budget = ResponseBudget.of_memory(settings.memory_megabytes)
         self.targets = ServiceTargets(
@@ -149,7 +152,11 @@
             self.key_map,
             GuardedTransport(adapters.transport, self._quarantine),
             self._token_client,
-            ForwardingSettings(bounds.retry_ratio, bounds.retry_burst),
+            ForwardingSettings(
+                bounds.retry_ratio,
+                bounds.retry_burst,
+                region_by_zone=settings.region_by_zone,
+            ),
             (RequestLog(), metrics),
             self._rng,
         )
@@ -208,7 +215,11 @@
             TARGETS_COALESCE_SECONDS,
             self._rng,
         )
+        self._evacuation_watches = evacuation_watches(
+            settings, adapters, self.evacuated_zones, self._rng
+        )
         watches = {
+            **self._evacuation_watches,
             adapters.configuration_kind: self._configuration_watch,
             adapters.targets_kind: self._targets_watch,
         }
@@ -228,13 +239,14 @@
     def is_ready(self) -> bool:
         """Return whether this host accepts new connections.
 
-        It does once it has a configuration and the list of targets, and until
-        it begins to drain.
+        It does once it has a configuration, the list of targets and that of
+        evacuated zones, and until it begins to drain.
         """
         return (
             not self._is_draining
             and self.forwarder.configuration is not None
             and self.directory.has_snapshot
+            and self.evacuated_zones.is_known
         )
 
     async def on_start(self) -> None:
@@ -246,6 +258,7 @@
             self._peers,
             self._configuration_watch,
             self._targets_watch,
+            *self._evacuation_watches.values(),
             self.lease,
             self.leader,
             self._reporter,
@@ -304,6 +317,7 @@
             "targets": self.targets.dump(),
             "responses": self._response_budget.dump(),
             "quarantine": self._quarantine.dump(),
+            "evacuations": self.evacuated_zones.dump(),
             "keys": self.key_map.dump(),
             "leading": self.leader.dump(),
             "peers": self._peers.dump(),
@@ -360,6 +374,7 @@
         while not self.should_stop:
             await self.sleep(HOUSEKEEPING_INTERVAL_SECONDS)
             self.directory.remove_expired()
+            self.evacuated_zones.remove_expired()
             self.targets.close_idle()
 
     @mode.Service.task
--- a/src/balsamway/node/node_metrics.py
+++ b/src/balsamway/node/node_metrics.py
@@ -81,6 +81,12 @@
             lambda: float(len(node.targets.resting())),
         )
 
+        self._add_gauge(
+            "balsamway_entry_evacuated_zones",
+            "Zones to whose targets this host sends no new requests.",
+            lambda: float(len(node.evacuated_zones.zones)),
+        )
+
     def _add_gauge(
         self, name: str, documentation: str, read_value: Callable[[], float]
     ) -> None:
--- a/src/balsamway/node/platform_adapters.py
+++ b/src/balsamway/node/platform_adapters.py
@@ -32,5 +32,6 @@
     configuration_kind: str
     configuration_name: str
     targets_kind: str
+    evacuations_kind: str
     decode_configuration: Callable[[bytes], RoutingConfiguration | Malformed]
     decode_target: Callable[[str, bytes], TargetEntry | Malformed]
--- a/src/balsamway/platform/main.py
+++ b/src/balsamway/platform/main.py
@@ -40,6 +40,7 @@
         configuration_kind=names.CONFIGURATION_KIND,
         configuration_name=names.CONFIGURATION_NAME,
         targets_kind=names.TARGETS_KIND,
+        evacuations_kind=names.EVACUATIONS_KIND,
         decode_configuration=decode_routing,
         decode_target=decode_target,
     )
--- a/src/balsamway/platform/target_transport.py
+++ b/src/balsamway/platform/target_transport.py
@@ -62,12 +62,7 @@
             return AttemptResult(refusal, AttemptOutcome.TIMED_OUT)
         if isinstance(connection, NotSent):
             refusal = NotRun(Reason.CONNECT_FAILED, connection.reason)
-            return AttemptResult(
-                refusal,
-                AttemptOutcome.CONNECTION_REFUSED
-                if connection.is_reset_by_target
-                else AttemptOutcome.UNREACHABLE,
-            )
+            return AttemptResult(refusal, _outcome_without_connection(connection))
         try:
             async with asyncio.timeout_at(deadline):
                 response = await connection.exchange(
@@ -84,6 +79,14 @@
         return result
 
 
+def _outcome_without_connection(result: NotSent) -> AttemptOutcome:
+    if result.is_withheld:
+        return AttemptOutcome.WITHHELD
+    if result.is_reset_by_target:
+        return AttemptOutcome.CONNECTION_REFUSED
+    return AttemptOutcome.UNREACHABLE
+
+
 def _evaluate(
     response: HttpResponse | ResponseLost | NotSent,
     target: TargetEntry,
--- a/tests/fakes/keyed_targets.py
+++ b/tests/fakes/keyed_targets.py
@@ -48,10 +48,18 @@
     seen: dict = field(default_factory=dict)
     """By key, the highest fencing token seen."""
     orders: int = 0
+    zone: str = "z"
 
     def entry(self, draining=False):
         return TargetEntry(
-            self.name, self.incarnation, "k", self.address, "z", 3, draining, 0.0
+            self.name,
+            self.incarnation,
+            "k",
+            self.address,
+            self.zone,
+            3,
+            draining,
+            0.0,
         )
 
     def holding(self, key):
--- a/tests/forwarding/conftest.py
+++ b/tests/forwarding/conftest.py
@@ -7,6 +7,7 @@
 
 from balsamway.discovery import TargetDirectory, TargetEntry
 from balsamway.entry import EntryRequest
+from balsamway.evacuation import EvacuatedZones
 from balsamway.exchange import ResponseBudget
 from balsamway.forwarding.forwarder import Forwarder
 from balsamway.forwarding.forwarding_settings import ForwardingSettings
@@ -72,8 +73,9 @@
 class Setup:
     """A forwarder in zone z1 with fake owners and a scripted transport."""
 
-    def __init__(self):
-        self.directory = TargetDirectory()
+    def __init__(self, evacuate_seconds=None, region_by_zone=None):
+        self.zones = EvacuatedZones(evacuate_seconds)
+        self.directory = TargetDirectory(self.zones)
         self.targets = ServiceTargets(
             self.directory, lambda: None, 2.0, ResponseBudget()
         )
@@ -85,7 +87,7 @@
             self.owners,
             self.transport,
             AdmitAll(),
-            ForwardingSettings(0.2, 60, 12),
+            ForwardingSettings(0.2, 60, 12, region_by_zone or {}),
             (RequestLog(),),
             random.Random(1),
         )
--- a/tests/node/test_entry_node.py
+++ b/tests/node/test_entry_node.py
@@ -154,6 +154,7 @@
                 names.CONFIGURATION_KIND,
                 names.CONFIGURATION_NAME,
                 names.TARGETS_KIND,
+                names.EVACUATIONS_KIND,
                 decode_routing,
                 decode_target,
             ),
--- a/tests/test_documented_events.py
+++ b/tests/test_documented_events.py
@@ -14,6 +14,7 @@
 PACKAGES = (
     "discovery",
     "entry",
+    "evacuation",
     "exchange",
     "forwarding",
     "keyspace",
