--- a/src/balsamway/forwarding/attempt_loop.py
+++ b/src/balsamway/forwarding/attempt_loop.py
@@ -46,6 +46,9 @@
 time left to its deadline."""
 OWNER_RECHECK_SECONDS = 0.05
 """How long a request waits for a change of owners before the next look-up."""
+MIN_OWNER_WAIT_SECONDS = 0.001
+"""The least wait for an owner. A timer may end 1e-15 s early, and a wait for
+such a remainder would be repeated without end on a paused clock."""
 MAX_KEY_NOT_HELD_ATTEMPTS = 3
 """Bounds the attempts of a request that follows a key which has moved."""
 MAX_UNREACHABLE_ATTEMPTS = 4
@@ -324,7 +327,9 @@
                     return self._targets_rest(state)
             # A request that cannot be served in time is refused at once
             # instead of waiting for the move.
-            is_too_late = expected_at > wait_until
+            is_too_late = (
+                expected_at > wait_until or wait_until - now() < MIN_OWNER_WAIT_SECONDS
+            )
             wait_seconds = (
                 min(wait_until, max(expected_at, now() + OWNER_RECHECK_SECONDS)) - now()
             )
--- a/tests/platform/test_target_transport.py
+++ b/tests/platform/test_target_transport.py
@@ -341,3 +341,44 @@
     await asyncio.gather(acquiring, return_exceptions=True)
     await asyncio.wait_for(ended.wait(), 2.0)
     server.close()
+
+
+async def test_a_request_is_not_written_if_the_target_went_out_of_use_meanwhile(
+    scripted, send
+):
+    """Guards against a request to an evacuated zone after the wait.
+
+    The connection stays usable, since the zone may be used again soon.
+    """
+    may_use = True
+
+    async def script(received, writer, number):
+        await asyncio.sleep(0.1)
+        writer.write(answer(request_id_of(received)))
+
+    target = await scripted(script)
+    pool = ConnectionPool(target.address, 1)
+    pool.may_use = lambda: may_use
+    transport = PlatformTargetTransport()
+
+    def attempt(request_id):
+        request = entry_request("POST", request_id)
+        return transport.send(pool, entry(target.address), request, 0.5)
+
+    in_progress = asyncio.create_task(attempt("first"))
+    await asyncio.sleep(0.05)
+    waiting = asyncio.create_task(attempt("second"))
+    await asyncio.sleep(0.02)
+    may_use = False
+    assert (await in_progress).outcome is AttemptOutcome.SERVED
+    withheld = await waiting
+    assert withheld.outcome is AttemptOutcome.WITHHELD
+    assert isinstance(withheld.verdict, NotRun)
+    may_use = True
+    assert (await attempt("third")).outcome is AttemptOutcome.SERVED
+    assert [request_id_of(received) for received in target.received] == [
+        "first",
+        "third",
+    ]
+    assert pool.lost == 0
+    pool.abort()
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -113,3 +113,32 @@
         ["n3", "target-ended"],
         ["n1", "request-quarantined"],
     ]
+
+
+def test_a_refusal_is_printed_with_the_evacuation_that_its_host_knows(tmp_path, capsys):
+    """An evacuation lasts, so its event may be long before the request."""
+    entries = [
+        entry(1.0, "zone-evacuated", "n1", evacuated_zone="z1", source="change"),
+        entry(1.0, "zone-evacuated", "n2", evacuated_zone="z1", source="change"),
+        entry(2.0, "zone-evacuation-ended", "n1", evacuated_zone="z3"),
+        entry(39.0, "zone-evacuation-ended", "n1", evacuated_zone="z2"),
+        entry(
+            40.0,
+            "request-ended",
+            request_id=ID,
+            ms=1.0,
+            reason="no-target",
+            detail="all targets of s are in evacuated zones",
+            attempts=[],
+        ),
+    ]
+    log = tmp_path / "log"
+    log.write_text("\n".join(json.dumps(entry) for entry in entries))
+    assert main(["explain", ID, str(log)]) == 0
+    lines = capsys.readouterr().out.splitlines()
+    assert [line.split(" ")[2:4] for line in lines] == [
+        ["n1", "zone-evacuated"],
+        ["n1", "zone-evacuation-ended"],
+        ["n1", "request-ended"],
+    ]
+    assert 'evacuated_zone="z1"' in lines[0]
