Let hosts claim the lease while an evacuated zone is unreachable

Cause: a target that gets no attempts stays unreachable in the eyes of a host. If the targets of an evacuated zone had ended before, and are more than half of all, no host would claim the lease until the evacuation ends.

Change: targets of evacuated zones do not count for this.

--- a/src/balsamway/forwarding/service_targets.py
+++ b/src/balsamway/forwarding/service_targets.py
@@ -200,8 +200,12 @@
         }
 
     def reaches_most_targets(self) -> bool:
-        """Return whether at least half of the targets are reachable."""
-        states = self._states.values()
+        """Return whether at least half of the targets are reachable.
+
+        Those of evacuated zones do not count, since no attempt would show that
+        they are reachable again.
+        """
+        states = [state for state in self._states.values() if state.evacuation is None]
         return 2 * sum(state.is_unreachable for state in states) <= len(states)
 
     def close_idle(self) -> None:
--- a/tests/evacuation/test_evacuated_targets.py
+++ b/tests/evacuation/test_evacuated_targets.py
@@ -163,6 +163,21 @@
     assert not keyed.transport.sent
 
 
+async def test_unreachable_targets_of_an_evacuated_zone_do_not_count(setup):
+    """Guards against hosts that never claim the lead during an evacuation."""
+    setup.set_targets(
+        target("i-1", zone="z1"), target("i-2", zone="z1"), target("i-3", zone="z2")
+    )
+    for name in ("i-1", "i-2"):
+        state = setup.targets.find(name, 1)
+        state.record_attempt(AttemptOutcome.UNREACHABLE, 0.0, was_unqueued=True)
+    assert not setup.targets.reaches_most_targets()
+    setup.zones.add("z1")
+    assert setup.targets.reaches_most_targets()
+    setup.zones.remove("z1")
+    assert not setup.targets.reaches_most_targets()
+
+
 async def test_the_state_dump_names_evacuated_targets(setup):
     setup.zones.add("z1")
     assert setup.targets.dump()["i-1"]["is_evacuated"]
--- a/tests/evacuation/test_keys_of_a_zone.py
+++ b/tests/evacuation/test_keys_of_a_zone.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from balsamway.outcome import Completed
+from balsamway.outcome import Completed, NotRun
 from tests.fakes.evacuation_fleet import (
     EVACUATE_SECONDS,
     SERVICE_SECONDS,
@@ -164,6 +164,26 @@
     assert fleet.targets.broken == []
 
 
+@pytest.mark.parametrize("seconds", [0.0, 0.05, 0.15, 0.4])
+async def test_the_leader_is_lost_right_after_the_entry(start, seconds):
+    """The next leader moves the rest, once it has the lease."""
+    fleet = await start(FLEETS["38 of 60"], leaders=("a", "b"))
+    loop = asyncio.get_running_loop()
+    load = asyncio.create_task(fleet.send_requests(14.0, REQUESTS_PER_SECOND))
+    await asyncio.sleep(1.0)
+    accepted_at = loop.time()
+    fleet.evacuate("z2")
+    await asyncio.sleep(seconds)
+    await fleet.kill_leader()
+    await load
+    await asyncio.sleep(2.0)
+    assert sent_after(fleet, accepted_at + EVACUATE_SECONDS, "z2") == []
+    assert fleet.owned_in("z2") == []
+    assert fleet.targets.unowned() == []
+    assert fleet.targets.broken == []
+    assert all(isinstance(verdict, Completed | NotRun) for _, verdict in fleet.verdicts)
+
+
 @pytest.mark.parametrize(
     "delays",
     [(0.001, 0.4, 0.9, 1.5), (1.5, 1.5, 1.5, 0.001), (0.0, 2.0)],
--- a/tests/fakes/evacuation_fleet.py
+++ b/tests/fakes/evacuation_fleet.py
@@ -97,13 +97,44 @@
         self.forwarder.adopt(RoutingConfiguration(1, (route,), services))
 
 
+class EvacuationLeader:
+    """The parts of an entry host that lead; each watches the store itself."""
+
+    def __init__(self, fleet, name):
+        rng = random.Random(name)
+        self.zones = EvacuatedZones(EVACUATE_SECONDS)
+        self.directory = TargetDirectory(self.zones)
+        self.directory.replace(fleet.entries())
+        handler = EvacuationsHandler(self.zones)
+        self.watch = KindWatch(fleet.store, KIND, handler, 0.7, 0.05, rng)
+        self.lease = LeaderLease(fleet.store, name, f"{name}:1", lambda: True, rng)
+        self.leader = KeyLeader(
+            fleet.store,
+            self.lease,
+            self.directory,
+            fleet.aggregator,
+            fleet.targets,
+            lambda: ("k",),
+            fleet.publish,
+        )
+
+    async def start(self):
+        for service in (self.watch, self.lease, self.leader):
+            await service.start()
+
+    async def stop(self):
+        """Stop without resigning, as a killed process does."""
+        for service in (self.leader, self.lease, self.watch):
+            await service.stop()
+
+
 class EvacuationFleet:
     """Hosts that get the key maps of one leader, which watches the store.
 
     Tests say when each of the other hosts learns of an evacuation.
     """
 
-    def __init__(self, target_count_by_zone, host_count=4, seed=1):
+    def __init__(self, target_count_by_zone, host_count=4, leaders=("a",), seed=1):
         self.rng = random.Random(seed)
         zones = [
             zone for zone, count in target_count_by_zone.items() for _ in range(count)
@@ -119,45 +150,30 @@
         """The arrival and the verdict of each request."""
         self.hosts = [EvacuationHost(self, number) for number in range(host_count)]
         self.aggregator = LoadAggregator()
-        self.zones = EvacuatedZones(EVACUATE_SECONDS)
-        self.directory = TargetDirectory(self.zones)
-        self.directory.replace(self.entries())
-        self.watch = KindWatch(
-            self.store,
-            KIND,
-            EvacuationsHandler(self.zones),
-            0.7,
-            0.05,
-            random.Random(seed),
-        )
-        self.lease = LeaderLease(
-            self.store, "a", "a:1", lambda: True, random.Random(seed)
-        )
-        self.leader = KeyLeader(
-            self.store,
-            self.lease,
-            self.directory,
-            self.aggregator,
-            self.targets,
-            lambda: ("k",),
-            self._publish,
-        )
+        self.leaders = [EvacuationLeader(self, name) for name in leaders]
+        """The hosts that may lead."""
         self._tasks = set()
 
     def entries(self):
         return [target.entry() for target in self.targets.all.values()]
 
     async def start(self):
-        for service in (self.watch, self.lease, self.leader):
-            await service.start()
+        for leader in self.leaders:
+            await leader.start()
         self._start_task(self._report_periodically())
         await asyncio.sleep(4.0)
 
     async def stop(self):
         for task in self._tasks:
             task.cancel()
-        for service in (self.leader, self.lease, self.watch):
-            await service.stop()
+        for leader in self.leaders:
+            await leader.stop()
+
+    async def kill_leader(self):
+        """Stop the host that leads."""
+        leader = next(leader for leader in self.leaders if leader.lease.epoch)
+        self.leaders.remove(leader)
+        await leader.stop()
 
     def evacuate(self, zone, delays=(LATENCY_SECONDS,)):
         """Write an entry, and tell the hosts after the delays, in turn."""
@@ -203,7 +219,7 @@
                 )
             self.aggregator.decay({name: 4 for name in self.targets.all})
 
-    def _publish(self, notice):
+    def publish(self, notice):
         loop = asyncio.get_running_loop()
         for host in self.hosts:
             loop.call_later(LATENCY_SECONDS, host.key_map.on_notice, notice)
