--- a/src/balsamway/forwarding/attempt_loop.py
+++ b/src/balsamway/forwarding/attempt_loop.py
@@ -8,9 +8,11 @@
 from balsamway.clock import now
 from balsamway.forwarding.attempt_result import AttemptOutcome, AttemptResult
 from balsamway.forwarding.refusals import (
+    all_evacuated,
     host_stops,
     jitter,
     limit_used_up,
+    region_not_allowed,
     targets_rest,
 )
 from balsamway.forwarding.target_choice import (
@@ -44,6 +46,9 @@
 time left to its deadline."""
 OWNER_RECHECK_SECONDS = 0.05
 """How long a request waits for a change of owners before the next look-up."""
+MIN_OWNER_WAIT_SECONDS = 0.001
+"""The least wait for an owner. A timer may end 1e-15 s early, and a wait for
+such a remainder would be repeated without end on a paused clock."""
 MAX_KEY_NOT_HELD_ATTEMPTS = 3
 """Bounds the attempts of a request that follows a key which has moved."""
 MAX_UNREACHABLE_ATTEMPTS = 4
@@ -174,6 +179,7 @@
                     AttemptOutcome.UNREACHABLE
                     | AttemptOutcome.CONNECTION_REFUSED
                     | AttemptOutcome.STALE_CONNECTION
+                    | AttemptOutcome.WITHHELD
                 ):
                     unreachable_attempts += 1
                     if unreachable_attempts >= MAX_UNREACHABLE_ATTEMPTS:
@@ -199,9 +205,15 @@
             return NotRun(Reason.OVERLOADED, "no time is left")
         if not self._forwarder.is_sending:
             return host_stops(self._forwarder.rng)
+        if self._forwarder.targets.is_evacuated(self.service.name):
+            return all_evacuated(self.service.name, self._forwarder.rng)
         if self.service.is_keyed:
             return await self._find_owner()
-        states = self._forwarder.targets.usable(self.service.name)
+        states = [
+            state
+            for state in self._forwarder.targets.usable(self.service.name)
+            if self._is_region_allowed(state)
+        ]
         rested = [state for state in states if state.rest.allows_request]
         state = choose_target(
             self._without_held_back(rested),
@@ -225,6 +237,9 @@
             self._jitter(RETRY_AFTER_SECONDS),
         )
 
+    def _is_region_allowed(self, state: TargetState) -> bool:
+        return self._forwarder.regions.allows(self.route, state.entry.zone)
+
     def _without_held_back(self, states: Sequence[TargetState]) -> list[TargetState]:
         """Return the targets whose limit may have room for the request."""
         for state in states:
@@ -235,7 +250,7 @@
         return [state for state in states if state.entry.name not in self._held_back]
 
     def _may_still_send(self, state: TargetState) -> bool:
-        """Return whether the target has neither left nor asked for rest."""
+        """Return whether the target has not left, been evacuated or rested."""
         is_listed = self._forwarder.targets.find(*state.entry.key) is state
         return is_listed and state.may_receive(self.service.is_keyed)
 
@@ -299,6 +314,8 @@
             expected_at = wait_until
             if owner is not None:
                 state = self._forwarder.targets.find(owner.name, owner.incarnation)
+                if state is not None and not self._is_region_allowed(state):
+                    return region_not_allowed(state, self._forwarder.rng)
                 if state is not None and state.is_drain_expired:
                     state = None
                 expected_at = owner.accept_expected_at
@@ -313,7 +330,9 @@
                     return self._targets_rest(state)
             # A request that cannot be served in time is refused at once
             # instead of waiting for the move.
-            is_too_late = expected_at > wait_until
+            is_too_late = (
+                expected_at > wait_until or wait_until - now() < MIN_OWNER_WAIT_SECONDS
+            )
             wait_seconds = (
                 min(wait_until, max(expected_at, now() + OWNER_RECHECK_SECONDS)) - now()
             )
@@ -381,6 +400,7 @@
             self._may_have_run = may_have_run_before
         if result.outcome not in (
             AttemptOutcome.STALE_CONNECTION,
+            AttemptOutcome.WITHHELD,
             AttemptOutcome.KEY_NOT_HELD,
         ):
             self._tried.add(state.entry.name)
--- a/tests/fakes/keyed_targets.py
+++ b/tests/fakes/keyed_targets.py
@@ -48,14 +48,25 @@
     seen: dict = field(default_factory=dict)
     """By key, the highest fencing token seen."""
     orders: int = 0
+    zone: str = "z"
 
     def entry(self, draining=False):
         return TargetEntry(
-            self.name, self.incarnation, "k", self.address, "z", 3, draining, 0.0
+            self.name,
+            self.incarnation,
+            "k",
+            self.address,
+            self.zone,
+            3,
+            draining,
+            0.0,
         )
 
     def holding(self, key):
-        token, valid_until = self.holds.get(key, (0, 0.0))
+        grant = self.holds.get(key)
+        if grant is None:
+            return 0
+        token, valid_until = grant
         return self.up and valid_until > now() and token
 
 
