Keep the rate of a cold target over all hosts

Cause: nothing bounded what all hosts together send to a target that is cold; the leader's tokens applied only to limits that targets name.

Change: the lowest of the named limit and the cold rate limits a target. The first host that learns tells the leader, which tells all hosts. Hosts without a leader admit by chance, so that all of them together stay within the room that the leader's tokens leave. A new leadership starts without saved tokens. Placement counts the cold rate like a limit. Services without warmupPerS are served as before.

--- a/src/balsamway/discovery/target_directory.py
+++ b/src/balsamway/discovery/target_directory.py
@@ -142,7 +142,9 @@
         known = self._entries.get(entry.name)
         if self._outdated.hold_back(entry, known):
             return
-        if known != entry or entry.name in self._removal_at:
+        # A target that turns cold twice may write the same entry twice.
+        is_changed = known != entry or entry.warmup_seconds > 0
+        if is_changed or entry.name in self._removal_at:
             self._put(entry)
             self._publish()
 
--- a/src/balsamway/forwarding/service_targets.py
+++ b/src/balsamway/forwarding/service_targets.py
@@ -7,6 +7,7 @@
 from balsamway.clock import now
 from balsamway.exchange import ConnectionPool
 from balsamway.forwarding.target_state import TargetState
+from balsamway.limits import ColdTarget
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
@@ -48,6 +49,10 @@
         self._states: dict[tuple[str, int], TargetState] = {}
         self._usable: dict[str, tuple[TargetState, ...]] = {}
         self._connection_limits: dict[str, int] = {}
+        self._cold_rates: dict[str, float | None] = {}
+        self._has_snapshot = False
+        self.on_turned_cold: Callable[[Sequence[TargetState]], None] | None = None
+        """Called with the targets that an entry showed to have turned cold."""
         self._hosts = 1
         directory.add_listener(self.refresh)
 
@@ -65,19 +70,23 @@
             )
             for service in services
         }
+        self._cold_rates = {
+            service.name: service.warmup_requests_per_second for service in services
+        }
         for state in self._states.values():
             state.pool.limit = self._connection_limit(state.entry.service)
+            state.cold.requests_per_second = self._cold_rates.get(state.entry.service)
 
     def all(self) -> Sequence[TargetState]:
         """Return the states of all targets."""
         return tuple(self._states.values())
 
     def limited(self) -> Sequence[TargetState]:
-        """Return the states of the targets that name a limit."""
+        """Return the states of the targets whose requests are limited."""
         return tuple(
             state
             for state in self._states.values()
-            if state.limit.requests_per_second is not None
+            if state.requests_per_second is not None
         )
 
     def usable(self, service: str) -> Sequence[TargetState]:
@@ -146,6 +155,7 @@
     def refresh(self) -> None:
         """Apply the directory's changes to the states."""
         listed = {entry.key: entry for entry in self._directory.entries}
+        known_places = {(s.entry.name, s.entry.address) for s in self.all()}
         for key in [key for key in self._states if key not in listed]:
             self._states.pop(key).pool.close()
         for key, entry in listed.items():
@@ -159,7 +169,15 @@
                 self._on_open,
                 budget=self._budget,
             )
-            self._states[key] = TargetState(entry, pool, self._drain_seconds)
+            cold = ColdTarget(
+                entry.warmup_seconds,
+                is_observed=self._has_snapshot,
+                requests_per_second=self._cold_rates.get(entry.service),
+            )
+            if (entry.name, entry.address) in known_places:
+                cold.settle()
+            self._states[key] = TargetState(entry, pool, self._drain_seconds, cold)
+        self._has_snapshot = self._directory.has_snapshot
         for key, state in self._states.items():
             state.leaving_since = self._directory.leaving.since(key)
         services = {entry.service for entry in listed.values()}
@@ -171,6 +189,31 @@
             for service in services
         }
 
+        self._report_cold()
+
+    def on_cold_report(self, cold: dict[str, tuple[int, int]]) -> Sequence[TargetState]:
+        """Apply the report of another host that targets are cold.
+
+        Args:
+            cold: For each target, its incarnation and how many milliseconds it
+                remains cold.
+
+        Returns:
+            The states of those that are cold for longer than this host knew.
+        """
+        return [
+            state
+            for name, (incarnation, left_ms) in cold.items()
+            if (state := self._states.get((name, incarnation))) is not None
+            and state.cold.on_report(left_ms / 1000)
+        ]
+
+    def _report_cold(self) -> None:
+        turned = [state for state in self._states.values() if state.cold.take_news()]
+        turned = [state for state in turned if state.cold.limit is not None]
+        if turned and self.on_turned_cold is not None:
+            self.on_turned_cold(turned)
+
     def reaches_most_targets(self) -> bool:
         """Return whether at least half of the targets are reachable."""
         states = self._states.values()
--- a/src/balsamway/forwarding/target_state.py
+++ b/src/balsamway/forwarding/target_state.py
@@ -8,7 +8,7 @@
 from balsamway.clock import now
 from balsamway.forwarding.attempt_result import AttemptOutcome
 from balsamway.forwarding.target_rest import TargetRest
-from balsamway.limits import TargetLimit
+from balsamway.limits import ColdTarget, TargetLimit
 
 if TYPE_CHECKING:
     from balsamway.discovery import TargetEntry
@@ -42,7 +42,11 @@
     """Counts requests in flight and tracks a target's latency and failures."""
 
     def __init__(
-        self, entry: TargetEntry, pool: ConnectionPool, drain_seconds: float
+        self,
+        entry: TargetEntry,
+        pool: ConnectionPool,
+        drain_seconds: float,
+        cold: ColdTarget | None = None,
     ) -> None:
         """Start without any observation.
 
@@ -51,6 +55,7 @@
             pool: The connections to the target.
             drain_seconds: The time within which the target must stop receiving
                 new requests after it began to drain.
+            cold: How long the target is cold; None to take it from the entry.
         """
         self._drain_seconds = drain_seconds
         self._draining_since = now() if entry.is_draining else None
@@ -59,6 +64,7 @@
         self.entry = entry
         self.pool = pool
         self.limit = TargetLimit(entry.name)
+        self.cold = cold or ColdTarget(entry.warmup_seconds, is_observed=False)
         self.rest = TargetRest(entry.name)
         self.in_flight = 0
         self.remote_in_flight = 0.0
@@ -79,6 +85,12 @@
         self.unqueued_seconds = 0.0
         """The sum of the latencies of the unqueued responses, in seconds."""
 
+    @property
+    def requests_per_second(self) -> float | None:
+        """The lowest limit of all hosts together, None if there is none."""
+        limits = (self.limit.requests_per_second, self.cold.limit)
+        return min((limit for limit in limits if limit is not None), default=None)
+
     @property
     def is_drain_expired(self) -> bool:
         """Whether the target has drained too long to receive any request."""
@@ -158,6 +170,9 @@
             self._draining_since = now()
         if entry.warmup_seconds != self.entry.warmup_seconds:
             self._warm_up_ends_at = now() + entry.warmup_seconds
+        # Each entry that arrives is an object of its own.
+        if entry is not self.entry:
+            self.cold.on_entry(entry.warmup_seconds)
         self.entry = entry
 
     @property
--- a/src/balsamway/keyspace/messages.py
+++ b/src/balsamway/keyspace/messages.py
@@ -75,3 +75,6 @@
     of a build that hands out no tokens."""
     leaving: dict[str, tuple[int, int]] = field(default_factory=dict)
     """The targets that are leaving, in the form of `LoadNotice.leaving`."""
+    cold: dict[str, tuple[int, int]] = field(default_factory=dict)
+    """For each target that was seen to turn cold: its incarnation and how many
+    milliseconds it remains cold."""
--- a/src/balsamway/limits/limiter.py
+++ b/src/balsamway/limits/limiter.py
@@ -50,7 +50,11 @@
         self._targets: dict[tuple[str, int], _LimitedTarget] = {}
 
     def take(
-        self, target: tuple[str, int], requests_per_second: float, priority: int
+        self,
+        target: tuple[str, int],
+        requests_per_second: float,
+        priority: int,
+        max_burst: float | None = None,
     ) -> Admission:
         """Take a token for one request.
 
@@ -58,12 +62,14 @@
             target: The name and the incarnation of the target.
             requests_per_second: The target's limit.
             priority: The priority of the request; 0 is the most urgent.
+            max_burst: The most tokens that can be saved up, if that is less
+                than usual.
 
         Returns:
             Whether the request may be sent, or when it should return.
         """
         rate = max(MIN_REQUESTS_PER_SECOND, requests_per_second)
-        limited = self._find(target, rate)
+        limited = self._find(target, rate, max_burst)
         bucket = limited.bucket
         reserve = RESERVE_FRACTION * min(priority, MAX_RESERVE_STEPS) * bucket.burst
         # A request must be able to pass a full bucket.
@@ -88,8 +94,12 @@
         ]:
             del self._targets[target]
 
-    def _find(self, target: tuple[str, int], rate: float) -> _LimitedTarget:
+    def _find(
+        self, target: tuple[str, int], rate: float, max_burst: float | None
+    ) -> _LimitedTarget:
         burst = max(MIN_BURST, BURST_SECONDS * rate)
+        if max_burst is not None:
+            burst = min(burst, max_burst)
         limited = self._targets.get(target)
         if limited is None:
             limited = _LimitedTarget(TokenBucket(rate, burst), now(), now())
--- a/src/balsamway/limits/messages.py
+++ b/src/balsamway/limits/messages.py
@@ -19,6 +19,13 @@
     """How long ago the target named that limit, in milliseconds."""
     priorities: tuple[int, ...]
     """The priority of each request, the most urgent first."""
+    names_limit: bool = True
+    """Whether the target names the limit. If not, the limit is its cold rate,
+    which a leader of an earlier build applies until the next response."""
+    cold_per_second: float | None = None
+    """The rate of the target while it is cold, None if it is warm."""
+    cold_left_ms: int = 0
+    """How long the target remains cold, 0 unless the host saw it turn cold."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,6 +48,16 @@
     demands: tuple[TokenDemand, ...]
 
 
+@message("cold")
+@dataclass(frozen=True, slots=True)
+class ColdNotice:
+    """Targets that turned cold, to the leader or from it."""
+
+    targets: dict[str, tuple[int, int]]
+    """For each target: its incarnation, and how many milliseconds it remains
+    cold."""
+
+
 @message("token-response")
 @dataclass(frozen=True, slots=True)
 class TokenResponse:
--- a/src/balsamway/limits/token_client.py
+++ b/src/balsamway/limits/token_client.py
@@ -12,6 +12,8 @@
 
 from balsamway.clock import now
 from balsamway.limits.admission import Admitted, HeldBack
+from balsamway.limits.cold_budget import ColdBudget
+from balsamway.limits.cold_share import ColdShare
 from balsamway.limits.limiter import Limiter
 from balsamway.limits.local_share import LocalShare
 from balsamway.limits.messages import (
@@ -37,9 +39,14 @@
 request waits with it."""
 PROBE_INTERVAL_SECONDS = 0.5
 """The interval at which a leader that did not respond is called again."""
+NO_LIMIT_AGE_MS = 3_600_000
+"""The age to send of a limit that the target does not name. It is older than
+any response of which the leader knows."""
 MAX_PRIORITIES_PER_DEMAND = 256
 """Bounds the requests of one demand. Further ones are held back at once."""
 
+DEFAULT_COLD_BUDGET = ColdBudget()
+
 logger = logging.getLogger(__name__)
 
 
@@ -75,6 +82,7 @@
         host_count: Callable[[], int],
         metrics: LimitMetrics,
         rng: random.Random,
+        cold_budget: ColdBudget = DEFAULT_COLD_BUDGET,
     ) -> None:
         """Create the client and register the handler for the leader's part.
 
@@ -88,6 +96,7 @@
             host_count: Returns the number of entry hosts.
             metrics: Counts the decisions.
             rng: Decides about requests for less than one token.
+            cold_budget: The bounds on the requests to a cold target.
         """
         super().__init__()
         self._host = host
@@ -98,7 +107,10 @@
         self._host_count = host_count
         self._metrics = metrics
         self._limiter = Limiter()
+        self._limiter_epoch: int | None = None
         self._share = LocalShare(rng)
+        self._cold_budget = cold_budget
+        self._cold_share = ColdShare(cold_budget, rng)
         self._waiters: list[_Waiter] = []
         self._has_waiters = asyncio.Event()
         self._refusals: dict[tuple[str, int], _Refusal] = {}
@@ -112,13 +124,13 @@
         if refusal is None or priority < refusal.priority:
             return None
         seconds = refusal.until - now()
-        if seconds <= 0 or state.limit.requests_per_second is None:
+        if seconds <= 0 or state.requests_per_second is None:
             return None
         return HeldBack(max(seconds, refusal.retry_after_seconds), seconds)
 
     async def acquire(self, state: TargetState, priority: int) -> Admission:
         """Decide about one request; see `TargetAdmission`."""
-        limit = state.limit.requests_per_second
+        limit = state.requests_per_second
         if limit is None:
             return Admitted()
         if (refusal := self.held_back(state, priority)) is not None:
@@ -126,7 +138,10 @@
             return refusal
         leader = self._token_leader()
         if self._has_authority():
-            admission = self._limiter.take(state.entry.key, limit, priority)
+            cold = state.cold
+            admission = self._take_token(
+                state.entry.key, limit, priority, cold.limit, cold.settle_seconds
+            )
             self._metrics.count(admission, "leader")
         elif leader is None or leader[1] == self._host or self._is_silent(leader):
             return self._take_share(state, limit)
@@ -149,11 +164,12 @@
         """Return each limit and how it is kept, for the state dump."""
         return {
             state.entry.name: state.limit.dump()
+            | state.cold.dump()
             | {
                 "share_per_second": round(
                     self._share.tokens_per_second(
                         state.entry.key,
-                        state.limit.requests_per_second or 0.0,
+                        state.requests_per_second or 0.0,
                         self._host_count(),
                     ),
                     4,
@@ -178,6 +194,7 @@
             self._limiter.remove_idle()
             keys = {state.entry.key for state in self._targets.all()}
             self._share.keep_only(keys)
+            self._cold_share.keep_only(keys)
             self._refusals = {
                 key: refusal
                 for key, refusal in self._refusals.items()
@@ -197,7 +214,7 @@
         """Resolve waiters by the leader's response, or by the local share."""
         leader = self._token_leader()
         for waiter in waiters:
-            if waiter.state.limit.requests_per_second is None:
+            if waiter.state.requests_per_second is None:
                 _resolve(waiter, Admitted())
         groups = _group_by_target(waiters)
         response = None
@@ -218,7 +235,7 @@
             )
         for group in groups:
             for waiter in group:
-                limit = waiter.state.limit.requests_per_second or 0.0
+                limit = waiter.state.requests_per_second or 0.0
                 _resolve(waiter, self._take_share(waiter.state, limit))
 
     def _apply_grant(self, group: Sequence[_Waiter], grant: TokenGrant) -> None:
@@ -233,7 +250,12 @@
             _resolve(waiter, admission)
 
     def _take_share(self, state: TargetState, limit: float) -> Admission:
-        admission = self._share.take(state.entry.key, limit, self._host_count())
+        if state.cold.limit is None:
+            admission = self._share.take(state.entry.key, limit, self._host_count())
+        else:
+            admission = self._cold_share.take(
+                state.entry.key, limit, self._host_count()
+            )
         self._metrics.count(admission, "share")
         return admission
 
@@ -245,17 +267,25 @@
     def _grant(self, demand: TokenDemand) -> TokenGrant:
         key = (demand.target, demand.incarnation)
         limit: float | None = demand.limit
+        cold_limit = demand.cold_per_second
+        settle_seconds = 0.0
         state = self._targets.find(*key)
         if state is not None:
-            state.limit.on_report(demand.limit, demand.limit_age_ms)
-            limit = state.limit.requests_per_second
+            if demand.names_limit:
+                state.limit.on_report(demand.limit, demand.limit_age_ms)
+            state.cold.on_report(demand.cold_left_ms / 1000)
+            if state.cold.requests_per_second is not None or not demand.cold_left_ms:
+                cold_limit = state.cold.limit
+            settle_seconds = state.cold.settle_seconds
+            limits = (state.limit.requests_per_second, cold_limit)
+            limit = min((known for known in limits if known is not None), default=None)
         if limit is None:
             return TokenGrant(len(demand.priorities), 0, ())
         tokens = 0
         retry_after_ms = []
         next_token_ms = 0
         for priority in demand.priorities[:MAX_PRIORITIES_PER_DEMAND]:
-            match self._limiter.take(key, limit, priority):
+            match self._take_token(key, limit, priority, cold_limit, settle_seconds):
                 case Admitted():
                     tokens += 1
                 case HeldBack(retry_after_seconds=retry, next_token_seconds=next_):
@@ -263,6 +293,30 @@
                     next_token_ms = next_token_ms or round(1000 * next_)
         return TokenGrant(tokens, next_token_ms, tuple(retry_after_ms))
 
+    def _take_token(
+        self,
+        key: tuple[str, int],
+        limit: float,
+        priority: int,
+        cold_limit: float | None,
+        settle_seconds: float,
+    ) -> Admission:
+        """Take a token as the leader."""
+        if self._lease.epoch != self._limiter_epoch:
+            # Tokens saved in an earlier leadership would come in addition to
+            # those of the leader between.
+            self._limiter_epoch = self._lease.epoch
+            self._limiter = Limiter()
+        if cold_limit is None:
+            return self._limiter.take(key, limit, priority)
+        rate = self._cold_budget.leader_rate(min(limit, cold_limit))
+        burst = self._cold_budget.burst(cold_limit)
+        admission = self._limiter.take(key, rate, priority, burst)
+        if settle_seconds <= 0:
+            return admission
+        # Tokens taken meanwhile are lost, so that none are saved up.
+        return HeldBack(settle_seconds + 1.0 / cold_limit, settle_seconds)
+
     def _has_authority(self) -> bool:
         epoch = self._lease.epoch
         return epoch is not None and self._lease.has_authority(epoch)
@@ -291,13 +345,30 @@
 def _demand(group: Sequence[_Waiter]) -> TokenDemand:
     state = group[0].state
     name, incarnation = state.entry.key
+    priorities = tuple(waiter.priority for waiter in group)
+    cold_limit = state.cold.limit
+    cold_left_ms = round(1000 * state.cold.left_to_report)
+    if state.limit.requests_per_second is None and cold_limit is not None:
+        return TokenDemand(
+            name,
+            incarnation,
+            cold_limit,
+            NO_LIMIT_AGE_MS,
+            priorities,
+            False,
+            cold_limit,
+            cold_left_ms,
+        )
     limit, age_ms = state.limit.report
     return TokenDemand(
         name,
         incarnation,
         limit or 0.0,
         age_ms,
-        tuple(waiter.priority for waiter in group),
+        priorities,
+        True,
+        cold_limit,
+        cold_left_ms,
     )
 
 
--- a/src/balsamway/node/entry_node.py
+++ b/src/balsamway/node/entry_node.py
@@ -27,6 +27,8 @@
 from balsamway.keyspace.leader_lease import LeaderLease
 from balsamway.keyspace.load_aggregator import LoadAggregator
 from balsamway.keyspace.record_writer import KEY_RECORD_KIND
+from balsamway.limits import ColdBudget
+from balsamway.limits.cold_notices import ColdNotices
 from balsamway.limits.limit_metrics import LimitMetrics
 from balsamway.limits.token_client import TokenClient
 from balsamway.node.configuration_handler import ConfigurationHandler
@@ -133,8 +135,16 @@
             lambda: self._reporter.host_count,
             LimitMetrics(registry),
             self._rng,
+            ColdBudget(bounds.warmup_excess, bounds.warmup_slack),
         )
         aggregator = LoadAggregator()
+        ColdNotices(
+            settings.host,
+            self._peers,
+            lambda: self._reporter.leader_name,
+            lambda: aggregator.hosts,
+            self.targets,
+        )
         self._quarantine = Quarantine(
             settings.host,
             self._peers,
--- a/src/balsamway/node/load_reporter.py
+++ b/src/balsamway/node/load_reporter.py
@@ -192,6 +192,17 @@
             if state.limit.has_just_changed or index % LIMITS_TURNS == self._limits_turn
         }
 
+    def _cold_to_send(self) -> dict[str, tuple[int, int]]:
+        """Return the targets that were seen to turn cold."""
+        return {
+            state.entry.name: (
+                state.entry.incarnation,
+                round(1000 * state.cold.left_to_report),
+            )
+            for state in self._targets.all()
+            if state.cold.limit is not None and state.cold.left_to_report > 0
+        }
+
     def _send_fleet_notice(self, epoch: int) -> None:
         capacities = {
             state.entry.name: state.entry.capacity for state in self._targets.all()
@@ -200,7 +211,7 @@
         self._aggregator.limits = {
             state.entry.name: limit
             for state in self._targets.limited()
-            if (limit := state.limit.requests_per_second) is not None
+            if (limit := state.requests_per_second) is not None
         }
         targets = {
             name: (
@@ -218,6 +229,7 @@
             targets,
             self._limits_to_send(),
             self._leaving_to_send(),
+            self._cold_to_send(),
         )
         self._apply_fleet_notice(notice)
         for host in self._aggregator.hosts:
@@ -252,6 +264,7 @@
         self._forwarder.set_host_count(notice.hosts)
         if notice.leader != self._host:
             self._apply_leaving(notice.leaving)
+            self._targets.on_cold_report(notice.cold)
         for state in self._targets.all():
             load = notice.targets.get(state.entry.name)
             if load is None:
--- a/src/balsamway/node/node_metrics.py
+++ b/src/balsamway/node/node_metrics.py
@@ -67,9 +67,16 @@
         )
         self._add_gauge(
             "balsamway_entry_limited_targets",
-            "Targets that name a limit for the requests of all hosts together.",
+            "Targets with a limit for the requests of all hosts together.",
             lambda: float(len(node.targets.limited())),
         )
+        self._add_gauge(
+            "balsamway_entry_cold_targets",
+            "Targets that get no more than the rate of cold targets.",
+            lambda: float(
+                sum(s.cold.limit is not None for s in node.targets.limited())
+            ),
+        )
         self._add_gauge(
             "balsamway_entry_leaving_targets",
             "Targets that said in a response that they are leaving.",
--- a/tests/fakes/limited_fleet.py
+++ b/tests/fakes/limited_fleet.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import random
 
 from prometheus_client import CollectorRegistry
@@ -15,6 +16,7 @@
 from balsamway.forwarding.service_targets import ServiceTargets
 from balsamway.keyspace.key_map import KeyMap
 from balsamway.keyspace.load_aggregator import LoadAggregator
+from balsamway.limits.cold_notices import ColdNotices
 from balsamway.limits.limit_metrics import LimitMetrics
 from balsamway.limits.token_client import TokenClient
 from balsamway.node.load_reporter import LoadReporter
@@ -112,6 +114,13 @@
             self.lease,
             self.aggregator,
         )
+        self.cold_notices = ColdNotices(
+            name,
+            self.peers,
+            lambda: self.reporter.leader_name,
+            lambda: self.aggregator.hosts,
+            self.targets,
+        )
         self.services = (self.reporter, self.token_client)
 
     async def start(self):
@@ -130,7 +139,9 @@
     requests from it. The hosts share one leader.
     """
 
-    def __init__(self, host_count, target_count, is_keyed, seed=1):
+    def __init__(
+        self, host_count, target_count, is_keyed, seed=1, cold_per_second=None
+    ):
         self.seed = seed
         self.rng = random.Random(seed)
         self.is_keyed = is_keyed
@@ -177,7 +188,9 @@
             for priority in (0, 1, 2)
         )
         configuration = RoutingConfiguration(
-            1, routes, {"s": RoutedService("s", 1000, is_keyed)}
+            1,
+            routes,
+            {"s": RoutedService("s", 1000, is_keyed, 0.0, 3.0, cold_per_second)},
         )
         self._configuration = configuration
         for host in self.hosts.values():
@@ -203,6 +216,21 @@
             host.lease.holder = name
             host.lease.held_epoch += 1
 
+    async def turn_cold(self, name, seconds, within_seconds=0.0, incarnation=1):
+        """Write an entry that reaches each host at a time of its own."""
+        entry = next(entry for entry in self.entries if entry.name == name)
+        written_at = asyncio.get_running_loop().time()
+        cold = dataclasses.replace(
+            entry, warmup_seconds=seconds, incarnation=incarnation
+        )
+        delays = {
+            host: self.rng.uniform(0.0, within_seconds) for host in self.hosts.values()
+        }
+        for host in sorted(delays, key=delays.get):
+            elapsed = asyncio.get_running_loop().time() - written_at
+            await asyncio.sleep(max(0.0, delays[host] - elapsed))
+            host.directory.update(dataclasses.replace(cold))
+
     async def send_requests(self, seconds, per_second, hosts=None, priorities=(0,)):
         """Send requests at random hosts for random targets, for some time."""
         loop = asyncio.get_running_loop()
--- a/tests/limits/conftest.py
+++ b/tests/limits/conftest.py
@@ -10,8 +10,8 @@
     """Return a function that starts fleets, which are stopped at the end."""
     fleets = []
 
-    async def start(host_count, target_count=2, is_keyed=True, seed=1):
-        fleet = LimitedFleet(host_count, target_count, is_keyed, seed)
+    async def start(host_count, target_count=2, is_keyed=True, seed=1, **options):
+        fleet = LimitedFleet(host_count, target_count, is_keyed, seed, **options)
         fleets.append(fleet)
         await fleet.start()
         return fleet
