Give targets that start or recover one pace over all hosts

Cause: a target that starts, comes back or turns warm got all that was asked for at once. Hosts that each probe gently still overload it together.

Change: the leader decides a pace for each target of a service with warmupS, from what all hosts report (answered, refused, failed, without a connection, response times). It is one more limit that the tokens enforce, continues under a new leader, does not rise without one, and ends once the target keeps its usual time. A host's reports and the leader's paces are new fields of the load and fleet notices.

Result: tests/pace passes, 1, 12, 71 and 195 hosts. The tests of the cold rule and of limits of a fleet pass.

--- a/src/balsamway/forwarding/service_targets.py
+++ b/src/balsamway/forwarding/service_targets.py
@@ -50,6 +50,7 @@
         self._usable: dict[str, tuple[TargetState, ...]] = {}
         self._connection_limits: dict[str, int] = {}
         self._cold_rates: dict[str, float | None] = {}
+        self._paced_services: set[str] = set()
         self._has_snapshot = False
         self.on_turned_cold: Callable[[Sequence[TargetState]], None] | None = None
         """Called with the targets that an entry showed to have turned cold."""
@@ -73,6 +74,9 @@
         self._cold_rates = {
             service.name: service.warmup_requests_per_second for service in services
         }
+        self._paced_services = {
+            service.name for service in services if service.warmup_seconds > 0
+        }
         for state in self._states.values():
             state.pool.limit = self._connection_limit(state.entry.service)
             state.cold.requests_per_second = self._cold_rates.get(state.entry.service)
@@ -89,6 +93,14 @@
             if state.requests_per_second is not None
         )
 
+    def paced(self) -> Sequence[TargetState]:
+        """Return the targets whose service names a warm-up time."""
+        return [
+            state
+            for state in self._states.values()
+            if state.entry.service in self._paced_services
+        ]
+
     def usable(self, service: str) -> Sequence[TargetState]:
         """Return the targets of a service that may receive requests.
 
@@ -176,7 +188,10 @@
             )
             if (entry.name, entry.address) in known_places:
                 cold.settle()
-            self._states[key] = TargetState(entry, pool, self._drain_seconds, cold)
+            state = TargetState(entry, pool, self._drain_seconds, cold)
+            if self._has_snapshot:
+                state.on_start_seen()
+            self._states[key] = state
         self._has_snapshot = self._directory.has_snapshot
         for key, state in self._states.items():
             state.leaving_since = self._directory.leaving.since(key)
--- a/src/balsamway/forwarding/target_state.py
+++ b/src/balsamway/forwarding/target_state.py
@@ -9,6 +9,8 @@
 from balsamway.forwarding.attempt_result import AttemptOutcome
 from balsamway.forwarding.target_rest import TargetRest
 from balsamway.limits import ColdTarget, TargetLimit
+from balsamway.pace.experience import Experience
+from balsamway.pace.pace_limit import PaceLimit
 
 if TYPE_CHECKING:
     from balsamway.discovery import TargetEntry
@@ -37,6 +39,10 @@
 WARM_UP_FACTOR = 2.0
 """How many times slower a target is assumed to be during its warm-up."""
 
+JUST_STARTED_SECONDS = 5.0
+"""How long a target counts as just started. The leader decides about its pace
+within a second, or a new leader within this time."""
+
 
 class TargetState:
     """Counts requests in flight and tracks a target's latency and failures."""
@@ -65,6 +71,9 @@
         self.pool = pool
         self.limit = TargetLimit(entry.name)
         self.cold = cold or ColdTarget(entry.warmup_seconds, is_observed=False)
+        self.pace = PaceLimit()
+        self.experience = Experience()
+        self._seen_start_at = -math.inf
         self.rest = TargetRest(entry.name)
         self.in_flight = 0
         self.remote_in_flight = 0.0
@@ -88,9 +97,22 @@
     @property
     def requests_per_second(self) -> float | None:
         """The lowest limit of all hosts together, None if there is none."""
-        limits = (self.limit.requests_per_second, self.cold.limit)
+        limits = (
+            self.limit.requests_per_second,
+            self.cold.limit,
+            self.pace.limit,
+        )
         return min((limit for limit in limits if limit is not None), default=None)
 
+    @property
+    def has_just_started(self) -> bool:
+        """Whether this host saw the target start within the last seconds."""
+        return now() - self._seen_start_at < JUST_STARTED_SECONDS
+
+    def on_start_seen(self) -> None:
+        """Record that the target's first entry was written just now."""
+        self._seen_start_at = now()
+
     @property
     def is_drain_expired(self) -> bool:
         """Whether the target has drained too long to receive any request."""
@@ -192,6 +214,7 @@
             was_unqueued: Whether a slot was free when the request was sent, as
                 far as this host knew.
         """
+        self.experience.record(outcome, seconds)
         match outcome:
             case AttemptOutcome.SERVED:
                 self._consecutive_unreachable = 0
--- a/src/balsamway/keyspace/messages.py
+++ b/src/balsamway/keyspace/messages.py
@@ -53,6 +53,13 @@
     """For each target that said that it is leaving, and is not listed as
     draining: its incarnation and how many milliseconds ago it first said
     so."""
+    experiences: dict[str, tuple[int, int, int, int, int, int, bool]] = field(
+        default_factory=dict
+    )
+    """For each target whose service names a warm-up time, if it rests or
+    attempts ended there: its incarnation, the attempts answered, their summed
+    milliseconds, those refused, failed and without a connection, and whether
+    it rests."""
 
 
 @message("fleet")
@@ -78,3 +85,6 @@
     cold: dict[str, tuple[int, int]] = field(default_factory=dict)
     """For each target that was seen to turn cold: its incarnation and how many
     milliseconds it remains cold."""
+    paces: dict[str, tuple[int, float]] = field(default_factory=dict)
+    """For each target that has a pace: its incarnation, and the requests a
+    second that all hosts together may send."""
--- a/src/balsamway/limits/messages.py
+++ b/src/balsamway/limits/messages.py
@@ -20,8 +20,9 @@
     priorities: tuple[int, ...]
     """The priority of each request, the most urgent first."""
     names_limit: bool = True
-    """Whether the target names the limit. If not, the limit is its cold rate,
-    which a leader of an earlier build applies until the next response."""
+    """Whether the target names the limit. If not, it is the cold rate or the
+    pace, which a leader of an earlier build applies until the next
+    response."""
     cold_per_second: float | None = None
     """The rate of the target while it is cold, None if it is warm."""
     cold_left_ms: int = 0
--- a/src/balsamway/limits/token_client.py
+++ b/src/balsamway/limits/token_client.py
@@ -165,6 +165,7 @@
         return {
             state.entry.name: state.limit.dump()
             | state.cold.dump()
+            | {"pace_per_second": state.pace.limit}
             | {
                 "share_per_second": round(
                     self._share.tokens_per_second(
@@ -277,7 +278,7 @@
             if state.cold.requests_per_second is not None or not demand.cold_left_ms:
                 cold_limit = state.cold.limit
             settle_seconds = state.cold.settle_seconds
-            limits = (state.limit.requests_per_second, cold_limit)
+            limits = (state.limit.requests_per_second, cold_limit, state.pace.limit)
             limit = min((known for known in limits if known is not None), default=None)
         if limit is None:
             return TokenGrant(len(demand.priorities), 0, ())
@@ -348,11 +349,11 @@
     priorities = tuple(waiter.priority for waiter in group)
     cold_limit = state.cold.limit
     cold_left_ms = round(1000 * state.cold.left_to_report)
-    if state.limit.requests_per_second is None and cold_limit is not None:
+    if state.limit.requests_per_second is None:
         return TokenDemand(
             name,
             incarnation,
-            cold_limit,
+            state.requests_per_second or 0.0,
             NO_LIMIT_AGE_MS,
             priorities,
             False,
--- a/src/balsamway/node/load_reporter.py
+++ b/src/balsamway/node/load_reporter.py
@@ -9,6 +9,7 @@
 from balsamway.clock import now
 from balsamway.keyspace.load_aggregator import report_interval_seconds
 from balsamway.keyspace.messages import FleetNotice, KeyMapNotice, LoadNotice
+from balsamway.pace import Interval, PaceTable
 
 if TYPE_CHECKING:
     from balsamway.forwarding.forwarder import Forwarder
@@ -74,6 +75,7 @@
         self._host_count = 1
         """The number of entry hosts, as last reported by the leader."""
         self._limits_turn = 0
+        self._paces = PaceTable()
         self._token_leader: tuple[int, str] | None = None
         peers.register_handler(LoadNotice, self._on_load)
         peers.register_handler(FleetNotice, self._on_fleet)
@@ -140,8 +142,10 @@
             notice = self._create_load_notice()
             if self._lease.epoch is not None:
                 self._aggregator.add(notice)
+                self._paces.add(_intervals(notice))
                 self._send_fleet_notice(self._lease.epoch)
                 continue
+            self._paces.reset()
             leader = self.known_leader
             if leader is not None and leader[1] != self._host:
                 self._addresses[leader[1]] = leader[2]
@@ -165,6 +169,7 @@
             self._key_map.known_versions(),
             limits,
             self._leaving_to_send(),
+            self._take_experiences(),
         )
 
     def _leaving_to_send(self) -> dict[str, tuple[int, int]]:
@@ -192,6 +197,42 @@
             if state.limit.has_just_changed or index % LIMITS_TURNS == self._limits_turn
         }
 
+    def _take_experiences(
+        self,
+    ) -> dict[str, tuple[int, int, int, int, int, int, bool]]:
+        """Return how the targets answered this host since the last call."""
+        experiences = {}
+        for state in self._targets.paced():
+            seen = state.experience.take(state.rest.is_active)
+            if seen == Interval():
+                continue
+            experiences[state.entry.name] = (
+                state.entry.incarnation,
+                seen.answered,
+                round(1000 * seen.answered_seconds),
+                seen.refused,
+                seen.failed,
+                seen.unreachable,
+                seen.is_resting,
+            )
+        return experiences
+
+    def _decide_paces(self) -> dict[str, tuple[int, float]]:
+        """Decide the paces as the leader, and return those to send."""
+        states = self._targets.paced()
+        self._paces.evaluate(states)
+        return {
+            state.entry.name: (state.entry.incarnation, state.pace.limit)
+            for state in states
+            if state.pace.limit is not None
+        }
+
+    def _apply_paces(self, paces: dict[str, tuple[int, float]]) -> None:
+        for state in self._targets.paced():
+            incarnation, pace = paces.get(state.entry.name, (None, None))
+            is_same = incarnation == state.entry.incarnation
+            state.pace.on_report(pace if is_same else None)
+
     def _cold_to_send(self) -> dict[str, tuple[int, int]]:
         """Return the targets that were seen to turn cold."""
         return {
@@ -230,6 +271,7 @@
             self._limits_to_send(),
             self._leaving_to_send(),
             self._cold_to_send(),
+            self._decide_paces(),
         )
         self._apply_fleet_notice(notice)
         for host in self._aggregator.hosts:
@@ -241,6 +283,7 @@
         if self._lease.epoch is None:
             return
         self._aggregator.add(notice)
+        self._paces.add(_intervals(notice))
         self._apply_limits(notice.limits)
         self._apply_leaving(notice.leaving)
         if self.leader is not None:
@@ -265,6 +308,7 @@
         if notice.leader != self._host:
             self._apply_leaving(notice.leaving)
             self._targets.on_cold_report(notice.cold)
+            self._apply_paces(notice.paces)
         for state in self._targets.all():
             load = notice.targets.get(state.entry.name)
             if load is None:
@@ -283,3 +327,22 @@
             state = self._targets.find(name, incarnation)
             if state is not None:
                 state.limit.on_report(requests_per_second, age_ms)
+
+
+def _intervals(notice: LoadNotice) -> dict[str, tuple[int, Interval]]:
+    """Return what a host reports of how the targets answered it."""
+    return {
+        name: (
+            incarnation,
+            Interval(answered, ms / 1000, refused, failed, unreachable, is_resting),
+        )
+        for name, (
+            incarnation,
+            answered,
+            ms,
+            refused,
+            failed,
+            unreachable,
+            is_resting,
+        ) in notice.experiences.items()
+    }
--- a/src/balsamway/node/node_metrics.py
+++ b/src/balsamway/node/node_metrics.py
@@ -77,6 +77,13 @@
                 sum(s.cold.limit is not None for s in node.targets.limited())
             ),
         )
+        self._add_gauge(
+            "balsamway_entry_paced_targets",
+            "Targets that start or recover, whose requests have a pace.",
+            lambda: float(
+                sum(s.pace.limit is not None for s in node.targets.limited())
+            ),
+        )
         self._add_gauge(
             "balsamway_entry_leaving_targets",
             "Targets that said in a response that they are leaving.",
--- a/tests/fakes/limited_fleet.py
+++ b/tests/fakes/limited_fleet.py
@@ -140,7 +140,14 @@
     """
 
     def __init__(
-        self, host_count, target_count, is_keyed, seed=1, cold_per_second=None
+        self,
+        host_count,
+        target_count,
+        is_keyed,
+        seed=1,
+        cold_per_second=None,
+        warmup_seconds=3.0,
+        capacity=1000,
     ):
         self.seed = seed
         self.rng = random.Random(seed)
@@ -160,7 +167,7 @@
                 "s",
                 "127.0.0.1:1",
                 ZONES[number % len(ZONES)],
-                1000,
+                capacity,
                 False,
                 0.0,
             )
@@ -187,11 +194,10 @@
             )
             for priority in (0, 1, 2)
         )
-        configuration = RoutingConfiguration(
-            1,
-            routes,
-            {"s": RoutedService("s", 1000, is_keyed, 0.0, 3.0, cold_per_second)},
+        service = RoutedService(
+            "s", 1000, is_keyed, 0.0, warmup_seconds, cold_per_second
         )
+        configuration = RoutingConfiguration(1, routes, {"s": service})
         self._configuration = configuration
         for host in self.hosts.values():
             host.forwarder.adopt(configuration)
