Let one host at a time try a request after its quarantine

Change: the request stays on probation until its suspicion expires. The leader allows one trial in 2 s over all hosts; a host asks it right before it sends. If no leader responds, a host tries with a chance of 1/200 in 2 s. A request that ended three targets is remembered for 20 s after its quarantine, so that it is on probation as well.

New tests cover trials asked for at the same moment, a lost leader, and the end of a certain quarantine.

--- a/src/balsamway/node/entry_node.py
+++ b/src/balsamway/node/entry_node.py
@@ -152,6 +152,7 @@
             lambda: aggregator.hosts,
             is_refusing,
             QuarantineMetrics(registry),
+            self._rng,
         )
         self.forwarder = Forwarder(
             settings.zone,
--- a/src/balsamway/quarantine/guarded_transport.py
+++ b/src/balsamway/quarantine/guarded_transport.py
@@ -40,7 +40,7 @@
         timeout_seconds: float,
     ) -> AttemptResult:
         """Send one attempt; see `TargetTransport.send`."""
-        refusal = self._quarantine.refusal(request)
+        refusal = await self._quarantine.admit(request)
         if refusal is not None:
             return AttemptResult(refusal, AttemptOutcome.QUARANTINED)
         result = await self._transport.send(pool, target, request, timeout_seconds)
--- a/src/balsamway/quarantine/messages.py
+++ b/src/balsamway/quarantine/messages.py
@@ -20,6 +20,23 @@
     """Whether the leader passes on the message of another host."""
 
 
+@message("trial-request")
+@dataclass(frozen=True, slots=True)
+class TrialRequest:
+    """Asks the leader whether a host may try a request after a quarantine."""
+
+    request: int
+    """The fingerprint of the request."""
+
+
+@message("trial-response")
+@dataclass(frozen=True, slots=True)
+class TrialResponse:
+    """The leader's answer to a `TrialRequest`."""
+
+    is_allowed: bool
+
+
 @message("suspicion-cleared")
 @dataclass(frozen=True, slots=True)
 class SuspicionCleared:
--- a/src/balsamway/quarantine/quarantine.py
+++ b/src/balsamway/quarantine/quarantine.py
@@ -14,10 +14,17 @@
 from balsamway.outcome import NotRun, Reason
 from balsamway.quarantine.decision import Allowed, Isolated
 from balsamway.quarantine.fingerprint import fingerprint
-from balsamway.quarantine.messages import SuspicionCleared, TargetEnded
+from balsamway.quarantine.messages import (
+    SuspicionCleared,
+    TargetEnded,
+    TrialRequest,
+    TrialResponse,
+)
 from balsamway.quarantine.suspect_table import SuspectTable
+from balsamway.quarantine.trials import TRIAL_SECONDS, Trials
 
 if TYPE_CHECKING:
+    import random
     from collections.abc import Awaitable, Callable, Iterable
 
     from balsamway.discovery import TargetEntry
@@ -27,6 +34,11 @@
 
 CLEAN_UP_INTERVAL_SECONDS = 5.0
 """The interval at which expired suspicions are removed."""
+TRIAL_RESPONSE_TIMEOUT_SECONDS = 0.2
+"""The longest wait for the leader's answer about a trial."""
+TRIAL_CHANCE = 1 / 200
+"""The chance of a trial on one host in each `TRIAL_SECONDS` while no leader
+responds. The largest deployment has 195 hosts, which try once together."""
 MAX_LINES_PER_SECOND = 20
 """Bounds the log lines about refused requests."""
 MAX_LOGGED_REQUESTS = 8
@@ -52,6 +64,7 @@
         followers: Callable[[], Iterable[str]],
         is_refusing: Callable[[str], Awaitable[bool]],
         metrics: QuarantineMetrics,
+        rng: random.Random | None = None,
     ) -> None:
         """Create the service and register its handlers.
 
@@ -62,6 +75,8 @@
             followers: Returns the hosts to pass reports on to as leader.
             is_refusing: Returns whether an address refuses connections.
             metrics: Counts the ends and the refused requests.
+            rng: Decides about trials while no leader responds; without it,
+                there are none then.
         """
         super().__init__()
         self._host = host
@@ -70,17 +85,52 @@
         self._followers = followers
         self._is_refusing = is_refusing
         self._metrics = metrics
+        self._rng = rng
         self._table = SuspectTable()
+        self._trials = Trials()
+        self._chances = Trials()
+        """The trials that this host decided about without a leader."""
         self._lost: dict[tuple[str, int], dict[int, EntryRequest]] = {}
         """The lost requests of each target whose end is being confirmed."""
         self._confirmations: dict[tuple[str, int], asyncio.Future[None]] = {}
         self._line_limit = LineLimit(logger, MAX_LINES_PER_SECOND)
         peers.register_handler(TargetEnded, self._on_target_ended)
         peers.register_handler(SuspicionCleared, self._on_suspicion_cleared)
+        peers.register_handler(TrialRequest, self._on_trial_request)
 
-    def refusal(self, request: EntryRequest) -> NotRun | None:
+    async def admit(self, request: EntryRequest) -> NotRun | None:
         """Return why a request must not be sent now, or None if it may be.
 
+        After a quarantine, the leader lets one host at a time try the request.
+
+        Args:
+            request: The request, which is sent at once unless it is refused.
+        """
+        if self._table.is_empty:
+            return None
+        leader = self._leader()
+        suspect = fingerprint(request)
+        if (
+            leader in (None, self._host)
+            or not isinstance(self._table.decide(suspect, now()), Allowed)
+            or not self._table.is_on_probation(suspect, now())
+        ):
+            return self.refusal(request)
+        response = await self._peers.call(
+            leader, TrialRequest(suspect), TRIAL_RESPONSE_TIMEOUT_SECONDS
+        )
+        match response:
+            case TrialResponse(is_allowed=is_allowed):
+                pass
+            case _:
+                is_allowed = self._may_try_by_chance(suspect)
+        if is_allowed:
+            return None
+        return self._refuse(request, suspect, "probation", TRIAL_SECONDS)
+
+    def refusal(self, request: EntryRequest) -> NotRun | None:
+        """Return why a request must not be sent without asking the leader.
+
         Args:
             request: The request.
         """
@@ -89,8 +139,17 @@
         suspect = fingerprint(request)
         decision = self._table.decide(suspect, now())
         if isinstance(decision, Allowed):
-            return None
+            if not self._table.is_on_probation(suspect, now()):
+                return None
+            if self._may_try(suspect):
+                return None
+            return self._refuse(request, suspect, "probation", TRIAL_SECONDS)
         kind = "isolated" if isinstance(decision, Isolated) else "quarantined"
+        return self._refuse(request, suspect, kind, decision.retry_after_seconds)
+
+    def _refuse(
+        self, request: EntryRequest, suspect: int, kind: str, retry_after_seconds: float
+    ) -> NotRun:
         self._metrics.count_refused(kind)
         if self._line_limit.allow():
             logger.warning(
@@ -100,15 +159,27 @@
                     "fingerprint": f"{suspect:016x}",
                     "decision": kind,
                     "path": request.path[:MAX_PATH_CHARACTERS],
-                    "retry_after": round(decision.retry_after_seconds, 3),
+                    "retry_after": round(retry_after_seconds, 3),
                 },
             )
         return NotRun(
             Reason.QUARANTINED,
             f"targets ended under {suspect:016x}",
-            decision.retry_after_seconds,
+            retry_after_seconds,
         )
 
+    def _may_try(self, suspect: int) -> bool:
+        """Decide about a trial without a message."""
+        leader = self._leader()
+        if leader == self._host:
+            return self._trials.take(suspect, now())
+        return leader is None and self._may_try_by_chance(suspect)
+
+    def _may_try_by_chance(self, suspect: int) -> bool:
+        if self._rng is None or not self._chances.take(suspect, now()):
+            return False
+        return self._rng.random() < TRIAL_CHANCE
+
     def on_answered(self, request: EntryRequest) -> None:
         """Clear a request that a target has answered.
 
@@ -148,6 +219,8 @@
         while not self.should_stop:
             await self.sleep(CLEAN_UP_INTERVAL_SECONDS)
             self._table.remove_expired(now())
+            self._trials.remove_expired(now())
+            self._chances.remove_expired(now())
 
     async def _confirm(self, target: TargetEntry) -> None:
         try:
@@ -192,6 +265,11 @@
         if not report.is_relayed:
             self._relay(sender, report)
 
+    async def _on_trial_request(self, sender: str, request: Any) -> Any:
+        if self._leader() != self._host:
+            return None
+        return TrialResponse(self._trials.take(request.request, now()))
+
     async def _on_suspicion_cleared(self, sender: str, report: Any) -> None:
         self._table.clear(report.request)
         if not report.is_relayed:
--- a/src/balsamway/quarantine/suspect_table.py
+++ b/src/balsamway/quarantine/suspect_table.py
@@ -27,6 +27,9 @@
 be innocent, so it gets another chance."""
 CERTAIN_QUARANTINE_SECONDS = 60.0
 """How long a request is quarantined after as many ends as are certain."""
+PROBATION_SECONDS = SUSPICION_SECONDS - QUARANTINE_SECONDS
+"""How long a request is remembered after its quarantine. Meanwhile one host at
+a time may try it."""
 SIMULTANEOUS_SECONDS = 0.05
 """Ends of several targets within this time count as one: a lost rack or zone
 ends many at once, as a single request does not."""
@@ -141,6 +144,20 @@
         turn_ends_at = suspect.last_end_at + (turn + 1) * TURN_SECONDS
         return Isolated(turn_ends_at - time + (waits - 1) * TURN_SECONDS)
 
+    def is_on_probation(self, request: int, time: float) -> bool:
+        """Return whether a quarantine has ended, but not the suspicion.
+
+        Args:
+            request: The fingerprint of the request.
+            time: The current event loop time.
+        """
+        suspect = self._suspects.get(request)
+        if suspect is None or suspect.ends < MIN_ENDS:
+            return False
+        is_certain = suspect.ends >= CERTAIN_ENDS
+        seconds = CERTAIN_QUARANTINE_SECONDS if is_certain else QUARANTINE_SECONDS
+        return time - suspect.last_end_at >= seconds
+
     def remove_expired(self, time: float) -> None:
         """Forget requests and ends that are too old.
 
@@ -195,5 +212,5 @@
 
 def _memory_seconds(suspect: _Suspect) -> float:
     if suspect.ends >= CERTAIN_ENDS:
-        return CERTAIN_QUARANTINE_SECONDS
+        return CERTAIN_QUARANTINE_SECONDS + PROBATION_SECONDS
     return SUSPICION_SECONDS
--- a/tests/quarantine/test_quarantine_of_a_fleet.py
+++ b/tests/quarantine/test_quarantine_of_a_fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 
 import pytest
 from prometheus_client import CollectorRegistry
@@ -10,7 +11,11 @@
 from balsamway.outcome import Reason
 from balsamway.quarantine.quarantine import Quarantine
 from balsamway.quarantine.quarantine_metrics import QuarantineMetrics
-from balsamway.quarantine.suspect_table import QUARANTINE_SECONDS
+from balsamway.quarantine.suspect_table import (
+    CERTAIN_QUARANTINE_SECONDS,
+    QUARANTINE_SECONDS,
+)
+from balsamway.quarantine.trials import TRIAL_SECONDS
 from tests.fakes.faults import Faults
 from tests.fakes.network import FakeNetwork
 
@@ -122,3 +127,59 @@
     await fleet.end(1, target("i-1"), *requests)
     await asyncio.sleep(RETRY_SECONDS)
     assert fleet.network.messages == 8
+
+
+async def end_quarantine(fleet, request_to, target):
+    for name in ("i-1", "i-2"):
+        await fleet.end(1, target(name), request_to("/deadly"))
+        await asyncio.sleep(1)
+    await asyncio.sleep(QUARANTINE_SECONDS)
+
+
+async def admitting_hosts(fleet, request):
+    refusals = await asyncio.gather(*(host.admit(request) for host in fleet.hosts))
+    return refusals.count(None)
+
+
+# Guards against a suspect request that several hosts send after they asked the
+# leader at the same moment, and against one that no host may ever try.
+@pytest.mark.parametrize("host_count", [9, 91, 195])
+async def test_the_leader_lets_exactly_one_host_try_at_a_time(
+    host_count, request_to, target
+):
+    fleet = Fleet(host_count)
+    await end_quarantine(fleet, request_to, target)
+    for _ in range(3):
+        assert await admitting_hosts(fleet, request_to("/deadly")) == 1
+        assert await admitting_hosts(fleet, request_to("/deadly")) == 0
+        await asyncio.sleep(TRIAL_SECONDS)
+    fleet.hosts[3].on_answered(request_to("/deadly"))
+    await asyncio.sleep(RETRY_SECONDS)
+    assert await admitting_hosts(fleet, request_to("/deadly")) == host_count
+
+
+# Guards against hosts that all try once their leader is lost.
+@pytest.mark.parametrize("host_count", [9, 91, 195])
+async def test_few_hosts_try_while_the_leader_is_lost(host_count, request_to, target):
+    fleet = Fleet(host_count)
+    for index, host in enumerate(fleet.hosts):
+        host._rng = random.Random(index)
+    await end_quarantine(fleet, request_to, target)
+    fleet.network.down.add("h0")
+    fleet.hosts = fleet.hosts[1:]
+    admitted = 0
+    for _ in range(20):
+        admitted += await admitting_hosts(fleet, request_to("/deadly"))
+        await asyncio.sleep(0.05)
+    assert admitted <= 3
+
+
+# Guards against a request that ended three targets and that all hosts send at
+# the same moment a minute later.
+async def test_a_certain_quarantine_that_ends_lets_one_host_try(request_to, target):
+    fleet = Fleet(9)
+    for name in ("i-1", "i-2", "i-3"):
+        await fleet.end(1, target(name), request_to("/deadly"))
+        await asyncio.sleep(1)
+    await asyncio.sleep(CERTAIN_QUARANTINE_SECONDS)
+    assert await admitting_hosts(fleet, request_to("/deadly")) == 1
