--- a/src/balsamway/forwarding/target_state.py
+++ b/src/balsamway/forwarding/target_state.py
@@ -9,7 +9,9 @@
 from balsamway.forwarding.attempt_result import AttemptOutcome
 from balsamway.forwarding.target_rest import TargetRest
 from balsamway.forwarding.work_separation import position_of
-from balsamway.limits import TargetLimit
+from balsamway.limits import ColdTarget, TargetLimit
+from balsamway.pace.experience import Experience
+from balsamway.pace.pace_limit import PaceLimit
 
 if TYPE_CHECKING:
     from balsamway.discovery import TargetEntry
@@ -39,12 +41,20 @@
 WARM_UP_FACTOR = 2.0
 """How many times slower a target is assumed to be during its warm-up."""
 
+JUST_STARTED_SECONDS = 5.0
+"""How long a target counts as just started. The leader decides about its pace
+within a second, or a new leader within this time."""
+
 
 class TargetState:
     """Counts requests in flight and tracks a target's latency and failures."""
 
     def __init__(
-        self, entry: TargetEntry, pool: ConnectionPool, drain_seconds: float
+        self,
+        entry: TargetEntry,
+        pool: ConnectionPool,
+        drain_seconds: float,
+        cold: ColdTarget | None = None,
     ) -> None:
         """Start without any observation.
 
@@ -53,6 +63,7 @@
             pool: The connections to the target.
             drain_seconds: The time within which the target must stop receiving
                 new requests after it began to drain.
+            cold: How long the target is cold; None to take it from the entry.
         """
         self._drain_seconds = drain_seconds
         self._draining_since = now() if entry.is_draining else None
@@ -65,6 +76,10 @@
         """The target's position in an order that all hosts share."""
         self.pool = pool
         self.limit = TargetLimit(entry.name)
+        self.cold = cold or ColdTarget(entry.warmup_seconds, is_observed=False)
+        self.pace = PaceLimit()
+        self.experience = Experience()
+        self._seen_start_at = -math.inf
         self.rest = TargetRest(entry.name)
         self.in_flight = 0
         self.remote_in_flight = 0.0
@@ -85,6 +100,25 @@
         self.unqueued_seconds = 0.0
         """The sum of the latencies of the unqueued responses, in seconds."""
 
+    @property
+    def requests_per_second(self) -> float | None:
+        """The lowest limit of all hosts together, None if there is none."""
+        limits = (
+            self.limit.requests_per_second,
+            self.cold.limit,
+            self.pace.limit,
+        )
+        return min((limit for limit in limits if limit is not None), default=None)
+
+    @property
+    def has_just_started(self) -> bool:
+        """Whether this host saw the target start within the last seconds."""
+        return now() - self._seen_start_at < JUST_STARTED_SECONDS
+
+    def on_start_seen(self) -> None:
+        """Record that the target's first entry was written just now."""
+        self._seen_start_at = now()
+
     @property
     def is_drain_expired(self) -> bool:
         """Whether the target must receive no request, not even for its keys.
@@ -176,6 +210,9 @@
             self._draining_since = now()
         if entry.warmup_seconds != self.entry.warmup_seconds:
             self._warm_up_ends_at = now() + entry.warmup_seconds
+        # Each entry that arrives is an object of its own.
+        if entry is not self.entry:
+            self.cold.on_entry(entry.warmup_seconds)
         self.entry = entry
 
     @property
@@ -195,6 +232,7 @@
             was_unqueued: Whether a slot was free when the request was sent, as
                 far as this host knew.
         """
+        self.experience.record(outcome, seconds)
         match outcome:
             case AttemptOutcome.SERVED:
                 self._consecutive_unreachable = 0
