Write request bodies piece by piece to a target

A body was part of the request's bytes, so a host held a body of 64 MiB whole, twice while it was written.

HttpRequest.body may be a StreamedBody now. Its pieces are written as the connection accepts them, with the caller's length or in chunks. A response that arrives meanwhile ends the exchange and the connection; a body that breaks off resets the connection. While a large body is written, the system waits 10 s instead of 1.5 s for a target that acknowledges bytes and reads none. If a write fails, the response that the system has received by then is still read.

--- a/src/balsamway/exchange/__init__.py
+++ b/src/balsamway/exchange/__init__.py
@@ -6,14 +6,22 @@
 from balsamway.exchange.not_sent import NotSent
 from balsamway.exchange.response_budget import ResponseBudget
 from balsamway.exchange.response_lost import ResponseLost
+from balsamway.exchange.streamed_body import (
+    BodyBroken,
+    BodyTooLarge,
+    StreamedBody,
+)
 from balsamway.exchange.target_connection import TargetConnection
 
 __all__ = [
+    "BodyBroken",
+    "BodyTooLarge",
     "ConnectionPool",
     "HttpRequest",
     "HttpResponse",
     "NotSent",
     "ResponseBudget",
     "ResponseLost",
+    "StreamedBody",
     "TargetConnection",
 ]
--- a/src/balsamway/exchange/socket_options.py
+++ b/src/balsamway/exchange/socket_options.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import socket
 import struct
 from typing import TYPE_CHECKING
@@ -12,6 +13,10 @@
 MAX_UNACKNOWLEDGED_MS = 1_500
 """Bounds how long sent bytes may stay unacknowledged. The network path takes
 a few ms."""
+MAX_UNREAD_MS = 10_000
+"""The same bound while a large body is written. The system counts the time in
+which a target acknowledges bytes but reads none, as a target does whose slots
+are taken; 1.5 s would end the body of a target that is only slow."""
 KEEPALIVE_IDLE_SECONDS = 1
 """How long a connection is idle before the first keepalive probe."""
 KEEPALIVE_INTERVAL_SECONDS = 1
@@ -39,6 +44,45 @@
         sock.setsockopt(socket.IPPROTO_TCP, option, value)
 
 
+def bound_unread(transport: asyncio.Transport, is_writing_body: bool) -> None:
+    """Allow more or less time in which a target reads nothing.
+
+    Args:
+        transport: The transport of a TCP connection.
+        is_writing_body: Whether a large body is being written.
+    """
+    sock = transport.get_extra_info("socket")
+    if sock is None or sock.fileno() < 0:
+        return
+    milliseconds = MAX_UNREAD_MS if is_writing_body else MAX_UNACKNOWLEDGED_MS
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, milliseconds)
+
+
+def receive_unread(transport: asyncio.Transport, max_bytes: int) -> bytes:
+    """Return what a connection received before its write failed.
+
+    A target that responds before it has read a body may reset the connection
+    right after. If the reset is noticed by a write, the system still has the
+    bytes of the response.
+
+    Args:
+        transport: The transport of a TCP connection, not closed yet.
+        max_bytes: Bounds the bytes.
+    """
+    sock = transport.get_extra_info("socket")
+    if sock is None or sock.fileno() < 0:
+        return b""
+    received = bytearray()
+    with socket.socket(fileno=os.dup(sock.fileno())) as copy:
+        copy.setblocking(False)
+        try:
+            while len(received) < max_bytes and (data := copy.recv(max_bytes)):
+                received += data
+        except OSError:
+            pass
+    return bytes(received)
+
+
 def reset_connection(transport: asyncio.Transport) -> None:
     """Reset a connection, so that its unsent bytes are dropped.
 
--- a/src/balsamway/exchange/target_connection.py
+++ b/src/balsamway/exchange/target_connection.py
@@ -11,11 +11,18 @@
 from aiohttp.http_exceptions import HttpProcessingError
 
 from balsamway.clock import now
+from balsamway.exchange.body_writer import write_body
 from balsamway.exchange.http_response import HttpResponse
 from balsamway.exchange.not_sent import NotSent
 from balsamway.exchange.response_lost import ResponseLost
 from balsamway.exchange.response_reader import MAX_RESPONSE_BYTES, ResponseReader
-from balsamway.exchange.socket_options import bound_silence, reset_connection
+from balsamway.exchange.socket_options import (
+    bound_silence,
+    bound_unread,
+    receive_unread,
+    reset_connection,
+)
+from balsamway.exchange.streamed_body import BodyBroken
 from balsamway.targets import header_names
 
 if TYPE_CHECKING:
@@ -24,6 +31,7 @@
     from balsamway.exchange.http_request import HttpRequest
     from balsamway.exchange.response_budget import ResponseBudget
     from balsamway.exchange.response_reader import CompleteResponse
+    from balsamway.exchange.streamed_body import StreamedBody
 
 DEFAULT_KEEP_ALIVE_SECONDS = 10.0
 """How long a target is assumed to keep an idle connection open if its
@@ -31,6 +39,8 @@
 KEEP_ALIVE_MARGIN_SECONDS = 1.0
 """How much sooner than the target this host stops using an idle connection.
 Otherwise the target might close it just as a request is written."""
+MAX_EARLY_RESPONSE_BYTES = 256 << 10
+"""Bounds what is read of a response when a write has failed."""
 
 logger = logging.getLogger(__name__)
 
@@ -59,6 +69,8 @@
         """The complete responses, and the error that came after them."""
         self._reader: ResponseReader | None = None
         """Parses the bytes of the exchange in progress."""
+        self._body_writer: asyncio.Task[None] | None = None
+        """Writes the streamed body of the exchange in progress."""
         self.exchange_count = 0
         """The number of exchanges that were begun."""
         self._is_reusable = True
@@ -120,6 +132,9 @@
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Fail the exchange in progress, if any."""
+        transport = self.transport
+        if exc and self._body_writer is not None and transport is not None:
+            self.data_received(receive_unread(transport, MAX_EARLY_RESPONSE_BYTES))
         super().connection_lost(exc)
         self._is_closed = True
         self._fail(ConnectionResetError(str(exc) if exc else "closed"))
@@ -129,20 +144,77 @@
     ) -> HttpResponse | ResponseLost | NotSent:
         """Write a request and wait for its complete response.
 
-        Cancelling the call resets the connection, which cancels the request
-        at the target.
+        A response that arrives before a streamed body is written ends the
+        exchange, and the connection with it. Cancelling the call resets the
+        connection, which cancels the request at the target.
 
         Args:
             request: The request.
 
         Returns:
-            The response, `NotSent` if the connection was already closed, or
-            `ResponseLost` if it ended before the response was complete.
+            The response, `NotSent` if the connection was already closed,
+            or `ResponseLost` if it ended before the response was complete.
+
+        Raises:
+            BodyBroken: If a streamed body did not arrive from the caller.
         """
+        body = request.body
+        if not isinstance(body, bytes):
+            return await self._exchange_streamed(request, body)
         if self._is_closed or self.transport is None or self.transport.is_closing():
             return NotSent("the connection was closed")
         self._begin_exchange(request)
         self.transport.write(request.encode())
+        return await self._receive_response(request)
+
+    async def _exchange_streamed(
+        self, request: HttpRequest, body: StreamedBody
+    ) -> HttpResponse | ResponseLost | NotSent:
+        if self._is_unwritable():
+            return NotSent("the connection was closed")
+        # Nothing is written for a caller that has broken off by now.
+        first_piece = await body.read_chunk()
+        transport = self.transport
+        if transport is None or self._is_unwritable():
+            return NotSent("the connection was closed")
+        self._begin_exchange(request)
+        bound_unread(transport, is_writing_body=True)
+        transport.write(request.encode())
+        writer = self._loop.create_task(self._write_body(body, first_piece))
+        self._body_writer = writer
+        try:
+            response = await self._receive_response(request)
+        finally:
+            self._body_writer = None
+            writer.cancel()
+            await asyncio.wait((writer,))
+        if self._is_reusable:
+            bound_unread(transport, is_writing_body=False)
+        return response
+
+    async def _write_body(self, body: StreamedBody, first_piece: bytes) -> None:
+        try:
+            await write_body(body, first_piece, self._write, self._drain_helper)
+        except BodyBroken as error:
+            error.is_sent = True
+            self._fail(error)
+            self.abort()
+        except ConnectionError:
+            # The end of the connection has failed the exchange.
+            pass
+
+    def _write(self, data: bytes) -> None:
+        if self.transport is None or self._is_unwritable():
+            raise ConnectionResetError("the connection was closed")
+        self.transport.write(data)
+
+    def _is_unwritable(self) -> bool:
+        transport = self.transport
+        return self._is_closed or transport is None or transport.is_closing()
+
+    async def _receive_response(
+        self, request: HttpRequest
+    ) -> HttpResponse | ResponseLost:
         try:
             response = await self._read_response(request)
         except BaseException:
@@ -150,10 +222,10 @@
             raise
         finally:
             self._budget.release(self)
-        if isinstance(response, ResponseLost):
-            self.abort()
-        else:
+        if isinstance(response, HttpResponse):
             self._end_exchange(response)
+        else:
+            self.abort()
         return response
 
     def give_up_response(self, reason: str) -> None:
@@ -191,6 +263,8 @@
     async def _read_response(self, request: HttpRequest) -> HttpResponse | ResponseLost:
         while True:
             received = await self._responses.get()
+            if isinstance(received, BodyBroken):
+                raise received
             if isinstance(received, Exception):
                 return ResponseLost(f"{type(received).__name__}: {received}")
             head = received.head
@@ -224,6 +298,10 @@
         if self._reader is not None and self._reader.has_leftover:
             self._is_reusable = False
         self._reader = None
+        if self._body_writer is not None and not self._body_writer.done():
+            # The target responded before it had the whole body.
+            self._is_reusable = False
+            self._ended_normally = True
         if not self._responses.empty() or self._has_unsent_bytes():
             self._is_reusable = False
         self.idle_until = now() + _keep_alive_seconds(response)
