Stream large bodies from callers, and try them once

Bodies over 1 MiB become a BodyStream, which pauses the caller's connection while 256 KiB wait. A request whose stream was begun gets no other attempt. The bytes offered to one target are bounded to 8 MiB a host; a request that finds no target with room is refused with the time until there is some.

The acquisition of a connection and the timeouts move from the platform adapter to forwarding/attempt_sender.py unchanged: the adapter has 40 lines less.

A body that does not arrive is refused at the route's timeout; it was awaited without end. A malformed chunk ends its own request, which hung before.

--- a/src/balsamway/entry/caller_connection.py
+++ b/src/balsamway/entry/caller_connection.py
@@ -12,9 +12,11 @@
 from aiohttp.http_exceptions import HttpProcessingError, LineTooLong
 
 from balsamway.clock import now
+from balsamway.entry.body_stream import MAX_WAITING_BYTES, BodyStream, read_body
 from balsamway.entry.pending_response import PendingResponse
 from balsamway.entry.response_encoder import encode_response
 from balsamway.exchange.socket_options import bound_silence
+from balsamway.exchange.streamed_body import BodyBroken, BodyTooLarge
 from balsamway.outcome import MayHaveRun, NotRun, Reason
 from balsamway.targets import header_names
 
@@ -25,8 +27,9 @@
     from balsamway.entry.entry_listener import EntryListener
     from balsamway.outcome import Verdict
 
-BODY_BUFFER_BYTES = 1 << 20
-"""The parser's buffer limit for a request body."""
+BODY_BUFFER_BYTES = MAX_WAITING_BYTES // 2
+"""The parser's buffer limit for a request body. The parser pauses reading at
+twice this limit."""
 MAX_PIPELINED_REQUESTS = 32
 """Bounds the requests of one connection that are in progress. Further ones
 are left unread."""
@@ -187,32 +190,76 @@
     async def _handle(
         self, head: RawRequestMessage, payload: StreamReader, arrived: float
     ) -> Verdict:
-        body = await self._read_body(payload)
-        if body is None:
-            return NotRun(Reason.BODY_TOO_LARGE)
+        if not payload.is_eof():
+            return await self._handle_arriving(head, payload, arrived)
         if payload in self._incomplete_bodies:
             self._incomplete_bodies.remove(payload)
+        body = payload.read_nowait()
+        if len(body) > self._listener.limits.max_body_bytes:
+            self._stop_reading()
+            return NotRun(Reason.BODY_TOO_LARGE)
         return await self._listener.handle_request(head, body, arrived)
 
-    async def _read_body(self, payload: StreamReader) -> bytes | None:
-        """Read a request's body.
+    async def _handle_arriving(
+        self, head: RawRequestMessage, payload: StreamReader, arrived: float
+    ) -> Verdict:
+        """Handle a request whose body has not arrived to its end."""
+        body: bytes | BodyStream = b""
+        try:
+            async with asyncio.timeout_at(self._body_deadline(head, arrived)):
+                body = await self._read_body(head, payload)
+            return await self._listener.handle_request(head, body, arrived)
+        except TimeoutError:
+            return NotRun(Reason.DEADLINE_EXCEEDED, "the body did not arrive in time")
+        except BodyTooLarge:
+            return NotRun(Reason.BODY_TOO_LARGE)
+        except BodyBroken as error:
+            return NotRun(Reason.BAD_REQUEST, str(error))
+        finally:
+            if payload in self._incomplete_bodies:
+                self._incomplete_bodies.remove(payload)
+            if not payload.is_eof():
+                # The rest of the body is not read, so nothing can follow it.
+                self._stop_reading()
+            if isinstance(body, BodyStream):
+                body.close()
+
+    def _body_deadline(self, head: RawRequestMessage, arrived: float) -> float | None:
+        """Return when the first part of a body must be there.
 
         Args:
+            head: The parsed head of the request.
+            arrived: When it arrived, in event loop time.
+
+        Returns:
+            The end of the route's timeout, in event loop time, or None if no
+            route matches the request.
+        """
+        host = head.headers.get("Host", "")
+        seconds = self._listener.timeout_seconds(host, head.path)
+        return None if seconds is None else arrived + seconds
+
+    async def _read_body(
+        self, head: RawRequestMessage, payload: StreamReader
+    ) -> bytes | BodyStream:
+        """Read a request's body, or the first part of a large one.
+
+        Args:
+            head: The parsed head of the request.
             payload: The stream of the body.
 
         Returns:
-            The body, or None if it exceeds the limit.
+            The body, or a stream of it.
+
+        Raises:
+            BodyBroken: If it exceeds the limit, or is not well-formed.
         """
-        max_bytes = self._listener.limits.max_body_bytes
-        chunks: list[bytes] = []
-        size = 0
-        while chunk := await payload.readany():
-            size += len(chunk)
-            if size > max_bytes:
-                self._stop_reading()
-                return None
-            chunks.append(chunk)
-        return b"".join(chunks)
+        length = head.headers.get("Content-Length")
+        return await read_body(
+            payload,
+            None if length is None else int(length),
+            self._listener.limits.max_body_bytes,
+        )
 
     def _on_request_done(self, task: asyncio.Task[Verdict]) -> None:
         transport = self.transport
@@ -252,6 +299,12 @@
 
     def _refuse_malformed(self, error: Exception) -> None:
         self._stop_reading()
+        if self._is_body_incomplete:
+            # The request with this body is refused or ended instead.
+            for payload in self._incomplete_bodies:
+                if not payload.is_eof():
+                    payload.set_exception(ConnectionResetError(str(error)[:200]))
+            return
         reason = Reason.BAD_REQUEST
         if isinstance(error, LineTooLong) or "Too many headers" in str(error):
             reason = Reason.HEADERS_TOO_LARGE
--- a/src/balsamway/entry/entry_listener.py
+++ b/src/balsamway/entry/entry_listener.py
@@ -21,6 +21,7 @@
 
     from aiohttp.http_parser import RawRequestMessage
 
+    from balsamway.entry.body_stream import BodyStream
     from balsamway.entry.caller_codec import CallerCodec
     from balsamway.entry.entry_request import EntryRequest
     from balsamway.outcome import Verdict
@@ -46,6 +47,7 @@
         address: str,
         codec: CallerCodec,
         forward: Callable[[EntryRequest], Awaitable[Verdict]],
+        timeout_seconds: Callable[[str, str], float | None] = lambda host, path: None,
     ) -> None:
         """Create a listener that listens once it is started.
 
@@ -53,11 +55,14 @@
             address: The `ip:port` to listen on. Port 0 selects a free port.
             codec: Decodes the requests.
             forward: Forwards a request and returns the verdict on it.
+            timeout_seconds: Returns how long a request to a host name and
+                path may take, None if that is not known.
         """
         super().__init__()
         self._listen_address = address
         self._codec = codec
         self._forward = forward
+        self.timeout_seconds = timeout_seconds
         self._server: asyncio.Server | None = None
         self._connections: set[CallerConnection] = set()
         self.limits = CallerLimits()
@@ -124,13 +129,13 @@
                 connection.close()
 
     async def handle_request(
-        self, head: RawRequestMessage, body: bytes, arrived: float
+        self, head: RawRequestMessage, body: bytes | BodyStream, arrived: float
     ) -> Verdict:
         """Decode and forward a request.
 
         Args:
             head: The parsed head of the request.
-            body: The complete body of the request.
+            body: The complete body of the request, or a stream of it.
             arrived: When the head arrived, in event loop time.
 
         Returns:
--- a/src/balsamway/entry/entry_request.py
+++ b/src/balsamway/entry/entry_request.py
@@ -3,6 +3,10 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from balsamway.entry.body_stream import BodyStream
 
 
 @dataclass(frozen=True, slots=True)
@@ -16,7 +20,8 @@
     """The path and the query, as sent."""
     headers: tuple[tuple[bytes, bytes], ...]
     """The headers that are passed on to a target, in the caller's order."""
-    body: bytes
+    body: bytes | BodyStream
+    """The whole body, or a stream of a large one, which can be read once."""
     arrived_at: float
     """When the request's head arrived, in event loop time."""
     caller_timeout_seconds: float | None
--- a/src/balsamway/forwarding/attempt_loop.py
+++ b/src/balsamway/forwarding/attempt_loop.py
@@ -7,7 +7,9 @@
 
 from balsamway.clock import now
 from balsamway.forwarding.attempt_result import AttemptOutcome, AttemptResult
+from balsamway.forwarding.offered_bytes import offered_size
 from balsamway.forwarding.refusals import (
+    body_bound_reached,
     host_stops,
     jitter,
     limit_used_up,
@@ -106,6 +108,7 @@
 
         The outcome is None while the attempt is in progress.
         """
+        self._body_bytes = offered_size(request)
         self._arrived_attempts = 0
         """The number of attempts that count towards the route's limit."""
         self._may_have_run = False
@@ -125,6 +128,12 @@
         """Whether the request may be executed more than once."""
         return self.route.type is RouteType.SAFE
 
+    @property
+    def _may_send_again(self) -> bool:
+        """Whether the body is there for another attempt."""
+        body = self.request.body
+        return isinstance(body, bytes) or not body.is_started
+
     @property
     def remaining_seconds(self) -> float:
         """The time left to the deadline, in seconds."""
@@ -176,7 +185,10 @@
                     | AttemptOutcome.STALE_CONNECTION
                 ):
                     unreachable_attempts += 1
-                    if unreachable_attempts >= MAX_UNREACHABLE_ATTEMPTS:
+                    if (
+                        unreachable_attempts >= MAX_UNREACHABLE_ATTEMPTS
+                        or not self._may_send_again
+                    ):
                         return self._refuse(verdict)
                     continue
                 case outcome if outcome in _REFUSALS_BY_TARGET:
@@ -203,13 +215,12 @@
             return await self._find_owner()
         states = self._forwarder.targets.usable(self.service.name)
         rested = [state for state in states if state.rest.allows_request]
-        state = choose_target(
-            self._without_held_back(rested),
-            self._forwarder.zone,
-            self.route.objective_seconds,
-            self._tried,
-            self._forwarder.rng,
-        )
+        candidates = self._without_held_back(rested)
+        state = self._choose(candidates)
+        if state is not None and not state.offered.has_room(self._body_bytes):
+            state = self._choose([s for s in candidates if self._has_room(s)])
+            if state is None:
+                return body_bound_reached(candidates, self._forwarder.rng)
         if state is not None:
             return self._admit(state, mean_service_seconds(states))
         if states and not rested:
@@ -222,6 +233,18 @@
             self._jitter(RETRY_AFTER_SECONDS),
         )
 
+    def _choose(self, states: Sequence[TargetState]) -> TargetState | None:
+        return choose_target(
+            states,
+            self._forwarder.zone,
+            self.route.objective_seconds,
+            self._tried,
+            self._forwarder.rng,
+        )
+
+    def _has_room(self, state: TargetState) -> bool:
+        return state.offered.has_room(self._body_bytes)
+
     def _without_held_back(self, states: Sequence[TargetState]) -> list[TargetState]:
         """Return the targets whose limit may have room for the request."""
         for state in states:
@@ -232,9 +255,10 @@
         return [state for state in states if state.entry.name not in self._held_back]
 
     def _may_still_send(self, state: TargetState) -> bool:
-        """Return whether the target has neither left nor asked for rest."""
+        """Return whether the target may receive the request after a wait."""
         is_listed = self._forwarder.targets.find(*state.entry.key) is state
-        return is_listed and state.may_receive(self.service.is_keyed)
+        may_receive = is_listed and state.may_receive(self.service.is_keyed)
+        return may_receive and self._has_room(state)
 
     def _admit(
         self, state: TargetState, default_seconds: float
@@ -324,6 +348,8 @@
                 )
 
     def _admit_owner(self, state: TargetState) -> TargetState | NotRun:
+        if not self._has_room(state):
+            return body_bound_reached((state,), self._forwarder.rng)
         states = self._forwarder.targets.usable(self.service.name)
         return self._admit(state, mean_service_seconds(states))
 
@@ -351,6 +377,7 @@
         self._may_have_run = True
         was_unqueued = state.has_free_slot
         state.in_flight += 1
+        state.offered.begin(self, self._body_bytes)
         state.rest.on_sent()
         try:
             result = await self._forwarder.transport.send(
@@ -358,6 +385,7 @@
             )
         finally:
             state.in_flight -= 1
+            state.offered.end(self, self._body_bytes)
         if result.limit is not None:
             state.limit.on_response(result.limit)
         state.rest.on_ended(result.outcome, result.rest, started_at)
@@ -399,7 +427,12 @@
             allowed = False
         else:
             allowed = self._arrived_attempts < self.route.max_attempts
-        return allowed and self._has_time() and self._budget.try_take()
+        return (
+            allowed
+            and self._may_send_again
+            and self._has_time()
+            and self._budget.try_take()
+        )
 
     def _may_retry(self) -> bool:
         """Count an attempt that may have run, and allow or deny a retry.
@@ -410,6 +443,7 @@
         self._arrived_attempts += 1
         return (
             self.is_safe
+            and self._may_send_again
             and self._arrived_attempts < self.route.max_attempts
             and self._has_time()
             and self._budget.try_take()
--- a/src/balsamway/forwarding/attempt_result.py
+++ b/src/balsamway/forwarding/attempt_result.py
@@ -39,6 +39,9 @@
     """The exchange ended before the response was complete."""
     TIMED_OUT = "late"
     """No response arrived within the timeout."""
+    BODY_BROKEN = "body-broken"
+    """The caller did not send its whole body. This shows nothing of the
+    target."""
     QUARANTINED = "quarantined"
     """The request was not sent, because targets had ended under it."""
 
--- a/src/balsamway/forwarding/forwarder.py
+++ b/src/balsamway/forwarding/forwarder.py
@@ -155,6 +155,10 @@
         """
         self._last_attempt_at = last_attempt_at
 
+    def timeout_seconds(self, host: str, path: str) -> float | None:
+        """Return how long a request may take; see `ActiveRoutes`."""
+        return self._routes.timeout_seconds(host, path)
+
     async def forward(self, request: EntryRequest) -> Verdict:
         """Forward a request and return the verdict on it.
 
--- a/src/balsamway/forwarding/refusals.py
+++ b/src/balsamway/forwarding/refusals.py
@@ -59,6 +59,21 @@
     )
 
 
+def body_bound_reached(states: Sequence[TargetState], rng: random.Random) -> NotRun:
+    """Return the refusal of a request whose body no target has room for.
+
+    Args:
+        states: The targets; at least one.
+        rng: Spreads the callers.
+    """
+    state = min(states, key=lambda state: state.offered.seconds_until_room)
+    return NotRun(
+        Reason.OVERLOADED,
+        f"{state.entry.name} is offered {state.offered.total} bytes already",
+        jitter(state.offered.seconds_until_room, rng),
+    )
+
+
 def host_stops(rng: random.Random) -> NotRun:
     """Return the refusal of a request that this host must not send."""
     return NotRun(
--- a/src/balsamway/forwarding/service_targets.py
+++ b/src/balsamway/forwarding/service_targets.py
@@ -105,11 +105,13 @@
         return tuple(state for state in self._states.values() if state.rest.is_active)
 
     def dump(self) -> dict[str, object]:
-        """Return the targets that ask for fewer requests, for the dump."""
+        """Return the targets that may get fewer requests, for the dump."""
         return {
             state.entry.name: state.dump()
             for state in self._states.values()
-            if state.leaving_since is not None or state.rest.is_active
+            if state.leaving_since is not None
+            or state.rest.is_active
+            or state.offered.total
         }
 
     def on_leaving(self, state: TargetState) -> None:
--- a/src/balsamway/forwarding/target_state.py
+++ b/src/balsamway/forwarding/target_state.py
@@ -7,6 +7,7 @@
 
 from balsamway.clock import now
 from balsamway.forwarding.attempt_result import AttemptOutcome
+from balsamway.forwarding.offered_bytes import OfferedBytes
 from balsamway.forwarding.target_rest import TargetRest
 from balsamway.limits import TargetLimit
 
@@ -60,6 +61,7 @@
         self.pool = pool
         self.limit = TargetLimit(entry.name)
         self.rest = TargetRest(entry.name)
+        self.offered = OfferedBytes()
         self.in_flight = 0
         self.remote_in_flight = 0.0
         """The mean number of requests from other entry hosts in flight."""
@@ -145,6 +147,7 @@
             "incarnation": self.entry.incarnation,
             "leaving_seconds": None if since is None else round(now() - since, 3),
             "rest_seconds": round(self.rest.remaining_seconds, 3),
+            "offered_bytes": self.offered.total,
             "may_receive": self.may_receive(is_key_owner=True),
         }
 
@@ -189,7 +192,11 @@
                 self._on_unreachable()
             case AttemptOutcome.WRONG_TARGET:
                 self._on_unreachable()
-            case AttemptOutcome.KEY_NOT_HELD | AttemptOutcome.STALE_CONNECTION:
+            case (
+                AttemptOutcome.KEY_NOT_HELD
+                | AttemptOutcome.STALE_CONNECTION
+                | AttemptOutcome.BODY_BROKEN
+            ):
                 pass
             case AttemptOutcome.FAILED:
                 self._consecutive_unreachable = 0
--- a/src/balsamway/node/entry_node.py
+++ b/src/balsamway/node/entry_node.py
@@ -176,7 +176,10 @@
         )
         self._reporter.leader = self.leader
         self._caller_listener = EntryListener(
-            settings.callers_address, adapters.codec, self._forward
+            settings.callers_address,
+            adapters.codec,
+            self._forward,
+            self.forwarder.timeout_seconds,
         )
         self._readiness_listener = ReadinessListener(
             settings.readiness_address, adapters.readiness_path, self.is_ready
--- a/src/balsamway/platform/caller_codec.py
+++ b/src/balsamway/platform/caller_codec.py
@@ -13,6 +13,8 @@
 if TYPE_CHECKING:
     from aiohttp.http_parser import RawRequestMessage
 
+    from balsamway.entry import BodyStream
+
 _REPLACED_HEADERS = frozenset(
     {names.DEADLINE_HEADER.lower().encode(), names.TARGET_HEADER.lower().encode()}
 )
@@ -25,7 +27,7 @@
     """
 
     def read_request(
-        self, head: RawRequestMessage, body: bytes, arrived: float
+        self, head: RawRequestMessage, body: bytes | BodyStream, arrived: float
     ) -> EntryRequest | NotRun:
         """Decode a request; see `CallerCodec.read_request`."""
         request_id = head.headers.get(names.REQUEST_ID_HEADER)
--- a/src/balsamway/platform/target_transport.py
+++ b/src/balsamway/platform/target_transport.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import re
 from dataclasses import replace
 from typing import TYPE_CHECKING
@@ -10,6 +9,7 @@
 from balsamway.entry.hop_headers import end_to_end_headers
 from balsamway.exchange import HttpRequest, NotSent, ResponseLost
 from balsamway.forwarding.attempt_result import AttemptOutcome, AttemptResult
+from balsamway.forwarding.attempt_sender import send_attempt
 from balsamway.limits import NamedLimit, NoLimit, UnreadableLimit
 from balsamway.outcome import Completed, MayHaveRun, NotRun, Reason
 from balsamway.platform import names
@@ -21,20 +21,6 @@
     from balsamway.exchange import ConnectionPool, HttpResponse
     from balsamway.limits import LimitAnswer
 
-ACQUIRE_TIMEOUT_SECONDS = 0.45
-"""The longest wait for a free connection. The target may begin to drain or ask
-for rest during this wait, and must get no new requests two seconds after the
-former and half a second after the latter."""
-SEND_MARGIN_SECONDS = 0.01
-"""How long before the deadline the wait for a connection ends. The result
-then says that the request was not sent; at the deadline it might have been."""
-
-RETRIED_AT_THE_TARGET = frozenset(
-    {AttemptOutcome.KEY_NOT_HELD, AttemptOutcome.WRONG_TARGET}
-)
-"""Refusals after which the same request may be sent to the same target. A
-faulty target may repeat such a refusal, and its request id would match, so the
-connection is not used again."""
 DECIMAL_NUMBER = re.compile(r"[0-9]{1,9}(\.[0-9]{0,9})?")
 """A limit in requests per second."""
 
@@ -50,38 +36,12 @@
         timeout_seconds: float,
     ) -> AttemptResult:
         """Send one attempt; see `TargetTransport.send`."""
-        loop = asyncio.get_running_loop()
-        deadline = loop.time() + timeout_seconds
-        try:
-            async with asyncio.timeout(
-                min(timeout_seconds - SEND_MARGIN_SECONDS, ACQUIRE_TIMEOUT_SECONDS)
-            ):
-                connection = await pool.acquire()
-        except TimeoutError:
-            refusal = NotRun(Reason.OVERLOADED, "no free connection to the target")
-            return AttemptResult(refusal, AttemptOutcome.TIMED_OUT)
-        if isinstance(connection, NotSent):
-            refusal = NotRun(Reason.CONNECT_FAILED, connection.reason)
-            return AttemptResult(
-                refusal,
-                AttemptOutcome.CONNECTION_REFUSED
-                if connection.is_reset_by_target
-                else AttemptOutcome.UNREACHABLE,
-            )
-        try:
-            async with asyncio.timeout_at(deadline):
-                response = await connection.exchange(
-                    _http_request(request, target, deadline - loop.time())
-                )
-                result = _evaluate(response, target, connection.exchange_count == 1)
-                if result.outcome in RETRIED_AT_THE_TARGET:
-                    connection.close()
-        except TimeoutError:
-            timed_out = MayHaveRun(Reason.DEADLINE_EXCEEDED)
-            return AttemptResult(timed_out, AttemptOutcome.TIMED_OUT)
-        finally:
-            pool.release(connection)
-        return result
+        return await send_attempt(
+            pool,
+            timeout_seconds,
+            lambda remaining_seconds: _http_request(request, target, remaining_seconds),
+            lambda response, is_first: _evaluate(response, target, is_first),
+        )
 
 
 def _evaluate(
--- a/src/balsamway/quarantine/fingerprint.py
+++ b/src/balsamway/quarantine/fingerprint.py
@@ -23,7 +23,8 @@
 
     Returns:
         The hash of method, host, path, query, key and body, as an unsigned
-        64-bit number.
+        64-bit number. Of a streamed body, the length and the first part
+        count: the rest has not arrived when the request is sent.
     """
     digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
     key = "" if request.key is None else str(request.key)
@@ -31,5 +32,10 @@
         content = part.encode(errors="surrogateescape")
         digest.update(b"%d:" % len(content))
         digest.update(content)
-    digest.update(request.body)
+    body = request.body
+    if isinstance(body, bytes):
+        digest.update(body)
+    else:
+        digest.update(b"stream:%d:" % (-1 if body.length is None else body.length))
+        digest.update(body.first_digest)
     return int.from_bytes(digest.digest())
--- a/src/balsamway/routing/active_routes.py
+++ b/src/balsamway/routing/active_routes.py
@@ -59,6 +59,19 @@
             self._splits[route.id] = split
         return frozenset(previous.keys() - self._splits.keys())
 
+    def timeout_seconds(self, host: str, path: str) -> float | None:
+        """Return the timeout of the route of a request.
+
+        Args:
+            host: The host name as the caller sent it.
+            path: The path, with or without a query.
+
+        Returns:
+            The timeout in seconds, or None if no route matches the request.
+        """
+        route = self._table.find(host, path)
+        return None if route is None else route.timeout_seconds
+
     def choose(self, host: str, path: str) -> RouteChoice | None:
         """Choose the route and the service of a request.
 
