--- a/src/balsamway/entry/body_stream.py
+++ b/src/balsamway/entry/body_stream.py
@@ -78,6 +78,13 @@
         """The hash of the first `MAX_BUFFERED_BODY_BYTES`."""
         return self._digest
 
+    @property
+    def ending(self) -> str:
+        """How much was taken, as a word for logs and metrics."""
+        if self.is_complete:
+            return "complete"
+        return "partial" if self.is_started else "unsent"
+
     @property
     def held_bytes(self) -> int:
         """The bytes that have arrived and were not taken."""
--- a/src/balsamway/forwarding/request_log.py
+++ b/src/balsamway/forwarding/request_log.py
@@ -101,6 +101,14 @@
         if not self._line_limit.allow():
             return
         arrived_at = attempt_loop.request.arrived_at
+        body = attempt_loop.request.body
+        streamed: dict[str, object] = {}
+        if not isinstance(body, bytes):
+            streamed["body"] = {
+                "sent": body.ending,
+                "bytes": body.taken_bytes,
+                "length": body.length,
+            }
         logger.info(
             "request-ended",
             extra={
@@ -123,5 +131,6 @@
                     }
                     for target, started_at, attempt_outcome in attempt_loop.attempts
                 ],
-            },
+            }
+            | streamed,
         )
--- a/src/balsamway/forwarding/request_metrics.py
+++ b/src/balsamway/forwarding/request_metrics.py
@@ -58,6 +58,18 @@
             ("service", "finding"),
             registry=registry,
         )
+        self._stream_count = Counter(
+            "balsamway_entry_streamed_requests",
+            "Requests with a streamed body, by how much of it was sent.",
+            ("service", "sent"),
+            registry=registry,
+        )
+        self._stream_bytes = Counter(
+            "balsamway_entry_streamed_bytes",
+            "Bytes of streamed bodies that were sent to targets.",
+            ("service",),
+            registry=registry,
+        )
         self._connection_count = Counter(
             "balsamway_entry_connections_opened",
             "Connections opened to targets.",
@@ -95,6 +107,10 @@
         service = attempt_loop.service.name
         self._request_count.labels(service, outcome, reason).inc()
         self._request_seconds.labels(service).observe(seconds)
+        body = attempt_loop.request.body
+        if not isinstance(body, bytes):
+            self._stream_count.labels(service, body.ending).inc()
+            self._stream_bytes.labels(service).inc(body.taken_bytes)
         if attempt_loop.attempts:
             wait_seconds = attempt_loop.attempts[0][1] - attempt_loop.request.arrived_at
             self._first_attempt_seconds.labels(service).observe(wait_seconds)
--- a/src/balsamway/forwarding/service_targets.py
+++ b/src/balsamway/forwarding/service_targets.py
@@ -104,6 +104,11 @@
         """Return the states of the targets that rest or are probed again."""
         return tuple(state for state in self._states.values() if state.rest.is_active)
 
+    @property
+    def offered_bytes(self) -> int:
+        """The bytes of the bodies offered to all targets now."""
+        return sum(state.offered.total for state in self._states.values())
+
     def dump(self) -> dict[str, object]:
         """Return the targets that may get fewer requests, for the dump."""
         return {
--- a/src/balsamway/node/node_metrics.py
+++ b/src/balsamway/node/node_metrics.py
@@ -35,6 +35,11 @@
             "Requests of callers in progress.",
             lambda: float(node.in_progress),
         )
+        self._add_gauge(
+            "balsamway_entry_offered_bytes",
+            "Bytes of the bodies of the requests in progress at targets.",
+            lambda: float(node.targets.offered_bytes),
+        )
         self._add_gauge(
             "balsamway_entry_configuration_version",
             "The version of the configuration in force; 0 without one.",
--- a/tests/uploads/test_offered_bytes.py
+++ b/tests/uploads/test_offered_bytes.py
@@ -28,6 +28,8 @@
     def __init__(self, length, is_started=False):
         self.length = length
         self.is_started = is_started
+        self.ending = "partial" if is_started else "unsent"
+        self.taken_bytes = 0
 
 
 def request_of(body, key=None):
--- a/tests/uploads/test_streamed_requests.py
+++ b/tests/uploads/test_streamed_requests.py
@@ -4,11 +4,15 @@
 
 import asyncio
 import hashlib
+import logging
 
 import pytest
+from prometheus_client import CollectorRegistry
 
 from balsamway.entry.body_stream import MAX_BUFFERED_BODY_BYTES
 from balsamway.forwarding.attempt_result import AttemptOutcome
+from balsamway.forwarding.request_log import RequestLog
+from balsamway.forwarding.request_metrics import RequestMetrics
 from balsamway.outcome import MayHaveRun, NotRun, Reason
 from balsamway.routing import CallerLimits, RouteType
 from tests.fakes.scripted_target import answer, read_answer, reset
@@ -336,3 +340,38 @@
     writer.write(head(MAX_BUFFERED_BODY_BYTES) + bytes(MAX_BUFFERED_BODY_BYTES))
     assert (await read_answer(reader))[0] == 503
     assert [len(target.heads) for target in targets] == [1, 1]
+
+
+async def test_metrics_and_log_tell_how_much_of_a_body_was_sent(
+    host_for, connect, caplog
+):
+    """Guards operators against uploads that end without a trace."""
+    caplog.set_level(logging.INFO)
+    registry = CollectorRegistry()
+
+    async def answer_early(headers, reader, writer, number):
+        if number == 1:
+            await answer_with_digest(headers, reader, writer, number)
+            return
+        writer.write(answer(headers["balsamway-request-id"], b"early", 507))
+        while await read_some(reader):
+            pass
+
+    host, _ = await host_for(answer_early)
+    host.forwarder._observers = (RequestLog(), RequestMetrics(registry))
+    for number in range(2):
+        reader, writer = await connect(host)
+        sent = LARGE if number == 0 else 2 * MAX_BUFFERED_BODY_BYTES
+        writer.write(head(LARGE, f"r{number}") + bytes(sent))
+        await read_answer(reader)
+    name = "balsamway_entry_streamed_requests_total"
+    for ending in ("complete", "partial"):
+        labels = {"service": "s", "sent": ending}
+        assert registry.get_sample_value(name, labels) == 1
+    sent_bytes = registry.get_sample_value(
+        "balsamway_entry_streamed_bytes_total", {"service": "s"}
+    )
+    assert LARGE <= sent_bytes <= LARGE + 2 * MAX_BUFFERED_BODY_BYTES
+    lines = [line for line in caplog.records if line.getMessage() == "request-ended"]
+    assert lines[-1].body["sent"] == "partial"
+    assert lines[-1].body["length"] == LARGE
