Hold the first part of a body in one buffer

A body that arrives in many small pieces was kept as a list of them, which takes several times its memory. The timeout of reading covers only the reading, so that no error of forwarding is taken for it. A malformed chunk is logged.

--- a/src/balsamway/entry/body_stream.py
+++ b/src/balsamway/entry/body_stream.py
@@ -145,20 +145,25 @@
     """
     if length is not None and length > max_bytes:
         raise BodyTooLarge(f"the body exceeds {max_bytes} bytes")
-    pieces: list[bytes] = []
-    size = 0
+    # One buffer, since many small pieces would take several times its memory.
+    content = bytearray()
     try:
         while piece := await payload.readany():
-            size += len(piece)
-            if size > max_bytes:
+            content += piece
+            if len(content) > max_bytes:
                 raise BodyTooLarge(f"the body exceeds {max_bytes} bytes")
-            pieces.append(piece)
-            if size > MAX_BUFFERED_BODY_BYTES:
+            if len(content) > MAX_BUFFERED_BODY_BYTES:
+                pieces = _split(content)
                 return BodyStream(payload, pieces, length, max_bytes, on_held)
-            on_held(size)
+            on_held(len(content))
     except (OSError, RuntimeError) as error:
         raise BodyBroken(str(error)) from error
-    return b"".join(pieces)
+    return bytes(content)
+
+
+def _split(content: bytearray) -> list[bytes]:
+    begins = range(0, len(content), MAX_WAITING_BYTES)
+    return [bytes(content[begin : begin + MAX_WAITING_BYTES]) for begin in begins]
 
 
 def _digest(first_pieces: Sequence[bytes]) -> bytes:
--- a/src/balsamway/entry/caller_connection.py
+++ b/src/balsamway/entry/caller_connection.py
@@ -204,17 +204,12 @@
         self, head: RawRequestMessage, payload: StreamReader, arrived: float
     ) -> Verdict:
         """Handle a request whose body has not arrived to its end."""
-        body: bytes | BodyStream = b""
+        body: bytes | BodyStream | NotRun = b""
         try:
-            async with asyncio.timeout_at(self._body_deadline(head, arrived)):
-                body = await self._read_body(head, payload)
+            body = await self._read_body(head, payload, arrived)
+            if isinstance(body, NotRun):
+                return body
             return await self._listener.handle_request(head, body, arrived)
-        except TimeoutError:
-            return NotRun(Reason.DEADLINE_EXCEEDED, "the body did not arrive in time")
-        except BodyTooLarge:
-            return NotRun(Reason.BODY_TOO_LARGE)
-        except BodyBroken as error:
-            return NotRun(Reason.BAD_REQUEST, str(error))
         finally:
             if payload in self._incomplete_bodies:
                 self._incomplete_bodies.remove(payload)
@@ -240,26 +235,32 @@
         return None if seconds is None else arrived + seconds
 
     async def _read_body(
-        self, head: RawRequestMessage, payload: StreamReader
-    ) -> bytes | BodyStream:
+        self, head: RawRequestMessage, payload: StreamReader, arrived: float
+    ) -> bytes | BodyStream | NotRun:
         """Read a request's body, or the first part of a large one.
 
         Args:
             head: The parsed head of the request.
             payload: The stream of the body.
+            arrived: When the head arrived, in event loop time.
 
         Returns:
-            The body, or a stream of it.
-
-        Raises:
-            BodyBroken: If it exceeds the limit, or is not well-formed.
+            The body, a stream of it, or why it is refused.
         """
         length = head.headers.get("Content-Length")
-        return await read_body(
-            payload,
-            None if length is None else int(length),
-            self._listener.limits.max_body_bytes,
-        )
+        try:
+            async with asyncio.timeout_at(self._body_deadline(head, arrived)):
+                return await read_body(
+                    payload,
+                    None if length is None else int(length),
+                    self._listener.limits.max_body_bytes,
+                )
+        except TimeoutError:
+            return NotRun(Reason.DEADLINE_EXCEEDED, "the body did not arrive in time")
+        except BodyTooLarge:
+            return NotRun(Reason.BODY_TOO_LARGE)
+        except BodyBroken as error:
+            return NotRun(Reason.BAD_REQUEST, str(error))
 
     def _on_request_done(self, task: asyncio.Task[Verdict]) -> None:
         transport = self.transport
@@ -299,6 +300,7 @@
 
     def _refuse_malformed(self, error: Exception) -> None:
         self._stop_reading()
+        logger.info("request-malformed", extra={"error": str(error)[:200]})
         if self._is_body_incomplete:
             # The request with this body is refused or ended instead.
             for payload in self._incomplete_bodies:
@@ -309,7 +311,6 @@
         if isinstance(error, LineTooLong) or "Too many headers" in str(error):
             reason = Reason.HEADERS_TOO_LARGE
         verdict = NotRun(reason, "the request is not well-formed HTTP")
-        logger.info("request-malformed", extra={"error": str(error)[:200]})
         task = self._loop.create_task(_resolved(verdict))
         self._pending_responses.append(PendingResponse(task, None, "GET"))
         task.add_done_callback(self._on_request_done)
