--- a/src/balsamway/forwarding/attempt_loop.py
+++ b/src/balsamway/forwarding/attempt_loop.py
@@ -7,8 +7,10 @@
 
 from balsamway.clock import now
 from balsamway.forwarding.attempt_result import AttemptOutcome, AttemptResult
+from balsamway.forwarding.offered_bytes import offered_size
 from balsamway.forwarding.refusals import (
     all_evacuated,
+    body_bound_reached,
     host_stops,
     jitter,
     limit_used_up,
@@ -31,6 +33,7 @@
     from balsamway.forwarding.forwarder import Forwarder
     from balsamway.forwarding.retry_budget import RetryBudget
     from balsamway.forwarding.target_state import TargetState
+    from balsamway.forwarding.work_separation import TargetPreference
     from balsamway.outcome import Verdict
     from balsamway.routing import Route, RoutedService
 
@@ -111,6 +114,7 @@
 
         The outcome is None while the attempt is in progress.
         """
+        self._body_bytes = offered_size(request)
         self._arrived_attempts = 0
         """The number of attempts that count towards the route's limit."""
         self._may_have_run = False
@@ -130,6 +134,12 @@
         """Whether the request may be executed more than once."""
         return self.route.type is RouteType.SAFE
 
+    @property
+    def _may_send_again(self) -> bool:
+        """Whether the body is there for another attempt."""
+        body = self.request.body
+        return isinstance(body, bytes) or not body.is_started
+
     @property
     def remaining_seconds(self) -> float:
         """The time left to the deadline, in seconds."""
@@ -182,7 +192,10 @@
                     | AttemptOutcome.WITHHELD
                 ):
                     unreachable_attempts += 1
-                    if unreachable_attempts >= MAX_UNREACHABLE_ATTEMPTS:
+                    if (
+                        unreachable_attempts >= MAX_UNREACHABLE_ATTEMPTS
+                        or not self._may_send_again
+                    ):
                         return self._refuse(verdict)
                     continue
                 case outcome if outcome in _REFUSALS_BY_TARGET:
@@ -215,16 +228,16 @@
             if self._is_region_allowed(state)
         ]
         rested = [state for state in states if state.rest.allows_request]
-        state = choose_target(
-            self._without_held_back(rested),
-            self._forwarder.zone,
-            self.route.objective_seconds,
-            self._tried,
-            self._forwarder.rng,
-            self._forwarder.work_separation.preference(
-                self.route.id, self.service.name, len(states)
-            ),
+        candidates = self._without_held_back(rested)
+        preference = self._forwarder.work_separation.preference(
+            self.route.id, self.service.name, len(states)
         )
+        state = self._choose(candidates, preference)
+        if state is not None and not state.offered.has_room(self._body_bytes):
+            with_room = [other for other in candidates if self._has_room(other)]
+            state = self._choose(with_room, preference)
+            if state is None:
+                return body_bound_reached(candidates, self._forwarder.rng)
         if state is not None:
             return self._admit(state, mean_service_seconds(states))
         if states and not rested:
@@ -240,6 +253,21 @@
     def _is_region_allowed(self, state: TargetState) -> bool:
         return self._forwarder.regions.allows(self.route, state.entry.zone)
 
+    def _choose(
+        self, states: Sequence[TargetState], preference: TargetPreference | None
+    ) -> TargetState | None:
+        return choose_target(
+            states,
+            self._forwarder.zone,
+            self.route.objective_seconds,
+            self._tried,
+            self._forwarder.rng,
+            preference,
+        )
+
+    def _has_room(self, state: TargetState) -> bool:
+        return state.offered.has_room(self._body_bytes)
+
     def _without_held_back(self, states: Sequence[TargetState]) -> list[TargetState]:
         """Return the targets whose limit may have room for the request."""
         for state in states:
@@ -250,9 +278,10 @@
         return [state for state in states if state.entry.name not in self._held_back]
 
     def _may_still_send(self, state: TargetState) -> bool:
-        """Return whether the target has not left, been evacuated or rested."""
+        """Return whether the target may receive the request after a wait."""
         is_listed = self._forwarder.targets.find(*state.entry.key) is state
-        return is_listed and state.may_receive(self.service.is_keyed)
+        may_receive = is_listed and state.may_receive(self.service.is_keyed)
+        return may_receive and self._has_room(state)
 
     def _admit(
         self, state: TargetState, default_seconds: float
@@ -346,6 +375,8 @@
                 )
 
     def _admit_owner(self, state: TargetState) -> TargetState | NotRun:
+        if not self._has_room(state):
+            return body_bound_reached((state,), self._forwarder.rng)
         states = self._forwarder.targets.usable(self.service.name)
         return self._admit(state, mean_service_seconds(states))
 
@@ -373,6 +404,7 @@
         self._may_have_run = True
         was_unqueued = state.has_free_slot
         state.in_flight += 1
+        state.offered.begin(self, self._body_bytes)
         state.rest.on_sent()
         try:
             result = await self._forwarder.transport.send(
@@ -380,6 +412,7 @@
             )
         finally:
             state.in_flight -= 1
+            state.offered.end(self, self._body_bytes)
         if result.limit is not None:
             state.limit.on_response(result.limit)
         state.rest.on_ended(result.outcome, result.rest, started_at)
@@ -422,7 +455,12 @@
             allowed = False
         else:
             allowed = self._arrived_attempts < self.route.max_attempts
-        return allowed and self._has_time() and self._budget.try_take()
+        return (
+            allowed
+            and self._may_send_again
+            and self._has_time()
+            and self._budget.try_take()
+        )
 
     def _may_retry(self) -> bool:
         """Count an attempt that may have run, and allow or deny a retry.
@@ -433,6 +471,7 @@
         self._arrived_attempts += 1
         return (
             self.is_safe
+            and self._may_send_again
             and self._arrived_attempts < self.route.max_attempts
             and self._has_time()
             and self._budget.try_take()
--- a/src/balsamway/forwarding/service_targets.py
+++ b/src/balsamway/forwarding/service_targets.py
@@ -142,14 +142,20 @@
         """Return the states of the targets that rest or are probed again."""
         return tuple(state for state in self._states.values() if state.rest.is_active)
 
+    @property
+    def offered_bytes(self) -> int:
+        """The bytes of the bodies offered to all targets now."""
+        return sum(state.offered.total for state in self._states.values())
+
     def dump(self) -> dict[str, object]:
-        """Return the targets that ask for fewer requests, for the dump."""
+        """Return the targets that may get fewer requests, for the dump."""
         return {
             state.entry.name: state.dump()
             for state in self._states.values()
             if state.leaving_since is not None
             or state.rest.is_active
             or state.evacuation is not None
+            or state.offered.total
         }
 
     def on_leaving(self, state: TargetState) -> None:
--- a/src/balsamway/forwarding/target_state.py
+++ b/src/balsamway/forwarding/target_state.py
@@ -7,6 +7,7 @@
 
 from balsamway.clock import now
 from balsamway.forwarding.attempt_result import AttemptOutcome
+from balsamway.forwarding.offered_bytes import OfferedBytes
 from balsamway.forwarding.target_rest import TargetRest
 from balsamway.forwarding.work_separation import position_of
 from balsamway.limits import ColdTarget, TargetLimit
@@ -81,6 +82,7 @@
         self.experience = Experience()
         self._seen_start_at = -math.inf
         self.rest = TargetRest(entry.name)
+        self.offered = OfferedBytes()
         self.in_flight = 0
         self.remote_in_flight = 0.0
         """The mean number of requests from other entry hosts in flight."""
@@ -197,6 +199,7 @@
             "leaving_seconds": None if since is None else round(now() - since, 3),
             "is_evacuated": self.evacuation is not None,
             "rest_seconds": round(self.rest.remaining_seconds, 3),
+            "offered_bytes": self.offered.total,
             "may_receive": self.may_receive(is_key_owner=True),
         }
 
@@ -249,6 +252,7 @@
                 AttemptOutcome.KEY_NOT_HELD
                 | AttemptOutcome.STALE_CONNECTION
                 | AttemptOutcome.WITHHELD
+                | AttemptOutcome.BODY_BROKEN
             ):
                 pass
             case AttemptOutcome.FAILED:
