Bound what callers can make an entry host hold

Cause: the parser bounded each line of a head and the number of lines, so one head could take 268 MB; bodies, heads of requests in progress and responses nobody read were not counted at all; nothing bounded the number of connections, and no timeout applied to a body, to a head behind requests in progress, or to a response that is not read.

Change: ResponseBudget becomes ByteBudget, one for the host. Holders on the callers' side have `give_up`; the time for which a caller made no progress makes them count as larger. Responses are given up as before. A connection charges its unread bytes, heads by their lines, bodies, and responses that are not sent. RequestReader gives the parser one head or a piece of one body at a time, so the size of a head, with what precedes it, is exact. Parsing is bounded in each turn of the event loop. The listener accepts connections itself and pauses at a bound that follows from maxFds; unused connections are closed first.

--- a/src/balsamway/entry/caller_connection.py
+++ b/src/balsamway/entry/caller_connection.py
@@ -7,15 +7,16 @@
 import logging
 from typing import TYPE_CHECKING
 
-from aiohttp.base_protocol import BaseProtocol
-from aiohttp.http import HttpRequestParser
-from aiohttp.http_exceptions import HttpProcessingError, LineTooLong
+from aiohttp.http_exceptions import LineTooLong
 
 from balsamway.clock import now
+from balsamway.entry.closing_cause import ClosingCause
 from balsamway.entry.pending_response import PendingResponse
+from balsamway.entry.request_protocol import RequestProtocol
+from balsamway.entry.request_reader import HeadTooLarge
 from balsamway.entry.response_encoder import encode_response
 from balsamway.exchange.socket_options import bound_silence
-from balsamway.outcome import MayHaveRun, NotRun, Reason
+from balsamway.outcome import NotRun, Reason
 from balsamway.targets import header_names
 
 if TYPE_CHECKING:
@@ -23,51 +24,42 @@
     from aiohttp.streams import StreamReader
 
     from balsamway.entry.entry_listener import EntryListener
+    from balsamway.entry.request_reader import StartedRequest
     from balsamway.outcome import Verdict
 
-BODY_BUFFER_BYTES = 1 << 20
-"""The parser's buffer limit for a request body."""
 MAX_PIPELINED_REQUESTS = 32
 """Bounds the requests of one connection that are in progress. Further ones
 are left unread."""
+MAX_UNSENT_BYTES = 64 << 10
+"""While more bytes than this are not sent, no further response is written and
+nothing is read."""
+BODY_COST = 2
+"""How much memory a byte of a body takes: it is copied once when the body is
+complete, and again when it is passed on."""
 LINGER_SECONDS = 0.25
 """How long a connection stays half open after its last response. A socket
 that is closed while the caller's bytes arrive discards what it has not sent
 yet. The largest responses take a few round trips of some ms."""
+GIVEN_UP_RETRY_AFTER_SECONDS = 1.0
+"""The Retry-After time of a refusal for lack of memory. Bodies that stopped
+are ended after the idle timeout; others arrive within about a second."""
 
 logger = logging.getLogger(__name__)
 
 
-class CallerConnection(BaseProtocol):
+class CallerConnection(RequestProtocol):
     """Handles a caller's requests concurrently and responds in their order."""
 
     def __init__(self, listener: EntryListener) -> None:
-        super().__init__(asyncio.get_running_loop())
+        super().__init__(listener.limits.max_header_bytes)
         self._listener = listener
-        limits = listener.limits
-        self._request_parser = self._parser = HttpRequestParser(
-            self,
-            self._loop,
-            BODY_BUFFER_BYTES,
-            max_line_size=limits.max_header_bytes,
-            max_headers=limits.max_header_bytes,
-            max_field_size=limits.max_header_bytes,
-            payload_exception=ConnectionResetError,
-            auto_decompress=False,
-        )
         self._pending_responses: collections.deque[PendingResponse] = (
             collections.deque()
         )
         self._incomplete_bodies: list[StreamReader] = []
-        self._is_closing = False
-        """Whether the connection is closed after the pending responses."""
-        self._accepts_data = True
-        """Whether received bytes are parsed instead of ignored."""
-        self._is_half_closed = False
-        """Whether this side of the connection is closed for writing."""
-        self.last_active_at = now()
-        """When bytes were last received or sent, in event loop time."""
-        self._head_started_at: float | None = None
+        """The bodies of requests that have not been passed on."""
+        self.is_refused = False
+        """Whether the caller reached a bound, and the connection ends."""
 
     @property
     def is_idle(self) -> bool:
@@ -75,31 +67,38 @@
         return not self._pending_responses
 
     @property
-    def head_started_at(self) -> float | None:
-        """When an incomplete request head began to arrive, or None."""
-        return self._head_started_at
+    def last_active_at(self) -> float:
+        """When bytes were last received or written, in event loop time."""
+        return self._progress.active_at
+
+    @property
+    def is_unused(self) -> bool:
+        """Whether the connection is open, and no request is in progress."""
+        return (
+            not self._is_half_closed
+            and self.is_idle
+            and self._progress.head_started_at is None
+        )
 
     @property
-    def _is_body_incomplete(self) -> bool:
-        return any(not payload.is_eof() for payload in self._incomplete_bodies)
+    def is_closing(self) -> bool:
+        """Whether the connection is already being closed."""
+        return self._is_half_closed
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection with the listener."""
         super().connection_made(transport)
         bound_silence(transport)
+        if self.transport is not None:
+            self.transport.set_write_buffer_limits(high=MAX_UNSENT_BYTES)
         self._listener.on_connected(self)
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Cancel the requests that the caller no longer waits for."""
         super().connection_lost(exc)
         self._listener.on_disconnected(self)
-        error = ConnectionResetError("the caller closed the connection")
-        for payload in self._incomplete_bodies:
-            if not payload.is_eof():
-                payload.set_exception(error)
-        for pending in self._pending_responses:
-            pending.task.cancel()
-        self._pending_responses.clear()
+        self._listener.budget.release(self)
+        self._cancel_requests("the caller closed the connection")
 
     def eof_received(self) -> None:
         """Close the connection when the caller closes its side.
@@ -107,27 +106,13 @@
         The return value None makes the transport close itself.
         """
 
-    def data_received(self, data: bytes) -> None:
-        """Parse received bytes, and start requests with a complete head."""
-        if not self._accepts_data or (
-            self._is_closing and not self._is_body_incomplete
-        ):
-            return
-        self.last_active_at = now()
-        try:
-            messages, upgraded, _ = self._request_parser.feed_data(data)
-        except (HttpProcessingError, ValueError) as error:
-            self._refuse_malformed(error)
-            return
-        for head, payload in messages:
-            self._head_started_at = None
-            self._start_request(head, payload)
-        if upgraded:
-            self._stop_reading()
-        if data and not messages and self.is_idle and self._head_started_at is None:
-            self._head_started_at = self.last_active_at
-        if len(self._pending_responses) >= MAX_PIPELINED_REQUESTS:
-            self._pause_reading_for_buffer()
+    def resume_writing(self) -> None:
+        """Write the responses that waited until the caller read others."""
+        super().resume_writing()
+        self._progress.on_sent(0)
+        self._write_responses()
+        if self._parses_data:
+            self._parse()
 
     def close(self) -> None:
         """Close this side, and the connection once its responses are sent.
@@ -150,21 +135,99 @@
         if self.transport is not None:
             self.transport.close()
 
+    def abort(self) -> None:
+        """Drop what was not sent, and close the connection."""
+        self._stop_reading()
+        if self.transport is not None:
+            self.transport.abort()
+
     def refuse_slow_head(self) -> None:
         """Refuse a request whose head did not arrive in time, and close."""
         if self._is_half_closed:
             return
-        verdict = NotRun(
-            Reason.BAD_REQUEST,
-            "the head did not arrive in time",
+        verdict = NotRun(Reason.BAD_REQUEST, "the head did not arrive in time")
+        self._refuse(verdict, ClosingCause.SLOW_HEAD)
+
+    def give_up(self, reason: str) -> None:
+        """Drop all requests and responses, and close the connection.
+
+        A request that has not been passed on is refused, unless another
+        response has to be written before.
+
+        Args:
+            reason: Why the connection is given up.
+        """
+        pending = self._pending_responses
+        is_refusable = not self._paused and (
+            self._reader.is_in_head
+            if not pending
+            else len(pending) == 1 and pending[0].payload in self._incomplete_bodies
         )
-        if self.transport is not None:
-            self.transport.write(
-                encode_response(verdict, None, "GET", closes_connection=True)
-            )
+        first = pending[0] if pending else None
+        self._stop_reading()
+        self._note_closing(ClosingCause.MEMORY, reason)
+        self._cancel_requests(reason)
+        if self.transport is None or self._is_half_closed:
+            return
+        if not is_refusable:
+            self.transport.abort()
+            return
+        verdict = NotRun(Reason.OVERLOADED, reason, GIVEN_UP_RETRY_AFTER_SECONDS)
+        request_id = None if first is None else first.request_id
+        method = "GET" if first is None else first.method
+        self.transport.write(encode_response(verdict, request_id, method, True))
         self.close()
 
-    def _start_request(self, head: RawRequestMessage, payload: StreamReader) -> None:
+    def check_progress(self) -> None:
+        """End the connection if the caller makes no progress in time."""
+        transport, progress = self.transport, self._progress
+        if transport is None:
+            return
+        limits = self._listener.limits
+        progress.on_sent(transport.get_write_buffer_size())
+        if progress.is_sending_overdue(limits):
+            self._note_closing(ClosingCause.UNREAD_RESPONSE)
+            transport.abort()
+        elif not self._accepts_data:
+            return
+        elif self._buffer_paused or self._reading_paused:
+            progress.on_held_back()
+        elif progress.head_started_at is not None:
+            if progress.is_head_overdue(limits):
+                self.refuse_slow_head()
+        elif progress.is_inactive(limits):
+            self._end_inactive()
+
+    def _end_inactive(self) -> None:
+        if self._reader.is_in_body:
+            verdict = NotRun(Reason.REQUEST_TIMEOUT, "the body did not arrive in time")
+            self._refuse(verdict, ClosingCause.STALLED_BODY)
+        elif self.is_idle:
+            self.close()
+
+    @property
+    def _is_full(self) -> bool:
+        return self._paused or len(self._pending_responses) >= MAX_PIPELINED_REQUESTS
+
+    def _charge(self) -> None:
+        """Note the memory that the connection takes."""
+        transport = self.transport
+        if transport is None or self._is_half_closed:
+            return
+        unsent_bytes = transport.get_write_buffer_size()
+        held_bytes = self._reader.held_bytes + unsent_bytes
+        for pending in self._pending_responses:
+            held_bytes += pending.held_bytes
+        if unsent_bytes:
+            stalled_since: float | None = self._progress.sent_at
+        elif self._reader.is_in_body or self._reader.is_in_head:
+            stalled_since = self.last_active_at
+        else:
+            stalled_since = None
+        self._listener.budget.hold(self, held_bytes, stalled_since)
+
+    def _start_request(self, request: StartedRequest) -> None:
+        head, payload = request.head, request.payload
         if head.should_close:
             self._is_closing = True
         if not payload.is_eof():
@@ -173,13 +236,11 @@
                 self._send_continue()
         task = self._loop.create_task(self._handle(head, payload, now()))
         request_id = head.headers.get(header_names.REQUEST_ID)
-        self._pending_responses.append(PendingResponse(task, request_id, head.method))
+        self._pending_responses.append(
+            PendingResponse(task, request_id, head.method, payload, request.cost_bytes)
+        )
         task.add_done_callback(self._on_request_done)
 
-    def _stop_reading(self) -> None:
-        self._is_closing = True
-        self._accepts_data = False
-
     def _send_continue(self) -> None:
         if self.transport is not None and self.is_idle:
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
@@ -212,33 +273,39 @@
                 self._stop_reading()
                 return None
             chunks.append(chunk)
+            self._hold_body(payload, size)
         return b"".join(chunks)
 
+    def _hold_body(self, payload: StreamReader, size: int) -> None:
+        """Note how much of a body is held in addition to its head."""
+        last = self._pending_responses[-1] if self._pending_responses else None
+        if last is not None and last.payload is payload:
+            last.body_bytes = BODY_COST * size
+            self._charge()
+
     def _on_request_done(self, task: asyncio.Task[Verdict]) -> None:
+        self._write_responses()
+        if self._buffer_paused and self._parses_data:
+            self._parse()
+
+    def _write_responses(self) -> None:
         transport = self.transport
-        while self._pending_responses and self._pending_responses[0].task.done():
-            pending = self._pending_responses.popleft()
-            if transport is not None:
-                self._write_response(transport, pending)
-        has_capacity = len(self._pending_responses) < MAX_PIPELINED_REQUESTS
-        if self._buffer_paused and has_capacity and not self._is_half_closed:
-            self._resume_reading_for_buffer()
+        while (
+            transport is not None
+            and not self._paused
+            and self._pending_responses
+            and self._pending_responses[0].task.done()
+        ):
+            self._write_response(transport, self._pending_responses.popleft())
+        self._charge()
+        self._update_reading()
 
     def _write_response(
         self, transport: asyncio.Transport, pending: PendingResponse
     ) -> None:
-        if pending.task.cancelled():
+        verdict = pending.verdict()
+        if verdict is None:
             return
-        error = pending.task.exception()
-        if error is not None:
-            logger.error(
-                "request-failed",
-                exc_info=error,
-                extra={"request_id": pending.request_id},
-            )
-            verdict: Verdict = MayHaveRun(Reason.INTERNAL_ERROR, "the gateway failed")
-        else:
-            verdict = pending.task.result()
         is_ending = self._is_closing or self._listener.is_draining
         closes_connection = is_ending and not self._pending_responses
         transport.write(
@@ -246,20 +313,54 @@
                 verdict, pending.request_id, pending.method, closes_connection
             )
         )
-        self.last_active_at = now()
+        self._progress.on_active()
         if closes_connection:
             self.close()
 
     def _refuse_malformed(self, error: Exception) -> None:
+        is_too_large = isinstance(error, HeadTooLarge | LineTooLong)
+        if is_too_large or "Too many headers" in str(error):
+            verdict = NotRun(Reason.HEADERS_TOO_LARGE, "the head is too large")
+            cause = ClosingCause.HEAD_TOO_LARGE
+        else:
+            verdict = NotRun(Reason.BAD_REQUEST, "the request is not well-formed HTTP")
+            cause = ClosingCause.MALFORMED
+        self._refuse(verdict, cause, str(error)[:200])
+
+    def _refuse(self, verdict: NotRun, cause: ClosingCause, detail: str = "") -> None:
+        """Refuse the request that arrives, and close after its response."""
+        was_in_body = self._reader.is_in_body
         self._stop_reading()
-        reason = Reason.BAD_REQUEST
-        if isinstance(error, LineTooLong) or "Too many headers" in str(error):
-            reason = Reason.HEADERS_TOO_LARGE
-        verdict = NotRun(reason, "the request is not well-formed HTTP")
-        logger.info("request-malformed", extra={"error": str(error)[:200]})
-        task = self._loop.create_task(_resolved(verdict))
-        self._pending_responses.append(PendingResponse(task, None, "GET"))
-        task.add_done_callback(self._on_request_done)
+        self._note_closing(cause, detail)
+        # The head takes memory until the parser is dropped.
+        self._replace_reader()
+        last = self._pending_responses[-1] if was_in_body else None
+        if last is None or last.payload is None:
+            task = self._loop.create_task(_resolved(verdict))
+            self._pending_responses.append(PendingResponse(task, None, "GET"))
+            task.add_done_callback(self._on_request_done)
+        elif last.payload in self._incomplete_bodies:
+            last.refusal = verdict
+            last.task.cancel()
+        else:
+            # Part of the request has been passed on.
+            last.payload.set_exception(ConnectionResetError(verdict.detail))
+
+    def _note_closing(self, cause: ClosingCause, detail: str = "") -> None:
+        self.is_refused = True
+        self._listener.on_closing(cause, detail)
+
+    def _cancel_requests(self, reason: str) -> None:
+        """Drop everything that is held for the caller."""
+        error = ConnectionResetError(reason)
+        for payload in self._incomplete_bodies:
+            if not payload.is_eof():
+                payload.set_exception(error)
+        for pending in self._pending_responses:
+            pending.task.cancel()
+        self._incomplete_bodies.clear()
+        self._pending_responses.clear()
+        self._replace_reader()
 
 
 async def _resolved(verdict: Verdict) -> Verdict:
--- a/src/balsamway/entry/entry_listener.py
+++ b/src/balsamway/entry/entry_listener.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import logging
+import socket
 from typing import TYPE_CHECKING
 
 import mode
@@ -11,6 +13,8 @@
 from balsamway.address import split_address
 from balsamway.clock import now
 from balsamway.entry.caller_connection import CallerConnection
+from balsamway.entry.closing_cause import ClosingCause
+from balsamway.exchange import ByteBudget
 from balsamway.observe.line_limit import LineLimit
 from balsamway.outcome import NotRun, Reason
 from balsamway.routing import CallerLimits
@@ -22,6 +26,7 @@
     from aiohttp.http_parser import RawRequestMessage
 
     from balsamway.entry.caller_codec import CallerCodec
+    from balsamway.entry.caller_metrics import CallerMetrics
     from balsamway.entry.entry_request import EntryRequest
     from balsamway.outcome import Verdict
 
@@ -32,8 +37,19 @@
 short because the retry goes to another host."""
 MAX_REFUSAL_LINES_PER_SECOND = 50
 """Bounds the log lines about refused requests."""
+MAX_CLOSING_LINES_PER_SECOND = 10
+"""Bounds the log lines about callers that reached a bound."""
 CHECK_INTERVAL_SECONDS = 0.5
-"""How often the idle and header timeouts of connections are checked."""
+"""How often the timeouts of connections are checked."""
+DEFAULT_MAX_CONNECTIONS = 1_916
+"""What a host with 4,096 descriptors keeps for callers."""
+MIN_IDLE_SECONDS = 0.25
+"""How long a connection is idle before it is closed for another one. A new
+caller sends its request within a round trip."""
+ROOM_POLL_SECONDS = 0.05
+"""How often a connection to close is looked for while accepting is paused."""
+ACCEPT_RETRY_SECONDS = 0.1
+"""The pause after a connection could not be accepted."""
 
 logger = logging.getLogger(__name__)
 
@@ -46,6 +62,9 @@
         address: str,
         codec: CallerCodec,
         forward: Callable[[EntryRequest], Awaitable[Verdict]],
+        budget: ByteBudget | None = None,
+        max_connections: int = DEFAULT_MAX_CONNECTIONS,
+        metrics: CallerMetrics | None = None,
     ) -> None:
         """Create a listener that listens once it is started.
 
@@ -53,12 +72,25 @@
             address: The `ip:port` to listen on. Port 0 selects a free port.
             codec: Decodes the requests.
             forward: Forwards a request and returns the verdict on it.
+            budget: Bounds what the host holds. Without one, the listener has
+                its own.
+            max_connections: The most connections that are open at a time.
+            metrics: The metrics that closed callers are counted in.
         """
         super().__init__()
+        self.budget = budget if budget is not None else ByteBudget()
+        """Bounds what the host holds for callers and targets."""
+        self.max_connections = max_connections
+        """The most connections that are open at a time."""
+        self._metrics = metrics
+        self._closed_counts: collections.Counter[ClosingCause] = collections.Counter()
+        self._accept_task: asyncio.Task[None] | None = None
+        self._has_room = asyncio.Event()
+        self._is_accepting_paused = False
         self._listen_address = address
         self._codec = codec
         self._forward = forward
-        self._server: asyncio.Server | None = None
+        self._bound_address: str | None = None
         self._connections: set[CallerConnection] = set()
         self.limits = CallerLimits()
         """The limits of the configuration in force."""
@@ -68,14 +100,17 @@
         self._is_refusing = False
         """Whether every further request is refused."""
         self._line_limit = LineLimit(logger, MAX_REFUSAL_LINES_PER_SECOND)
+        self._closing_lines = LineLimit(logger, MAX_CLOSING_LINES_PER_SECOND)
 
     @property
     def address(self) -> str:
         """The `ip:port` that the listener is bound to."""
-        if self._server is None:
-            return self._listen_address
-        ip, port = self._server.sockets[0].getsockname()[:2]
-        return f"{ip}:{port}"
+        return self._bound_address or self._listen_address
+
+    @property
+    def connection_count(self) -> int:
+        """The number of open connections."""
+        return len(self._connections)
 
     @property
     def in_progress(self) -> int:
@@ -84,16 +119,19 @@
 
     async def on_start(self) -> None:
         """Start to listen."""
-        ip, port = split_address(self._listen_address)
-        self._server = await asyncio.get_running_loop().create_server(
-            lambda: CallerConnection(self), ip, port, backlog=LISTEN_BACKLOG
+        sock = socket.create_server(
+            split_address(self._listen_address), backlog=LISTEN_BACKLOG
         )
+        sock.setblocking(False)
+        ip, port = sock.getsockname()[:2]
+        self._bound_address = f"{ip}:{port}"
+        self._accept_task = asyncio.create_task(self._accept(sock))
         logger.info("callers-listening", extra={"address": self.address})
 
     async def on_stop(self) -> None:
         """Stop listening and close the remaining connections."""
-        if self._server is not None:
-            self._server.close()
+        if self._accept_task is not None:
+            self._accept_task.cancel()
         logger.info("callers-stopped", extra={"cut": self._in_progress})
         for connection in tuple(self._connections):
             connection.close_immediately()
@@ -110,8 +148,8 @@
         started_at = now()
         await self.sleep(accept_seconds)
         self._is_refusing = True
-        if self._server is not None:
-            self._server.close()
+        if self._accept_task is not None:
+            self._accept_task.cancel()
         self.close_idle()
         while self._connections and now() - started_at < max_seconds:
             await self.sleep(0.05)
@@ -120,7 +158,7 @@
     def close_idle(self) -> None:
         """Close the connections on which no request is in progress."""
         for connection in tuple(self._connections):
-            if connection.is_idle and connection.head_started_at is None:
+            if connection.is_unused:
                 connection.close()
 
     async def handle_request(
@@ -171,6 +209,20 @@
     def on_disconnected(self, connection: CallerConnection) -> None:
         """Remove a connection that was closed."""
         self._connections.discard(connection)
+        self._has_room.set()
+
+    def on_closing(self, cause: ClosingCause, detail: str = "") -> None:
+        """Count a caller that reached a bound, and log it.
+
+        Args:
+            cause: Which bound the caller reached.
+            detail: More about it.
+        """
+        self._closed_counts[cause] += 1
+        if self._metrics is not None:
+            self._metrics.count_closed(cause)
+        if self._closing_lines.allow():
+            logger.info("caller-closed", extra={"cause": cause, "detail": detail})
 
     def dump(self) -> dict[str, object]:
         """Return the listener's state for the state dump."""
@@ -178,22 +230,67 @@
             "address": self.address,
             "draining": self.is_draining,
             "connections": len(self._connections),
+            "max_connections": self.max_connections,
+            "accepting_paused": self._is_accepting_paused,
             "in_progress": self._in_progress,
+            "closed": dict(self._closed_counts),
         }
 
+    async def _accept(self, sock: socket.socket) -> None:
+        """Accept connections while there are fewer than may be open."""
+        loop = asyncio.get_running_loop()
+        try:
+            while True:
+                await self._wait_for_room()
+                try:
+                    accepted, _ = await loop.sock_accept(sock)
+                    await loop.connect_accepted_socket(
+                        lambda: CallerConnection(self), accepted
+                    )
+                except OSError as error:
+                    # A caller may already have reset its connection. If the
+                    # process has no descriptor left, one is free later.
+                    if self._closing_lines.allow():
+                        logger.warning("accept-failed", extra={"error": str(error)})
+                    await asyncio.sleep(ACCEPT_RETRY_SECONDS)
+        finally:
+            sock.close()
+
+    async def _wait_for_room(self) -> None:
+        while len(self._connections) >= self.max_connections:
+            self._is_accepting_paused = True
+            self._has_room.clear()
+            self._make_room()
+            try:
+                async with asyncio.timeout(ROOM_POLL_SECONDS):
+                    await self._has_room.wait()
+            except TimeoutError:
+                pass
+        self._is_accepting_paused = False
+
+    def _make_room(self) -> None:
+        """Close a connection that no request needs.
+
+        One that is closing already, because its caller reached a bound, is
+        closed first, and then the one that was idle for longest.
+        """
+        for connection in self._connections:
+            if connection.is_refused and not connection.is_closing:
+                connection.abort()
+                return
+        oldest = min(
+            (connection for connection in self._connections if connection.is_unused),
+            key=lambda connection: connection.last_active_at,
+            default=None,
+        )
+        if oldest is None or now() - oldest.last_active_at < MIN_IDLE_SECONDS:
+            return
+        oldest.close()
+        self.on_closing(ClosingCause.DESCRIPTORS)
+
     @mode.Service.task
     async def _check_connections(self) -> None:
         while not self.should_stop:
             await self.sleep(CHECK_INTERVAL_SECONDS)
             for connection in tuple(self._connections):
-                self._check_timeouts(connection)
-
-    def _check_timeouts(self, connection: CallerConnection) -> None:
-        if not connection.is_idle:
-            return
-        head_started_at = connection.head_started_at
-        if head_started_at is not None:
-            if now() - head_started_at > self.limits.header_timeout_seconds:
-                connection.refuse_slow_head()
-        elif now() - connection.last_active_at > self.limits.idle_timeout_seconds:
-            connection.close()
+                connection.check_progress()
--- a/src/balsamway/exchange/__init__.py
+++ b/src/balsamway/exchange/__init__.py
@@ -1,19 +1,19 @@
 """HTTP exchanges with targets over pooled connections."""
 
+from balsamway.exchange.byte_budget import ByteBudget
 from balsamway.exchange.connection_pool import ConnectionPool
 from balsamway.exchange.http_request import HttpRequest
 from balsamway.exchange.http_response import HttpResponse
 from balsamway.exchange.not_sent import NotSent
-from balsamway.exchange.response_budget import ResponseBudget
 from balsamway.exchange.response_lost import ResponseLost
 from balsamway.exchange.target_connection import TargetConnection
 
 __all__ = [
+    "ByteBudget",
     "ConnectionPool",
     "HttpRequest",
     "HttpResponse",
     "NotSent",
-    "ResponseBudget",
     "ResponseLost",
     "TargetConnection",
 ]
--- a/src/balsamway/exchange/connection_pool.py
+++ b/src/balsamway/exchange/connection_pool.py
@@ -8,8 +8,8 @@
 
 from balsamway.address import split_address
 from balsamway.clock import now
+from balsamway.exchange.byte_budget import ByteBudget
 from balsamway.exchange.not_sent import NotSent
-from balsamway.exchange.response_budget import ResponseBudget
 from balsamway.exchange.response_reader import MAX_RESPONSE_BYTES
 from balsamway.exchange.target_connection import TargetConnection
 
@@ -37,7 +37,7 @@
         limit: int,
         on_open: Callable[[], None] = lambda: None,
         settle_seconds: float = SETTLE_SECONDS,
-        budget: ResponseBudget | None = None,
+        budget: ByteBudget | None = None,
         max_response_bytes: int = MAX_RESPONSE_BYTES,
     ) -> None:
         """Create a pool without connections.
@@ -55,7 +55,7 @@
         self.limit = limit
         self._on_open = on_open
         self._settle_seconds = settle_seconds
-        self._budget = budget if budget is not None else ResponseBudget()
+        self._budget = budget if budget is not None else ByteBudget()
         self._max_response_bytes = max_response_bytes
         self._idle: list[TargetConnection] = []
         self._in_use: set[TargetConnection] = set()
--- a/src/balsamway/exchange/target_connection.py
+++ b/src/balsamway/exchange/target_connection.py
@@ -21,8 +21,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
+    from balsamway.exchange.byte_budget import ByteBudget
     from balsamway.exchange.http_request import HttpRequest
-    from balsamway.exchange.response_budget import ResponseBudget
     from balsamway.exchange.response_reader import CompleteResponse
 
 DEFAULT_KEEP_ALIVE_SECONDS = 10.0
@@ -44,7 +44,7 @@
     """
 
     def __init__(
-        self, budget: ResponseBudget, max_response_bytes: int = MAX_RESPONSE_BYTES
+        self, budget: ByteBudget, max_response_bytes: int = MAX_RESPONSE_BYTES
     ) -> None:
         """Create a connection that is not open yet.
 
--- a/src/balsamway/forwarding/service_targets.py
+++ b/src/balsamway/forwarding/service_targets.py
@@ -12,7 +12,7 @@
     from collections.abc import Callable, Sequence
 
     from balsamway.discovery import TargetDirectory
-    from balsamway.exchange import ResponseBudget
+    from balsamway.exchange import ByteBudget
     from balsamway.routing import RoutedService
 
 CONNECTIONS_FRACTION = 0.9
@@ -30,7 +30,7 @@
         directory: TargetDirectory,
         on_open: Callable[[], None],
         drain_seconds: float,
-        budget: ResponseBudget,
+        budget: ByteBudget,
     ) -> None:
         """Follow a directory of targets.
 
--- a/src/balsamway/node/entry_node.py
+++ b/src/balsamway/node/entry_node.py
@@ -14,7 +14,9 @@
 from balsamway.daemon.operator_listener import OperatorListener
 from balsamway.discovery import TargetDirectory
 from balsamway.entry import EntryListener
-from balsamway.exchange import ResponseBudget
+from balsamway.entry.caller_metrics import CallerMetrics
+from balsamway.entry.connection_limit import caller_connection_limit
+from balsamway.exchange import ByteBudget
 from balsamway.exchange.refusal_probe import is_refusing
 from balsamway.forwarding.forwarder import Forwarder
 from balsamway.forwarding.forwarding_settings import ForwardingSettings
@@ -100,12 +102,12 @@
         self._store = store
         self.directory = TargetDirectory()
         metrics = RequestMetrics(registry)
-        self._response_budget = ResponseBudget.of_memory(settings.memory_megabytes)
+        self._byte_budget = ByteBudget.of_memory(settings.memory_megabytes)
         self.targets = ServiceTargets(
             self.directory,
             metrics.on_connection_opened,
             settings.bounds.drain_seconds,
-            self._response_budget,
+            self._byte_budget,
         )
         self.key_map = KeyMap()
         bounds = settings.bounds
@@ -175,9 +177,16 @@
             self._reporter.publish,
         )
         self._reporter.leader = self.leader
+        caller_metrics = CallerMetrics(registry)
         self._caller_listener = EntryListener(
-            settings.callers_address, adapters.codec, self._forward
+            settings.callers_address,
+            adapters.codec,
+            self._forward,
+            self._byte_budget,
+            caller_connection_limit(settings.max_descriptors),
+            caller_metrics,
         )
+        caller_metrics.watch(self._caller_listener, self._byte_budget)
         self._readiness_listener = ReadinessListener(
             settings.readiness_address, adapters.readiness_path, self.is_ready
         )
@@ -302,7 +311,7 @@
             "forwarding": self.forwarder.dump(),
             "limits": self._token_client.dump(),
             "targets": self.targets.dump(),
-            "responses": self._response_budget.dump(),
+            "responses": self._byte_budget.dump(),
             "quarantine": self._quarantine.dump(),
             "keys": self.key_map.dump(),
             "leading": self.leader.dump(),
--- a/src/balsamway/outcome/reason.py
+++ b/src/balsamway/outcome/reason.py
@@ -17,6 +17,8 @@
     UNKNOWN_KIND = "unknown-kind"
     BODY_TOO_LARGE = "body-too-large"
     HEADERS_TOO_LARGE = "headers-too-large"
+    REQUEST_TIMEOUT = "request-timeout"
+    """The body of the request did not arrive in time."""
     TOO_MANY_REQUESTS = "too-many-requests"
     NO_ROUTE = "no-route"
     NO_CONFIGURATION = "no-configuration"
--- a/tests/exchange/host_under_endless_bytes.py
+++ b/tests/exchange/host_under_endless_bytes.py
@@ -14,7 +14,7 @@
 
 from balsamway.discovery import TargetDirectory, TargetEntry
 from balsamway.entry import EntryRequest
-from balsamway.exchange import ResponseBudget
+from balsamway.exchange import ByteBudget
 from balsamway.forwarding.service_targets import ServiceTargets
 from balsamway.outcome import Completed
 from balsamway.platform.target_transport import PlatformTargetTransport
@@ -52,7 +52,7 @@
 ) -> dict[str, float]:
     loop = asyncio.get_running_loop()
     directory = TargetDirectory()
-    budget = ResponseBudget.of_memory(memory_megabytes)
+    budget = ByteBudget.of_memory(memory_megabytes)
     targets = ServiceTargets(directory, lambda: None, 2.0, budget)
     directory.replace(
         [_entry("sound", "sound", sound)]
--- a/tests/exchange/test_response_budget.py
+++ b/tests/exchange/test_response_budget.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from balsamway.exchange import ConnectionPool, ResponseBudget
+from balsamway.exchange import ByteBudget, ConnectionPool
 from balsamway.exchange.response_reader import MAX_FRAMING_BYTES
 from balsamway.keyspace.control_connections import ControlConnections
 from balsamway.outcome import MayHaveRun
@@ -33,8 +33,8 @@
 
 
 @pytest.fixture
-def budget() -> ResponseBudget:
-    return ResponseBudget(MAX_BYTES)
+def budget() -> ByteBudget:
+    return ByteBudget(MAX_BYTES)
 
 
 async def test_the_largest_response_is_given_up_over_the_bound(budget):
@@ -76,7 +76,7 @@
             writer.write(data)
             await writer.drain()
 
-    budget = ResponseBudget(BUDGET_BYTES)
+    budget = ByteBudget(BUDGET_BYTES)
     slow, faulty = await scripted(respond_slowly), await scripted(write_endlessly)
     pools = [
         ConnectionPool(target.address, 4, budget=budget) for target in (slow, faulty)
@@ -103,7 +103,7 @@
             writer.write(data)
             await writer.drain()
 
-    budget = ResponseBudget()
+    budget = ByteBudget()
     target = await scripted(write_endlessly)
     pool = ConnectionPool(target.address, 4, budget=budget)
     result = await PlatformTargetTransport().send(
@@ -194,7 +194,7 @@
     loop = asyncio.get_running_loop()
     loop.set_exception_handler(lambda _, context: errors.append(context))
     target = await scripted(write_endlessly)
-    pool = ConnectionPool(target.address, 4, budget=ResponseBudget(100_000))
+    pool = ConnectionPool(target.address, 4, budget=ByteBudget(100_000))
     for _ in range(10):
         await PlatformTargetTransport().send(
             pool, entry(target.address), entry_request(), TIMEOUT_SECONDS
--- a/tests/fakes/limited_fleet.py
+++ b/tests/fakes/limited_fleet.py
@@ -7,7 +7,7 @@
 
 from balsamway.discovery import TargetDirectory, TargetEntry
 from balsamway.entry import EntryRequest
-from balsamway.exchange import ResponseBudget
+from balsamway.exchange import ByteBudget
 from balsamway.forwarding.attempt_result import AttemptOutcome, AttemptResult
 from balsamway.forwarding.forwarder import Forwarder
 from balsamway.forwarding.forwarding_settings import ForwardingSettings
@@ -72,9 +72,7 @@
         self.lease = FixedLease(name, fleet.leader)
         self.peers = fleet.network.peers(name)
         self.directory = TargetDirectory()
-        self.targets = ServiceTargets(
-            self.directory, lambda: None, 2.0, ResponseBudget()
-        )
+        self.targets = ServiceTargets(self.directory, lambda: None, 2.0, ByteBudget())
         self.directory.replace(fleet.entries)
         self.addresses = {}
         self.key_map = KeyMap()
--- a/tests/forwarding/conftest.py
+++ b/tests/forwarding/conftest.py
@@ -7,7 +7,7 @@
 
 from balsamway.discovery import TargetDirectory, TargetEntry
 from balsamway.entry import EntryRequest
-from balsamway.exchange import ResponseBudget
+from balsamway.exchange import ByteBudget
 from balsamway.forwarding.forwarder import Forwarder
 from balsamway.forwarding.forwarding_settings import ForwardingSettings
 from balsamway.forwarding.key_owner import KeyOwner
@@ -74,9 +74,7 @@
 
     def __init__(self):
         self.directory = TargetDirectory()
-        self.targets = ServiceTargets(
-            self.directory, lambda: None, 2.0, ResponseBudget()
-        )
+        self.targets = ServiceTargets(self.directory, lambda: None, 2.0, ByteBudget())
         self.owners = FakeKeyOwners()
         self.transport = ScriptedTransport()
         self.forwarder = Forwarder(
