--- a/src/balsamway/entry/caller_connection.py
+++ b/src/balsamway/entry/caller_connection.py
@@ -51,7 +51,7 @@
     """Handles a caller's requests concurrently and responds in their order."""
 
     def __init__(self, listener: EntryListener) -> None:
-        super().__init__(listener.limits.max_header_bytes)
+        super().__init__(listener.limits.max_header_bytes, listener.turns)
         self._listener = listener
         self._pending_responses: collections.deque[PendingResponse] = (
             collections.deque()
@@ -78,6 +78,7 @@
             not self._is_half_closed
             and self.is_idle
             and self._progress.head_started_at is None
+            and not self._reader.has_unread
         )
 
     @property
@@ -98,7 +99,7 @@
         super().connection_lost(exc)
         self._listener.on_disconnected(self)
         self._listener.budget.release(self)
-        self._cancel_requests("the caller closed the connection")
+        self._cancel_requests()
 
     def eof_received(self) -> None:
         """Close the connection when the caller closes its side.
@@ -166,7 +167,7 @@
         first = pending[0] if pending else None
         self._stop_reading()
         self._note_closing(ClosingCause.MEMORY, reason)
-        self._cancel_requests(reason)
+        self._cancel_requests()
         if self.transport is None or self._is_half_closed:
             return
         if not is_refusable:
@@ -350,12 +351,12 @@
         self.is_refused = True
         self._listener.on_closing(cause, detail)
 
-    def _cancel_requests(self, reason: str) -> None:
-        """Drop everything that is held for the caller."""
-        error = ConnectionResetError(reason)
-        for payload in self._incomplete_bodies:
-            if not payload.is_eof():
-                payload.set_exception(error)
+    def _cancel_requests(self) -> None:
+        """Drop everything that is held for the caller.
+
+        Bodies get no exception: it would refer to the frames that refer to
+        them, and their memory would be kept until a garbage collection.
+        """
         for pending in self._pending_responses:
             pending.task.cancel()
         self._incomplete_bodies.clear()
--- a/src/balsamway/entry/entry_listener.py
+++ b/src/balsamway/entry/entry_listener.py
@@ -14,6 +14,7 @@
 from balsamway.clock import now
 from balsamway.entry.caller_connection import CallerConnection
 from balsamway.entry.closing_cause import ClosingCause
+from balsamway.entry.turn_queue import TurnQueue
 from balsamway.exchange import ByteBudget
 from balsamway.observe.line_limit import LineLimit
 from balsamway.outcome import NotRun, Reason
@@ -82,6 +83,8 @@
         """Bounds what the host holds for callers and targets."""
         self.max_connections = max_connections
         """The most connections that are open at a time."""
+        self.turns = TurnQueue()
+        """Lets connections continue to parse in turn."""
         self._metrics = metrics
         self._closed_counts: collections.Counter[ClosingCause] = collections.Counter()
         self._accept_task: asyncio.Task[None] | None = None
--- a/src/balsamway/entry/request_protocol.py
+++ b/src/balsamway/entry/request_protocol.py
@@ -11,14 +11,16 @@
 
 from balsamway.entry.caller_progress import CallerProgress
 from balsamway.entry.request_reader import HeadTooLarge, RequestReader
+from balsamway.entry.turn_queue import MAX_TURN_BYTES
 
 if TYPE_CHECKING:
     from balsamway.entry.request_reader import StartedRequest
+    from balsamway.entry.turn_queue import TurnQueue
 
-MAX_TURN_BYTES = 64 << 10
-"""Bounds the work of one turn, counted in bytes of ordinary heads. One head
-of 4,000 lines reaches it, and so do some 1,600 chunks of 1 byte. Either takes
-a few milliseconds."""
+MAX_IMMEDIATE_BYTES = 2 << 10
+"""More bytes than this, unless they belong to a body, wait for their turn.
+Otherwise all connections might parse large heads in one iteration of the
+event loop, before any that is given up is freed."""
 
 
 class RequestProtocol(BaseProtocol, abc.ABC):
@@ -28,13 +30,15 @@
     responses have to be written first.
     """
 
-    def __init__(self, max_header_bytes: int) -> None:
+    def __init__(self, max_header_bytes: int, turns: TurnQueue) -> None:
         """Create the protocol of a new connection.
 
         Args:
             max_header_bytes: Bounds a head, with what precedes it.
+            turns: Lets connections continue to parse in turn.
         """
         super().__init__(asyncio.get_running_loop())
+        self._turns = turns
         self._max_header_bytes = max_header_bytes
         self._progress = CallerProgress()
         self._is_closing = False
@@ -79,10 +83,32 @@
         if data:
             self._progress.on_active()
             self._reader.add(data)
-        self._parse()
+        if len(data) > MAX_IMMEDIATE_BYTES and not self._reader.is_in_body:
+            self._charge()
+            self._update_reading()
+            self._parse_later()
+        else:
+            self._parse()
+
+    def resume_reading(self, resume_parser: bool = True) -> None:
+        """Read on, and parse in a later turn what the parser held back.
 
-    def _parse(self) -> None:
-        """Parse what one iteration of the event loop may take."""
+        Streams call this for each chunk that is taken, also if reading was
+        not paused. Without a check, each call would be a turn of its own.
+
+        Args:
+            resume_parser: Whether bytes may be left to be parsed.
+        """
+        if not self._reading_paused:
+            return
+        self._reading_paused = False
+        if resume_parser:
+            self._parse_later()
+        if not self._buffer_paused:
+            self._resume_transport_reading()
+
+    def _parse(self) -> int:
+        """Parse what one turn may take, and return its work in bytes."""
         reader, work_bytes = self._reader, 0
         try:
             reader.resume()
@@ -98,14 +124,18 @@
         self._progress.on_parsed(self._reader.is_in_head)
         self._charge()
         self._update_reading()
-        if self._has_work and not self._is_parse_scheduled:
+        if self._has_work:
+            self._parse_later()
+        return work_bytes
+
+    def _parse_later(self) -> None:
+        if not self._is_parse_scheduled:
             self._is_parse_scheduled = True
-            self._loop.call_soon(self._continue_parsing)
+            self._turns.add(self._continue_parsing)
 
-    def _continue_parsing(self) -> None:
+    def _continue_parsing(self) -> int:
         self._is_parse_scheduled = False
-        if self._parses_data:
-            self._parse()
+        return self._parse() if self._parses_data else 0
 
     @property
     def _has_work(self) -> bool:
