--- a/src/balsamway/entry/caller_connection.py
+++ b/src/balsamway/entry/caller_connection.py
@@ -33,6 +33,9 @@
 MAX_UNSENT_BYTES = 64 << 10
 """While more bytes than this are not sent, no further response is written and
 nothing is read."""
+UNCHARGED_BYTES = 8 << 10
+"""A connection that holds no more than this is not charged. It is one request
+with a dozen headers, and charging it would cost processor time."""
 BODY_COST = 2
 """How much memory a byte of a body takes: it is copied once when the body is
 complete, and again when it is passed on."""
@@ -58,6 +61,8 @@
         )
         self._incomplete_bodies: list[StreamReader] = []
         """The bodies of requests that have not been passed on."""
+        self._is_charged = False
+        """Whether the budget knows of the connection."""
         self.is_refused = False
         """Whether the caller reached a bound, and the connection ends."""
 
@@ -219,6 +224,12 @@
         held_bytes = self._reader.held_bytes + unsent_bytes
         for pending in self._pending_responses:
             held_bytes += pending.held_bytes
+        if held_bytes <= UNCHARGED_BYTES:
+            if self._is_charged:
+                self._is_charged = False
+                self._listener.budget.release(self)
+            return
+        self._is_charged = True
         if unsent_bytes:
             stalled_since: float | None = self._progress.sent_at
         elif self._reader.is_in_body or self._reader.is_in_head:
@@ -299,7 +310,8 @@
         ):
             self._write_response(transport, self._pending_responses.popleft())
         self._charge()
-        self._update_reading()
+        if self._buffer_paused:
+            self._update_reading()
 
     def _write_response(
         self, transport: asyncio.Transport, pending: PendingResponse
--- a/src/balsamway/entry/request_protocol.py
+++ b/src/balsamway/entry/request_protocol.py
@@ -123,9 +123,10 @@
             self._refuse_malformed(error)
         self._progress.on_parsed(self._reader.is_in_head)
         self._charge()
-        self._update_reading()
-        if self._has_work:
-            self._parse_later()
+        if self._buffer_paused or self._reader.has_unread or self._is_full:
+            self._update_reading()
+            if self._has_work:
+                self._parse_later()
         return work_bytes
 
     def _parse_later(self) -> None:
--- a/src/balsamway/entry/request_reader.py
+++ b/src/balsamway/entry/request_reader.py
@@ -3,8 +3,7 @@
 from __future__ import annotations
 
 import re
-from dataclasses import dataclass
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 from aiohttp.http import HttpRequestParser
 from aiohttp.http_exceptions import BadHttpMessage
@@ -43,8 +42,7 @@
     """A head, or a trailer, has more bytes than are allowed."""
 
 
-@dataclass(frozen=True, slots=True)
-class StartedRequest:
+class StartedRequest(NamedTuple):
     """A request whose head has been read."""
 
     head: RawRequestMessage
@@ -161,7 +159,8 @@
     def _read_head(self) -> tuple[StartedRequest | None, int]:
         begin = self._position
         if not self._is_in_line:
-            begin = _match_end(self._data, begin)
+            if self._data[begin] in SECTION_END:
+                begin = _match_end(self._data, begin)
             self._is_in_line = begin < len(self._data)
             self._last_bytes = b""
         end, is_whole = self._find_section_end(begin, len(self._data))
--- a/src/balsamway/exchange/byte_budget.py
+++ b/src/balsamway/exchange/byte_budget.py
@@ -3,8 +3,7 @@
 from __future__ import annotations
 
 import logging
-from dataclasses import dataclass
-from typing import Protocol, TypeAlias, runtime_checkable
+from typing import NamedTuple, Protocol, TypeAlias, runtime_checkable
 
 from balsamway.clock import now
 from balsamway.observe.line_limit import LineLimit
@@ -47,8 +46,7 @@
 Holder: TypeAlias = ResponseHolder | CallerHolder
 
 
-@dataclass(frozen=True, slots=True)
-class _Share:
+class _Share(NamedTuple):
     """What one holder holds."""
 
     held_bytes: int
--- a/tests/entry/entry_process.py
+++ b/tests/entry/entry_process.py
@@ -113,6 +113,10 @@
             await target.stop()
         await self._store.stop()
 
+    @property
+    def pid(self):
+        return self._process.pid
+
     @property
     def is_alive(self):
         return self._process.returncode is None
--- a/tests/entry/test_request_reader.py
+++ b/tests/entry/test_request_reader.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import itertools
+from unittest import mock
 
 from aiohttp.base_protocol import BaseProtocol
 from aiohttp.http import HttpRequestParser
@@ -11,7 +12,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from balsamway.entry import EntryListener, EntryRequest
+from balsamway.entry import EntryListener, EntryRequest, caller_connection
 from balsamway.entry.caller_connection import CallerConnection
 from balsamway.entry.request_reader import HeadTooLarge, RequestReader
 from balsamway.exchange import ByteBudget
@@ -219,7 +220,8 @@
 )
 def test_a_connection_answers_only_what_was_asked(data, cuts, budget_bytes):
     found, _ = asyncio.run(read([data]))
-    forwarded, written = asyncio.run(converse(split(data, cuts), budget_bytes))
+    with mock.patch.object(caller_connection, "UNCHARGED_BYTES", 0):
+        forwarded, written = asyncio.run(converse(split(data, cuts), budget_bytes))
     whole = [(method, path, body) for method, path, _, body, is_eof in found if is_eof]
     got = [(request.method, request.path, request.body) for request in forwarded]
     assert got == whole[: len(got)]
