--- a/src/balsamway/node/entry_node.py
+++ b/src/balsamway/node/entry_node.py
@@ -14,8 +14,10 @@
 from balsamway.daemon.operator_listener import OperatorListener
 from balsamway.discovery import TargetDirectory
 from balsamway.entry import EntryListener
+from balsamway.entry.caller_metrics import CallerMetrics
+from balsamway.entry.connection_limit import caller_connection_limit
 from balsamway.evacuation import EvacuatedZones
-from balsamway.exchange import ResponseBudget
+from balsamway.exchange import ByteBudget
 from balsamway.exchange.refusal_probe import is_refusing
 from balsamway.forwarding.forwarder import Forwarder
 from balsamway.forwarding.forwarding_settings import ForwardingSettings
@@ -105,12 +107,12 @@
         self.evacuated_zones = EvacuatedZones(settings.bounds.evacuate_seconds)
         self.directory = TargetDirectory(self.evacuated_zones)
         metrics = RequestMetrics(registry)
-        self._response_budget = ResponseBudget.of_memory(settings.memory_megabytes)
+        self._byte_budget = ByteBudget.of_memory(settings.memory_megabytes)
         self.targets = ServiceTargets(
             self.directory,
             metrics.on_connection_opened,
             settings.bounds.drain_seconds,
-            self._response_budget,
+            self._byte_budget,
         )
         self.key_map = KeyMap()
         bounds = settings.bounds
@@ -193,12 +195,17 @@
             self._reporter.publish,
         )
         self._reporter.leader = self.leader
+        caller_metrics = CallerMetrics(registry)
         self._caller_listener = EntryListener(
             settings.callers_address,
             adapters.codec,
             self._forward,
+            self._byte_budget,
+            caller_connection_limit(settings.max_descriptors),
+            caller_metrics,
             self.forwarder.timeout_seconds,
         )
+        caller_metrics.watch(self._caller_listener, self._byte_budget)
         self._readiness_listener = ReadinessListener(
             settings.readiness_address, adapters.readiness_path, self.is_ready
         )
@@ -329,7 +336,7 @@
             "forwarding": self.forwarder.dump(),
             "limits": self._token_client.dump(),
             "targets": self.targets.dump(),
-            "responses": self._response_budget.dump(),
+            "responses": self._byte_budget.dump(),
             "quarantine": self._quarantine.dump(),
             "evacuations": self.evacuated_zones.dump(),
             "keys": self.key_map.dump(),
--- a/tests/fakes/evacuation_fleet.py
+++ b/tests/fakes/evacuation_fleet.py
@@ -8,7 +8,7 @@
 from balsamway.discovery import TargetDirectory
 from balsamway.entry import EntryRequest
 from balsamway.evacuation import EvacuatedZones, EvacuationsHandler
-from balsamway.exchange import ResponseBudget
+from balsamway.exchange import ByteBudget
 from balsamway.forwarding.attempt_result import AttemptOutcome, AttemptResult
 from balsamway.forwarding.forwarder import Forwarder
 from balsamway.forwarding.forwarding_settings import ForwardingSettings
@@ -68,7 +68,7 @@
         self.zones.replace(())
         self.directory = TargetDirectory(self.zones)
         self.targets = ServiceTargets(
-            self.directory, lambda: None, DRAIN_SECONDS, ResponseBudget()
+            self.directory, lambda: None, DRAIN_SECONDS, ByteBudget()
         )
         self.directory.replace(fleet.entries())
         self.key_map = KeyMap()
--- a/tests/fakes/upload_host.py
+++ b/tests/fakes/upload_host.py
@@ -6,7 +6,7 @@
 
 from balsamway.discovery import TargetDirectory, TargetEntry
 from balsamway.entry import EntryListener
-from balsamway.exchange import ResponseBudget
+from balsamway.exchange import ByteBudget
 from balsamway.forwarding.forwarder import Forwarder
 from balsamway.forwarding.forwarding_settings import ForwardingSettings
 from balsamway.forwarding.request_log import RequestLog
@@ -47,9 +47,7 @@
 
     def __init__(self, addresses, route_type=RouteType.UPLOAD, timeout_seconds=2.0):
         self.directory = TargetDirectory()
-        self.targets = ServiceTargets(
-            self.directory, lambda: None, 2.0, ResponseBudget()
-        )
+        self.targets = ServiceTargets(self.directory, lambda: None, 2.0, ByteBudget())
         self.finished = FinishedRequests()
         self.forwarder = Forwarder(
             "z",
@@ -65,7 +63,7 @@
             "127.0.0.1:0",
             PlatformCallerCodec(),
             self.forwarder.forward,
-            self.forwarder.timeout_seconds,
+            timeout_seconds=self.forwarder.timeout_seconds,
         )
         route = Route(
             "r", "h", "/", route_type, timeout_seconds, 1.0, 1, 3, (Backend("s", 1.0),)
--- a/tests/forwarding/conftest.py
+++ b/tests/forwarding/conftest.py
@@ -8,7 +8,7 @@
 from balsamway.discovery import TargetDirectory, TargetEntry
 from balsamway.entry import EntryRequest
 from balsamway.evacuation import EvacuatedZones
-from balsamway.exchange import ResponseBudget
+from balsamway.exchange import ByteBudget
 from balsamway.forwarding.forwarder import Forwarder
 from balsamway.forwarding.forwarding_settings import ForwardingSettings
 from balsamway.forwarding.key_owner import KeyOwner
@@ -76,9 +76,7 @@
     def __init__(self, evacuate_seconds=None, region_by_zone=None):
         self.zones = EvacuatedZones(evacuate_seconds)
         self.directory = TargetDirectory(self.zones)
-        self.targets = ServiceTargets(
-            self.directory, lambda: None, 2.0, ResponseBudget()
-        )
+        self.targets = ServiceTargets(self.directory, lambda: None, 2.0, ByteBudget())
         self.owners = FakeKeyOwners()
         self.transport = ScriptedTransport()
         self.forwarder = Forwarder(
