Send nothing of a request that was refused while its body was read

The task that reads a body charges its bytes, and may thereby be given up. Its cancellation takes effect at the next wait only, so the caller had a 503 while the request was written to a target, and an unsafe one could run twice after the caller's retry. The task now ends at once. Found in review; the test failed before.

Also from the review: a reset that the event loop has not seen no longer ends the accept loop or the drain; unsent responses of closing connections count towards the budget; callers that make progress, or are held back by the host, no longer count as stalled; empty lines after a request start no header timeout (the caller got a 400 that it had not asked for; test failed before); room for connections is made one at a time; requests that have arrived are answered before a draining connection is closed.

--- a/src/balsamway/entry/caller_connection.py
+++ b/src/balsamway/entry/caller_connection.py
@@ -135,7 +135,13 @@
             return
         self._is_half_closed = True
         transport.pause_reading()
-        transport.write_eof()
+        try:
+            transport.write_eof()
+        except OSError:
+            # The caller has reset the connection, which the event loop has
+            # not noticed yet.
+            transport.abort()
+            return
         self._loop.call_later(LINGER_SECONDS, transport.close)
 
     def close_immediately(self) -> None:
@@ -168,7 +174,7 @@
         """
         pending = self._pending_responses
         is_refusable = not self._paused and (
-            self._reader.is_in_head
+            self._reader.has_head_begun
             if not pending
             else len(pending) == 1 and pending[0].payload in self._incomplete_bodies
         )
@@ -176,9 +182,9 @@
         self._stop_reading()
         self._note_closing(ClosingCause.MEMORY, reason)
         self._cancel_requests()
-        if self.transport is None or self._is_half_closed:
+        if self.transport is None:
             return
-        if not is_refusable:
+        if self._is_half_closed or not is_refusable:
             self.transport.abort()
             return
         verdict = NotRun(Reason.OVERLOADED, reason, GIVEN_UP_RETRY_AFTER_SECONDS)
@@ -194,6 +200,10 @@
             return
         limits = self._listener.limits
         progress.on_sent(transport.get_write_buffer_size())
+        if self._is_charged:
+            self._charge()
+            if self.transport is None or self.transport.is_closing():
+                return
         if progress.is_sending_overdue(limits):
             self._note_closing(ClosingCause.UNREAD_RESPONSE)
             transport.abort()
@@ -214,6 +224,12 @@
         elif self.is_idle:
             self.close()
 
+    @property
+    def _is_caller_awaited(self) -> bool:
+        """Whether a request has begun to arrive, and its bytes are read."""
+        is_arriving = self._reader.is_in_body or self._reader.is_in_head
+        return is_arriving and not (self._reading_paused or self._buffer_paused)
+
     @property
     def _is_full(self) -> bool:
         return self._paused or len(self._pending_responses) >= MAX_PIPELINED_REQUESTS
@@ -221,7 +237,7 @@
     def _charge(self) -> None:
         """Note the memory that the connection takes."""
         transport = self.transport
-        if transport is None or self._is_half_closed:
+        if transport is None:
             return
         unsent_bytes = transport.get_write_buffer_size()
         held_bytes = self._reader.held_bytes + unsent_bytes
@@ -235,7 +251,7 @@
         self._is_charged = True
         if unsent_bytes:
             stalled_since: float | None = self._progress.sent_at
-        elif self._reader.is_in_body or self._reader.is_in_head:
+        elif self._is_caller_awaited:
             stalled_since = self.last_active_at
         else:
             stalled_since = None
@@ -280,8 +296,11 @@
         body: bytes | BodyStream | NotRun = b""
         try:
             body = await self._read_body(head, payload, arrived)
-            if payload in self._incomplete_bodies:
-                self._incomplete_bodies.remove(payload)
+            if payload not in self._incomplete_bodies:
+                # The request was refused while this task ran. Its cancellation
+                # comes at the next wait only, when it may have been sent.
+                raise asyncio.CancelledError
+            self._incomplete_bodies.remove(payload)
             if isinstance(body, NotRun):
                 return body
             return await self._listener.handle_request(head, body, arrived)
@@ -367,7 +386,10 @@
         verdict = pending.verdict()
         if verdict is None:
             return
-        is_ending = self._is_closing or self._listener.is_draining
+        # Requests that have arrived are answered first.
+        is_ending = self._is_closing or (
+            self._listener.is_draining and not self._reader.has_unread
+        )
         closes_connection = is_ending and not self._pending_responses
         transport.write(
             encode_response(
--- a/src/balsamway/entry/entry_listener.py
+++ b/src/balsamway/entry/entry_listener.py
@@ -12,7 +12,7 @@
 
 from balsamway.address import split_address
 from balsamway.clock import now
-from balsamway.entry.caller_connection import CallerConnection
+from balsamway.entry.caller_connection import LINGER_SECONDS, CallerConnection
 from balsamway.entry.closing_cause import ClosingCause
 from balsamway.entry.turn_queue import TurnQueue
 from balsamway.exchange import ByteBudget
@@ -94,6 +94,8 @@
         self._accept_task: asyncio.Task[None] | None = None
         self._has_room = asyncio.Event()
         self._is_accepting_paused = False
+        self._room_made_at = float("-inf")
+        """When an unused connection was last closed to make room."""
         self._listen_address = address
         self._codec = codec
         self._forward = forward
@@ -252,8 +254,11 @@
                 await self._wait_for_room()
                 try:
                     accepted, _ = await loop.sock_accept(sock)
-                    await loop.connect_accepted_socket(
-                        lambda: CallerConnection(self), accepted
+                    # A cancellation would close the accepted connection.
+                    await asyncio.shield(
+                        loop.connect_accepted_socket(
+                            lambda: CallerConnection(self), accepted
+                        )
                     )
                 except OSError as error:
                     # A caller may already have reset its connection. If the
@@ -286,6 +291,9 @@
             if connection.is_refused and not connection.is_closing:
                 connection.abort()
                 return
+        if now() - self._room_made_at < LINGER_SECONDS:
+            # The last one that was closed is still open on the other side.
+            return
         oldest = min(
             (connection for connection in self._connections if connection.is_unused),
             key=lambda connection: connection.last_active_at,
@@ -293,6 +301,7 @@
         )
         if oldest is None or now() - oldest.last_active_at < MIN_IDLE_SECONDS:
             return
+        self._room_made_at = now()
         oldest.close()
         self.on_closing(ClosingCause.DESCRIPTORS)
 
--- a/src/balsamway/entry/request_protocol.py
+++ b/src/balsamway/entry/request_protocol.py
@@ -116,12 +116,13 @@
                 request, piece_work_bytes = reader.read_next()
                 work_bytes += piece_work_bytes
                 if request is not None:
+                    self._progress.on_parsed(is_in_head=False)
                     self._start_request(request)
                 if reader.is_upgraded:
                     self._stop_reading()
         except (HttpProcessingError, HeadTooLarge, ValueError) as error:
             self._refuse_malformed(error)
-        self._progress.on_parsed(self._reader.is_in_head)
+        self._progress.on_parsed(self._reader.has_head_begun)
         self._charge()
         if self._buffer_paused or self._reader.has_unread or self._is_full:
             self._update_reading()
--- a/src/balsamway/entry/request_reader.py
+++ b/src/balsamway/entry/request_reader.py
@@ -112,6 +112,14 @@
         """Whether a head, or empty lines, began to arrive and did not end."""
         return self._head_bytes > 0
 
+    @property
+    def has_head_begun(self) -> bool:
+        """Whether a head began to arrive and did not end.
+
+        Empty lines before a head may be left from the last request.
+        """
+        return self._is_in_line
+
     @property
     def is_in_body(self) -> bool:
         """Whether a body began to arrive and did not end."""
--- a/src/balsamway/exchange/target_connection.py
+++ b/src/balsamway/exchange/target_connection.py
@@ -174,6 +174,10 @@
             return NotSent("the connection was closed")
         # Nothing is written for a caller that has broken off by now.
         first_piece = await body.read_chunk()
+        task = asyncio.current_task()
+        if task is not None and task.cancelling():
+            # The caller was given up while the piece was taken.
+            raise asyncio.CancelledError
         transport = self.transport
         if transport is None or self._is_unwritable():
             return NotSent("the connection was closed")
--- a/tests/entry/test_caller_bounds.py
+++ b/tests/entry/test_caller_bounds.py
@@ -170,3 +170,34 @@
     assert caller_connection_limit(1_638) == 687
     assert caller_connection_limit(300) == 18
     assert caller_connection_limit(100) == 16
+
+
+# Guards against a request that is refused for lack of memory by the task that
+# reads its body, and is then sent all the same.
+async def test_a_request_refused_with_its_last_piece_is_not_sent(
+    connect, forwarder, listener
+):
+    listener.budget = ByteBudget(180_000)
+    reader, writer = await connect()
+    request = post("r1", b"x" * 100_000)
+    writer.write(request[:-20_000])
+    await until(lambda: listener.budget.held_bytes > 100_000)
+    writer.write(request[-20_000:])
+    status, _, _ = await answer_of(reader)
+    assert status == 503
+    assert await end_of(reader) == b""
+    assert not forwarder.requests
+
+
+# Guards against a response that nobody asked for, which the caller takes for
+# that to its next request.
+async def test_an_empty_line_after_a_request_does_not_end_the_connection(
+    connect, listener
+):
+    listener.limits = CallerLimits(header_timeout_seconds=0.1)
+    reader, writer = await connect()
+    writer.write(get("r1") + b"\r\n")
+    assert (await answer_of(reader))[2] == b"r1"
+    await asyncio.sleep(1.2)
+    writer.write(get("r2"))
+    assert (await answer_of(reader))[2] == b"r2"
