Take the trial of a request on probation only once

The check on arrival took the trial, or refused what only the leader may allow, so no host sent a request after its quarantine until the suspicion had expired. Then all hosts were free to send it at once. The check on arrival now refuses what is in quarantine only; the trial is decided right before the request is sent. Found in review; the test goes through both checks.

--- a/src/balsamway/node/entry_node.py
+++ b/src/balsamway/node/entry_node.py
@@ -366,7 +366,7 @@
         return self._caller_listener.in_progress
 
     async def _forward(self, request: EntryRequest) -> Verdict:
-        refusal = self._quarantine.refusal(request)
+        refusal = self._quarantine.early_refusal(request)
         if refusal is not None:
             return refusal
         return await self.forwarder.forward(request)
--- a/src/balsamway/quarantine/quarantine.py
+++ b/src/balsamway/quarantine/quarantine.py
@@ -12,7 +12,7 @@
 from balsamway.clock import now
 from balsamway.observe.line_limit import LineLimit
 from balsamway.outcome import NotRun, Reason
-from balsamway.quarantine.decision import Allowed, Isolated
+from balsamway.quarantine.decision import Allowed, Isolated, Quarantined
 from balsamway.quarantine.fingerprint import fingerprint
 from balsamway.quarantine.messages import (
     SuspicionCleared,
@@ -128,6 +128,23 @@
             return None
         return self._refuse(request, suspect, "probation", TRIAL_SECONDS)
 
+    def early_refusal(self, request: EntryRequest) -> NotRun | None:
+        """Return why a request that has just arrived need not be routed.
+
+        It takes no trial: a request on probation is decided about in `admit`,
+        right before it is sent.
+
+        Args:
+            request: The request.
+        """
+        if self._table.is_empty:
+            return None
+        suspect = fingerprint(request)
+        decision = self._table.decide(suspect, now())
+        if isinstance(decision, Allowed):
+            return None
+        return self._refuse_suspect(request, suspect, decision)
+
     def refusal(self, request: EntryRequest) -> NotRun | None:
         """Return why a request must not be sent without asking the leader.
 
@@ -144,6 +161,11 @@
             if self._may_try(suspect):
                 return None
             return self._refuse(request, suspect, "probation", TRIAL_SECONDS)
+        return self._refuse_suspect(request, suspect, decision)
+
+    def _refuse_suspect(
+        self, request: EntryRequest, suspect: int, decision: Isolated | Quarantined
+    ) -> NotRun:
         kind = "isolated" if isinstance(decision, Isolated) else "quarantined"
         return self._refuse(request, suspect, kind, decision.retry_after_seconds)
 
--- a/tests/quarantine/test_quarantine_of_a_fleet.py
+++ b/tests/quarantine/test_quarantine_of_a_fleet.py
@@ -183,3 +183,19 @@
         await asyncio.sleep(1)
     await asyncio.sleep(CERTAIN_QUARANTINE_SECONDS)
     assert await admitting_hosts(fleet, request_to("/deadly")) == 1
+
+
+# Guards against a trial that the check on arrival takes, so that the request
+# is refused when it is about to be sent.
+@pytest.mark.parametrize("host", [0, 5])
+@pytest.mark.parametrize("leader", ["h0", None])
+async def test_a_request_on_probation_passes_both_checks(
+    host, leader, request_to, target
+):
+    fleet = Fleet(9, leader="h0")
+    await end_quarantine(fleet, request_to, target)
+    fleet.leader = leader
+    request = request_to("/deadly")
+    assert fleet.hosts[host].early_refusal(request) is None
+    refusal = await fleet.hosts[host].admit(request)
+    assert (refusal is None) == (leader is not None)
