End paces that nothing else would end

From the review: a pace stayed for ever after its service stopped to name a warm-up; a host that sent nothing after a rest restarted the pace with each report; attempts that time out, which callers with short deadlines cause, counted as failures of the target; a delayed report of a cold target was passed back to the leader and extended the cold time for all hosts; a new target was judged by a default time although its service's is known.

--- a/src/balsamway/forwarding/service_targets.py
+++ b/src/balsamway/forwarding/service_targets.py
@@ -88,6 +88,9 @@
         for state in self._states.values():
             state.pool.limit = self._connection_limit(state.entry.service)
             state.cold.requests_per_second = self._cold_rates.get(state.entry.service)
+            if state.entry.service not in self._paced_services:
+                # Nothing would end a pace of a service that has none any more.
+                state.pace.on_report(None)
 
     def all(self) -> Sequence[TargetState]:
         """Return the states of all targets."""
--- a/src/balsamway/limits/cold_target.py
+++ b/src/balsamway/limits/cold_target.py
@@ -64,8 +64,18 @@
 
     @property
     def left_to_report(self) -> float:
-        """How long the target remains cold, as far as a host saw it."""
-        return self.left_seconds if self._is_observed else 0.0
+        """How long the target remains cold, as far as any host saw it."""
+        is_reported = self._report_ends_at > now()
+        return self.left_seconds if self._is_observed or is_reported else 0.0
+
+    @property
+    def left_observed(self) -> float:
+        """How long the target remains cold, as far as this host saw it.
+
+        What others reported is left out. Otherwise a report that was delayed
+        would be passed back to the leader, and extend the time for all hosts.
+        """
+        return max(0.0, self._entry_ends_at - now()) if self._is_observed else 0.0
 
     def on_entry(self, left_seconds: float) -> None:
         """Apply a new entry of the target.
@@ -75,7 +85,7 @@
         """
         if left_seconds > self.left_seconds + MIN_EXTENSION_SECONDS:
             self._extend(left_seconds)
-            self._has_news = True
+            self._has_news = self._is_observed = True
         # An entry that is older than a report may arrive after it, and does
         # not shorten what was reported.
         self._entry_ends_at = now() + left_seconds
@@ -120,4 +130,3 @@
         # Hosts where the target is about to be warm send as before.
         if self.left_seconds < SETTLE_SECONDS:
             self._settles_at = now() + min(SETTLE_SECONDS, left_seconds)
-        self._is_observed = True
--- a/src/balsamway/limits/token_client.py
+++ b/src/balsamway/limits/token_client.py
@@ -348,7 +348,7 @@
     name, incarnation = state.entry.key
     priorities = tuple(waiter.priority for waiter in group)
     cold_limit = state.cold.limit
-    cold_left_ms = round(1000 * state.cold.left_to_report)
+    cold_left_ms = round(1000 * state.cold.left_observed)
     if state.limit.requests_per_second is None:
         return TokenDemand(
             name,
--- a/src/balsamway/node/load_reporter.py
+++ b/src/balsamway/node/load_reporter.py
@@ -203,7 +203,7 @@
         """Return how the targets answered this host since the last call."""
         experiences = {}
         for state in self._targets.paced():
-            seen = state.experience.take(state.rest.is_active)
+            seen = state.experience.take(state.rest.remaining_seconds > 0)
             if seen == Interval():
                 continue
             experiences[state.entry.name] = (
--- a/src/balsamway/pace/experience.py
+++ b/src/balsamway/pace/experience.py
@@ -19,6 +19,9 @@
     def record(self, outcome: AttemptOutcome, seconds: float) -> None:
         """Count the end of an attempt.
 
+        One that timed out does not count: the caller's deadline may have been
+        short, and a slow target shows in the times of its responses.
+
         Args:
             outcome: The outcome of the attempt.
             seconds: How long the attempt took.
@@ -29,11 +32,7 @@
                 self._answered_seconds += seconds
             case AttemptOutcome.SHED:
                 self._refused += 1
-            case (
-                AttemptOutcome.FAILED
-                | AttemptOutcome.CONNECTION_LOST
-                | AttemptOutcome.TIMED_OUT
-            ):
+            case AttemptOutcome.FAILED | AttemptOutcome.CONNECTION_LOST:
                 self._failed += 1
             case AttemptOutcome.UNREACHABLE | AttemptOutcome.CONNECTION_REFUSED:
                 self._unreachable += 1
--- a/src/balsamway/pace/pace_table.py
+++ b/src/balsamway/pace/pace_table.py
@@ -55,7 +55,7 @@
         keys = {state.entry.key for state in states}
         self._paces = {key: pace for key, pace in self._paces.items() if key in keys}
         for state in states:
-            pace = self._find(state)
+            pace = self._find(state, states)
             previous = pace.requests_per_second
             if state.cold.limit is not None:
                 # A cold target is slower than usual, so its times say nothing.
@@ -72,11 +72,11 @@
         self._paces.clear()
         self._intervals.clear()
 
-    def _find(self, state: TargetState) -> TargetPace:
+    def _find(self, state: TargetState, states: Sequence[TargetState]) -> TargetPace:
         key = state.entry.key
         pace = self._paces.get(key)
         if pace is None:
-            pace = TargetPace(state.entry.capacity, self._usual_seconds(state))
+            pace = TargetPace(state.entry.capacity, self._usual_seconds(state, states))
             self._paces[key] = pace
             if state.pace.limit is not None:
                 pace.begin(now(), state.pace.limit)
@@ -84,9 +84,19 @@
                 pace.begin(now())
         return pace
 
-    def _usual_seconds(self, state: TargetState) -> float:
+    def _usual_seconds(
+        self, state: TargetState, states: Sequence[TargetState]
+    ) -> float:
+        """Return the usual time of a target, or that of its service."""
         known = self._usual.get(state.entry.name) or state.service_seconds
-        return known or DEFAULT_USUAL_SECONDS
+        if known:
+            return known
+        others = [
+            other.service_seconds
+            for other in states
+            if other.entry.service == state.entry.service and other.service_seconds
+        ]
+        return sum(others) / len(others) if others else DEFAULT_USUAL_SECONDS
 
     def _log(
         self, state: TargetState, previous: float | None, current: float | None
