--- a/src/balsamway/pace/target_pace.py
+++ b/src/balsamway/pace/target_pace.py
@@ -33,6 +33,10 @@
 RELAPSE_SECONDS = 5.0
 """How long after its end refusals and failures begin the pace again. More may
 be asked of a target than it serves."""
+IDLE_SECONDS = 4.0
+"""How long a target must get no answerable request until its pace ends. The
+lowest pace is 5 % of the full one, at which 4 s without any are improbable if
+there is demand."""
 ADAPT_WEIGHT = 0.1
 """The weight of an interval in the usual response time. An interval has few
 responses, and single ones differ by a factor of two and more."""
@@ -109,6 +113,7 @@
         trouble = interval.refused + interval.failed
         total = trouble + interval.answered
         if not total:
+            self._end_if_idle(time)
             return
         # At a low pace many intervals have no response. Their time counts.
         elapsed_seconds = time - self._observed_at
@@ -148,6 +153,16 @@
             self._requests_per_second = None
             self._ended_at = time
 
+    def _end_if_idle(self, time: float) -> None:
+        """End a pace that nobody uses, and that no answer would end.
+
+        Targets that register before there is traffic would otherwise all be
+        limited when it begins.
+        """
+        is_idle = time - self._observed_at > IDLE_SECONDS
+        if self._requests_per_second is not None and is_idle:
+            self._requests_per_second = None
+
     def _is_slow(self, interval: Interval, time: float) -> bool:
         """Return whether the target has been slow for longer than noise."""
         mean_seconds = interval.mean_seconds
--- a/tests/pace/test_target_pace.py
+++ b/tests/pace/test_target_pace.py
@@ -121,3 +121,15 @@
     pace = TargetPace(4, 0.16)
     pace.begin(0.0, requests_per_second=14.0)
     assert pace.requests_per_second == 14.0
+
+
+# Guards against targets that are all limited when traffic begins, because they
+# registered after the hosts had started.
+async def test_a_pace_that_nobody_uses_ends():
+    pace = TargetPace(4, 0.15)
+    pace.begin(0.0)
+    for step in range(1, 5):
+        pace.observe(Interval(), float(step))
+        assert pace.requests_per_second is not None
+    pace.observe(Interval(), 4.5)
+    assert pace.requests_per_second is None
