--- a/src/balsamway/forwarding/attempt_result.py
+++ b/src/balsamway/forwarding/attempt_result.py
@@ -9,6 +9,7 @@
 if TYPE_CHECKING:
     from balsamway.forwarding.rest_answer import RestAnswer
     from balsamway.limits import LimitAnswer
+    from balsamway.occupancy import LoadAnswer
     from balsamway.outcome import Verdict
 
 
@@ -55,3 +56,5 @@
     """Whether the response says that the target is leaving."""
     rest: RestAnswer | None = None
     """The rest that a refusal asks for; None if the response asks for none."""
+    load: LoadAnswer | None = None
+    """The load that the response reports; None if it reports none."""
--- a/src/balsamway/platform/target_transport.py
+++ b/src/balsamway/platform/target_transport.py
@@ -13,7 +13,7 @@
 from balsamway.limits import NamedLimit, NoLimit, UnreadableLimit
 from balsamway.outcome import Completed, MayHaveRun, NotRun, Reason
 from balsamway.platform import names
-from balsamway.platform.target_notices import decode_leaving, decode_rest
+from balsamway.platform.target_notices import decode_leaving, decode_load, decode_rest
 
 if TYPE_CHECKING:
     from balsamway.discovery import TargetEntry
@@ -105,6 +105,7 @@
                 limit=_limit_answer(response, result),
                 is_leaving=decode_leaving(response.headers),
                 rest=decode_rest(response.status, response.headers),
+                load=decode_load(response.headers),
             )
 
 
--- a/tests/platform/test_target_notices.py
+++ b/tests/platform/test_target_notices.py
@@ -2,7 +2,9 @@
 
 import pytest
 
+from balsamway.forwarding.attempt_result import AttemptOutcome
 from balsamway.forwarding.rest_answer import RestAsked, UnreadableRest
+from balsamway.occupancy import TargetLoad, UnreadableLoad
 from tests.fakes.scripted_target import answer
 
 
@@ -83,3 +85,46 @@
 async def test_a_refusal_of_no_request_asks_for_no_rest(result_of):
     result = await result_of(f"{REFUSED}Retry-After: 2", 503, request_id=None)
     assert result.rest is None
+
+
+@pytest.mark.parametrize("status", [200, 421, 500, 503])
+async def test_a_target_reports_its_load_with_any_status(result_of, status):
+    result = await result_of(f"{REFUSED}Balsamway-Instance-Load: 3,12,4", status)
+    assert result.load == TargetLoad(3, 12, 4)
+
+
+async def test_a_load_may_say_how_slow_the_target_is(result_of):
+    result = await result_of("Balsamway-Instance-Load: 4,0,4,310")
+    assert result.load == TargetLoad(4, 0, 4, 3.1)
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        "",
+        "1",
+        "1,2",
+        "1,2,0",
+        "1,2,4,0",
+        "1,2,4,100,5",
+        "-1,2,4",
+        "1,2,4,-100",
+        "1.5,2,4",
+        "1,2,4,",
+        "1,,4",
+        "1e3,2,4",
+        "99999,2,4",
+        "1,2,4,100000",
+        "nan,2,4",
+        "\u0661,2,4",
+        "1,2,4\r\nBalsamway-Instance-Load: 1,2,4",
+    ],
+)
+async def test_a_load_of_another_form_is_unreadable(result_of, text):
+    result = await result_of(f"Balsamway-Instance-Load: {text}")
+    assert isinstance(result.load, UnreadableLoad)
+    assert result.outcome is AttemptOutcome.SERVED
+
+
+async def test_a_response_without_the_header_reports_no_load(result_of):
+    assert (await result_of("X-Own: yes")).load is None
