--- a/src/balsamway/forwarding/service_targets.py
+++ b/src/balsamway/forwarding/service_targets.py
@@ -9,9 +9,10 @@
 from balsamway.exchange import ConnectionPool
 from balsamway.forwarding.target_state import TargetState
 from balsamway.limits import ColdTarget
+from balsamway.occupancy import ServiceRoom, SharedRoom
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Sequence
+    from collections.abc import Callable, Mapping, Sequence
 
     from balsamway.discovery import TargetDirectory
     from balsamway.exchange import ByteBudget
@@ -60,6 +61,7 @@
         """The services with exclusive keys."""
         self._evacuated: frozenset[str] = frozenset()
         """The services with targets in evacuated zones only."""
+        self._rooms: dict[str, ServiceRoom] = {}
         directory.add_listener(self.refresh)
 
     def set_limits(self, services: Sequence[RoutedService], host_count: int) -> None:
@@ -109,6 +111,41 @@
             if state.entry.service in self._paced_services
         ]
 
+    def rooms(self) -> Mapping[str, ServiceRoom]:
+        """Return what was learned of each service, by its name."""
+        return self._rooms
+
+    def room(self, service: str) -> ServiceRoom:
+        """Return how many requests the targets of a service hold.
+
+        Args:
+            service: The name of the service.
+        """
+        return self._rooms.setdefault(service, ServiceRoom(service))
+
+    def learned_rooms(self) -> dict[str, tuple[float, bool]]:
+        """Return what this host learned of the services, for its reports."""
+        return {
+            service: (round(shared.per_slot, 2), shared.is_resetting)
+            for service, room in self._rooms.items()
+            if (shared := room.shared) is not None
+        }
+
+    def adopt_rooms(self, rooms: Mapping[str, tuple[float, bool]]) -> None:
+        """Apply what all hosts learned of the services.
+
+        Args:
+            rooms: The room for each slot of a target, and whether full targets
+                reset connections, by service.
+        """
+        services = {state.entry.service for state in self._states.values()}
+        for service in services.intersection(rooms):
+            self.room(service).adopt(SharedRoom(*rooms[service]))
+
+    def full(self) -> Sequence[TargetState]:
+        """Return the states of the targets that are estimated to be full."""
+        return tuple(state for state in self._states.values() if state.is_full)
+
     def usable(self, service: str) -> Sequence[TargetState]:
         """Return the targets of a service that may receive requests.
 
@@ -156,6 +193,7 @@
             or state.rest.is_active
             or state.evacuation is not None
             or state.offered.total
+            or state.is_full
         }
 
     def on_leaving(self, state: TargetState) -> None:
@@ -213,7 +251,9 @@
             )
             if (entry.name, entry.address) in known_places:
                 cold.settle()
-            state = TargetState(entry, pool, self._drain_seconds, cold)
+            state = TargetState(
+                entry, pool, self._drain_seconds, cold, self.room(entry.service)
+            )
             pool.may_use = functools.partial(self._may_use_connection, state)
             if self._has_snapshot:
                 state.on_start_seen()
--- a/src/balsamway/node/load_reporter.py
+++ b/src/balsamway/node/load_reporter.py
@@ -170,6 +170,7 @@
             limits,
             self._leaving_to_send(),
             self._take_experiences(),
+            self._targets.learned_rooms(),
         )
 
     def _leaving_to_send(self) -> dict[str, tuple[int, int]]:
@@ -272,6 +273,7 @@
             self._leaving_to_send(),
             self._cold_to_send(),
             self._decide_paces(),
+            self._aggregator.rooms(),
         )
         self._apply_fleet_notice(notice)
         for host in self._aggregator.hosts:
@@ -309,6 +311,7 @@
             self._apply_leaving(notice.leaving)
             self._targets.on_cold_report(notice.cold)
             self._apply_paces(notice.paces)
+        self._targets.adopt_rooms(notice.rooms)
         for state in self._targets.all():
             load = notice.targets.get(state.entry.name)
             if load is None:
