--- a/src/balsamway/forwarding/target_room.py
+++ b/src/balsamway/forwarding/target_room.py
@@ -21,9 +21,9 @@
 
     The counts of other hosts are old. If every host sent to the targets that
     seem to have the most room, all would send to the same ones until the next
-    notice, and those would overflow. So while targets are nearly full, one is
-    drawn in proportion to its speed and its free fraction, and requests are
-    refused gradually.
+    notice, and those would overflow. So while targets are nearly full, each is
+    drawn with the probability of its free fraction, and requests are refused
+    gradually.
 
     Args:
         states: The targets of the service that may receive requests.
@@ -32,7 +32,7 @@
         rng: Draws whether the request is refused, and the target.
 
     Returns:
-        All targets if none is nearly full, otherwise the one that was drawn;
+        All targets if none is nearly full, otherwise those that were drawn;
         empty if the request is to be refused.
     """
     untried = [state for state in states if state.entry.name not in tried]
@@ -45,8 +45,9 @@
     ]
     if rng.random() * sum(speeds) >= sum(weights):
         return []
-    usable = [
-        0.0 if state.is_in_backoff or not state.pool.has_room else weight
-        for state, weight in zip(untried, weights, strict=True)
+    drawn = [
+        state
+        for state, fraction in zip(untried, fractions, strict=True)
+        if rng.random() < fraction
     ]
-    return rng.choices(untried, usable if any(usable) else weights)
+    return drawn or rng.choices(untried, weights)
--- a/tests/fakes/full_fleet.py
+++ b/tests/fakes/full_fleet.py
@@ -96,7 +96,7 @@
         for other in self.targets.values():
             entry = target(other.name, capacity=fleet.slots)
             pool = ConnectionPool("127.0.0.1:1", 99)
-            state = TargetState(entry, pool, 2.5, room)
+            state = TargetState(entry, pool, 2.5, room=room)
             state.service_seconds = fleet.mean_seconds / other.speed
             states.append(state)
         return states
