--- a/src/balsamway/forwarding/attempt_loop.py
+++ b/src/balsamway/forwarding/attempt_loop.py
@@ -231,12 +231,12 @@
         ]
         rested = [state for state in states if state.rest.allows_request]
         admitted = self._without_held_back(rested)
-        candidates = targets_with_room(
-            admitted, self._tried, self.is_safe, self._forwarder.rng
-        )
         preference = self._forwarder.work_separation.preference(
             self.route.id, self.service.name, len(states)
         )
+        candidates = targets_with_room(
+            admitted, self._tried, self.is_safe, self._forwarder.rng, preference
+        )
         state = self._choose(candidates, preference)
         if state is not None and not state.offered.has_room(self._body_bytes):
             with_room = [other for other in candidates if self._has_room(other)]
