--- a/src/balsamway/forwarding/attempt_loop.py
+++ b/src/balsamway/forwarding/attempt_loop.py
@@ -15,6 +15,7 @@
     jitter,
     limit_used_up,
     region_not_allowed,
+    targets_full,
     targets_rest,
 )
 from balsamway.forwarding.target_choice import (
@@ -22,6 +23,7 @@
     expected_queue_seconds,
     mean_service_seconds,
 )
+from balsamway.forwarding.target_room import targets_with_room
 from balsamway.limits import HeldBack
 from balsamway.outcome import Completed, MayHaveRun, NotRun, Reason
 from balsamway.routing import RouteType
@@ -228,10 +230,13 @@
             if self._is_region_allowed(state)
         ]
         rested = [state for state in states if state.rest.allows_request]
-        candidates = self._without_held_back(rested)
+        admitted = self._without_held_back(rested)
         preference = self._forwarder.work_separation.preference(
             self.route.id, self.service.name, len(states)
         )
+        candidates = targets_with_room(
+            admitted, self._tried, self.is_safe, self._forwarder.rng, preference
+        )
         state = self._choose(candidates, preference)
         if state is not None and not state.offered.has_room(self._body_bytes):
             with_room = [other for other in candidates if self._has_room(other)]
@@ -242,6 +247,9 @@
             return self._admit(state, mean_service_seconds(states))
         if states and not rested:
             return self._targets_rest(*states)
+        full = [state for state in admitted if state.entry.name not in self._tried]
+        if full:
+            return targets_full(full, self.is_safe, self._forwarder.rng)
         if self._held_back:
             return limit_used_up(self._held_back, self._forwarder.rng)
         return NotRun(
@@ -377,6 +385,9 @@
     def _admit_owner(self, state: TargetState) -> TargetState | NotRun:
         if not self._has_room(state):
             return body_bound_reached((state,), self._forwarder.rng)
+        rng = self._forwarder.rng
+        if not targets_with_room([state], (), self.is_safe, rng):
+            return targets_full([state], self.is_safe, rng)
         states = self._forwarder.targets.usable(self.service.name)
         return self._admit(state, mean_service_seconds(states))
 
@@ -403,6 +414,7 @@
         may_have_run_before = self._may_have_run
         self._may_have_run = True
         was_unqueued = state.has_free_slot
+        in_flight_at_send = state.estimated_in_flight
         state.in_flight += 1
         state.offered.begin(self, self._body_bytes)
         state.rest.on_sent()
@@ -419,6 +431,7 @@
         if result.is_leaving:
             self._forwarder.targets.on_leaving(state)
         seconds = now() - started_at
+        state.record_occupancy(result, in_flight_at_send, seconds, self.is_safe)
         route, service = self.route.id, self.service.name
         service_times = self._forwarder.service_times
         if result.outcome is AttemptOutcome.SERVED and was_unqueued:
--- a/src/balsamway/forwarding/refusals.py
+++ b/src/balsamway/forwarding/refusals.py
@@ -25,6 +25,10 @@
 NOT_ALLOWED_RETRY_AFTER_SECONDS = 1.0
 """The Retry-After time of a refusal because the owner of a key is in a region
 that the route does not allow. Keys move within seconds."""
+MIN_FULL_RETRY_AFTER_SECONDS = 1.5
+"""The least Retry-After time of a refusal because all targets are full. Two
+notices of the leader arrive in it. With 0.25 s the returning callers kept the
+targets full: 677 instead of 473 resets in a model of 85 hosts."""
 
 
 def jitter(seconds: float, rng: random.Random) -> float:
@@ -109,6 +113,27 @@
     )
 
 
+def targets_full(
+    states: Sequence[TargetState], is_repeatable: bool, rng: random.Random
+) -> NotRun:
+    """Return the refusal of a request whose targets are all full.
+
+    Args:
+        states: The targets; at least one.
+        is_repeatable: Whether the request may be sent again after a reset.
+        rng: Spreads the callers.
+    """
+    seconds, name = min(
+        (state.seconds_until_room(is_repeatable), state.entry.name) for state in states
+    )
+    states[0].occupancy.room.refused_for_fullness += 1
+    return NotRun(
+        Reason.OVERLOADED,
+        f"{name} is full for {seconds:.3f} s",
+        jitter(max(MIN_FULL_RETRY_AFTER_SECONDS, seconds), rng),
+    )
+
+
 def host_stops(rng: random.Random) -> NotRun:
     """Return the refusal of a request that this host must not send."""
     return NotRun(
--- a/src/balsamway/keyspace/messages.py
+++ b/src/balsamway/keyspace/messages.py
@@ -60,6 +60,9 @@
     attempts ended there: its incarnation, the attempts answered, their summed
     milliseconds, those refused, failed and without a connection, and whether
     it rests."""
+    rooms: dict[str, tuple[float, bool]] = field(default_factory=dict)
+    """For each service of which the host learned it: how many requests its
+    targets hold for each slot, and whether full ones reset connections."""
 
 
 @message("fleet")
@@ -88,3 +91,6 @@
     paces: dict[str, tuple[int, float]] = field(default_factory=dict)
     """For each target that has a pace: its incarnation, and the requests a
     second that all hosts together may send."""
+    rooms: dict[str, tuple[float, bool]] = field(default_factory=dict)
+    """The median of what the hosts learned, in the form of
+    `LoadNotice.rooms`."""
--- a/src/balsamway/node/entry_node.py
+++ b/src/balsamway/node/entry_node.py
@@ -336,6 +336,9 @@
             "forwarding": self.forwarder.dump(),
             "limits": self._token_client.dump(),
             "targets": self.targets.dump(),
+            "rooms": {
+                service: room.dump() for service, room in self.targets.rooms().items()
+            },
             "responses": self._byte_budget.dump(),
             "quarantine": self._quarantine.dump(),
             "evacuations": self.evacuated_zones.dump(),
--- a/tests/test_documented_events.py
+++ b/tests/test_documented_events.py
@@ -20,6 +20,7 @@
     "keyspace",
     "node",
     "observe",
+    "occupancy",
     "platform",
     "quarantine",
     "store",
