--- a/review/harness2.py
+++ b/review/harness2.py
@@ -26,9 +26,8 @@
 PAGE_ITEMS = 50
 STORE_SECONDS = 0.004
 """How long the store takes for an answer."""
-MAX_RESET_GAP_SECONDS = 0.0001
-"""The longest time between the resets of two connections of the store."""
 CONTROL_PATHS = ("/grant", "/release")
+ORDER_FIELDS = ("from", "to", "fence", "holdMs")
 
 BOUNDS = {
     "seedLagS": 3, "reuseDelayS": 2, "stableWindowMs": 3000, "ackMs": 4000,
@@ -116,12 +115,26 @@
         self._lost_before = 100
         self._changed = asyncio.Event()
         self.writers = set()
-        self._server = None
+        """The open connections."""
+        self.busy = set()
+        """Those with a call in progress."""
+        self.addresses = {}
+        """The address of the store that each connection was made to."""
         self.address = ""
 
     async def start(self):
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        self.address = "127.0.0.1:%d" % self._server.sockets[0].getsockname()[1]
+        self.address = await self.open_address()
+
+    async def open_address(self):
+        """Listen on an address of its own for one host, and return it."""
+        async def serve(reader, writer):
+            self.addresses[writer] = address
+            await self._serve(reader, writer)
+            del self.addresses[writer]
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        address = "127.0.0.1:%d" % server.sockets[0].getsockname()[1]
+        return address
 
     def put(self, kind, name, spec, silently=False):
         """Write an object as the operator or a server does."""
@@ -164,29 +177,18 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
-    async def reset_all(self, first):
-        """Reset all connections one after the other, the given one first."""
-        others = [writer for writer in self.writers if writer is not first]
-        random.shuffle(others)
-        for writer in [first, *others]:
-            reset(writer)
-            until = time.monotonic() + random.uniform(0, MAX_RESET_GAP_SECONDS)
-            while time.monotonic() < until:
-                await asyncio.sleep(0)
-
     async def _serve(self, reader, writer):
         self.writers.add(writer)
         try:
             while True:
                 first, _, body = await read_message(reader)
                 method, target, _ = first.split(" ")
+                self.busy.add(writer)
                 if self.is_down:
                     reset(writer)
                     return
                 if self.on_write is not None and method != "GET":
                     self.on_write(writer, target)
-                if self.is_down:
-                    return
                 status, answer = await self._answer(method, target, body)
                 if writer.transport.is_closing():
                     return
@@ -196,10 +198,12 @@
                 headers = [("Content-Type", "application/json"),
                            ("Store-Era", self.era)]
                 writer.write(encode_response(status, headers, json.dumps(answer).encode()))
+                self.busy.discard(writer)
         except (asyncio.IncompleteReadError, ConnectionError, OSError):
             pass
         finally:
             self.writers.discard(writer)
+            self.busy.discard(writer)
             writer.close()
 
     async def _answer(self, method, target, body):
@@ -270,8 +274,8 @@
         self.born = 0
         self.is_running = False
         self.idle_seconds = 10
-        self.on_answer = None
-        """Called with the path and the answer, may replace the answer."""
+        self.on_order = None
+        """Called with this server, the path, the order and the status."""
         self.grants = []
         """The granted ranges: first key, last key, token and their end."""
         self.fences = []
@@ -339,11 +343,7 @@
                 fields = [("Keep-Alive", f"timeout={self.idle_seconds}"), *extra]
                 if "balsamway-request-id" in headers:
                     fields.append(("Balsamway-Request-Id", headers["balsamway-request-id"]))
-                if self.on_answer is not None:
-                    self.on_answer(path, status, fields)
                 writer.write(encode_response(status, fields, content))
-                if ("Connection", "close") in fields:
-                    return
         except (asyncio.IncompleteReadError, ConnectionError, OSError, asyncio.TimeoutError):
             pass
         finally:
@@ -355,7 +355,14 @@
         if expected != self.name:
             return 421, [("Balsamway-Instance-Id", self.name)], b""
         if path in CONTROL_PATHS:
-            return self._control(path, json.loads(body))
+            order = json.loads(body)
+            answer = self._control(path, order)
+            self._record.write(
+                "order", server=self.name, born=self.born, path=path, status=answer[0],
+                **{name: order[name] for name in ORDER_FIELDS if name in order})
+            if self.on_order is not None:
+                self.on_order(self, path, order, answer[0])
+            return answer
         if path == "/health":
             return 200, [("Balsamway-Instance-Id", self.name)], b""
         request_id = headers.get("balsamway-request-id")
@@ -372,8 +379,6 @@
 
     def _control(self, path, order):
         first, last, fence = order["from"], order["to"], order["fence"]
-        self._record.write("order", server=self.name, born=self.born, path=path, **{
-            name: order[name] for name in ("from", "to", "fence", "holdMs") if name in order})
         overlaps = [known for known in self.fences if known[0] <= last and first <= known[1]]
         if path == "/release":
             self.fences.append((first, last, fence))
@@ -399,7 +404,7 @@
     """An entry host: its settings, and its process."""
 
     def __init__(self, name, zone, store, zones, folder, record, *, beat_ms=870,
-                 seeds=(), memory_mb=300):
+                 seeds=(), memory_mb=300, store_address=None):
         self.name, self.zone, self._record = name, zone, record
         self.ip = _free_ip()
         self.ports = {name: _free_port(self.ip) for name in ("front", "ready", "control")}
@@ -409,6 +414,7 @@
         self.control = f"{self.ip}:{self.ports['control']}"
         self.store, self.zones, self.beat_ms, self.seeds = store, zones, beat_ms, seeds
         self.memory_mb = memory_mb
+        self.store_address = store_address or store.address
         self._folder = Path(folder)
         self._settings = self._folder / f"{name}.toml"
         self.log_path = self._folder / f"{name}.log"
@@ -513,7 +519,7 @@
 entry = "vip"
 heartbeatMs = {self.beat_ms}
 [platform.platform]
-address = "{self.store.address}"
+address = "{self.store_address}"
 form = "objects"
 writesPerS = 400
 readsPerS = 2000
