Review: a change of settings ends a process that has just started

Cause: the handler of SIGHUP is set only once the event loop runs. Before, the signal ends the process.

Case: review/10. Two of three hosts restart as planned, and their settings change three times, 0.25 s after a start each.

--- a/review/harness2.py
+++ b/review/harness2.py
@@ -419,9 +419,11 @@
         self._settings = self._folder / f"{name}.toml"
         self.log_path = self._folder / f"{name}.log"
         self.process = None
+        self._changes = 0
 
     async def start(self):
-        self._settings.write_text(self._settings_text(), encoding="utf-8")
+        if not self._settings.exists():
+            self._settings.write_text(self._settings_text(), encoding="utf-8")
         run = tomllib.loads((ROOT / "deploy/system.toml").read_text())["roles"]["gateway"]["run"]
         environment = {name: os.environ[name] for name in ("PATH", "HOME", "LANG")
                        if name in os.environ}
@@ -433,6 +435,12 @@
                 *run.split(), cwd=ROOT, env=environment, stdout=log, stderr=log)
         self._record.write("host-started", host=self.name, pid=self.process.pid)
 
+    def change_settings(self):
+        """Write the settings anew, with another field that is not known."""
+        self._changes += 1
+        text = f"changes = {self._changes}\n" + self._settings_text()
+        self._settings.write_text(text, encoding="utf-8")
+
     @property
     def is_alive(self):
         return self.process is not None and self.process.returncode is None
