Review: the leader stands still after a reset of its store connections

Cause: a connection that is closing, but not reported as lost yet, is returned to the pool as usable and taken again at once, in a loop that never yields to the event loop. It ends 9 s after the connection's last use.

Case: review/7. Connections of the leading host to the store are reset during a renewal of the lease, about once a second.

--- /dev/null
+++ b/review/7/run.sh
@@ -0,0 +1,4 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
+cd "$(dirname "$0")" || exit 2
+PYTHONDONTWRITEBYTECODE=1 exec python3 case.py
