Review: callers that read slowly lose their responses

Cause: connections of callers have a TCP_USER_TIMEOUT of 1.5 s, which also counts the time in which the caller leaves received bytes unread.

Case: review/8. Eight callers read nothing for 2.5 s of a response of 30 kB, on connections that carried a request before.

--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,61 +1,44 @@
-"""Servers with exclusive keys crash and start again under their ids."""
+"""Clients on kept connections read their answers slowly."""
 
 import asyncio
+import socket
 import sys
+import time
+import uuid
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
-from harness2 import Host, Server, Store, configuration, run_case
+from harness2 import BOUNDS, Host, Server, Store, configuration, run_case
 
-SERVERS = 15
-CRASHED = 2
-"""Of 15 servers, 0.14 are 2.1."""
-DOWN_SECONDS = 1.5
-START_GAP_SECONDS = 0.1
-"""The time between the starts of the two."""
-GAP_SECONDS = 4.0
-IDLE_SECONDS = 1
-"""After how long a server closes an idle connection, as its Keep-Alive header
-says."""
-LAST_CRASH_SECONDS = 80.0
+ANSWER_BYTES = 30_000
+"""The largest answer in the sheets of the sites."""
+RECEIVE_BUFFER_BYTES = 4096
+PAUSE_SECONDS = 2.5
+"""How long a client that reads slowly reads nothing."""
+TIMEOUT_MS, DEADLINE_MS = 3000, 6143
+"""Those of licence-issue at clause-commons-grown."""
+CLIENTS = 8
+MAX_LOST = 3
+
+
+class LicenceServer(Server):
+    """Answers with a long body."""
+
+    async def _answer(self, method, path, headers, body):
+        status, fields, _ = await super()._answer(method, path, headers, body)
+        return status, fields, b"x" * ANSWER_BYTES if status == 200 else b""
 
 
 async def case(record, folder, has_trouble, hosts):
     store = Store(record)
     await store.start()
-    zones = ("za", "zb", "zc")
-    store.put("config", "main", configuration((("logbook", True),), [
-        ("l.example", "/l/", "safe", "logbook", 1200, 400, 2)]))
-    grants, broken = [], []
-
-    def on_order(server, path, order, status):
-        """Compare an accepted grant with those to other lives of servers."""
-        if path != "/grant" or status != 200:
-            return
-        grant = (server.name, server.born, order["from"], order["to"], order["fence"])
-        if grant in grants:
-            return
-        for name, born, first, last, fence in grants:
-            is_other_life = (name, born) != grant[:2]
-            overlaps = first <= order["to"] and order["from"] <= last
-            if is_other_life and overlaps and fence >= order["fence"]:
-                record.write("fence-not-above", server=server.name, born=server.born,
-                             first=order["from"], last=order["to"],
-                             fence=order["fence"], earlier_server=name,
-                             earlier_born=born, earlier_fence=fence)
-                broken.append(
-                    f"OWNER: {server.name}, in its life since {server.born}, took keys "
-                    f"{order['from']} to {order['to']} with token {order['fence']}; "
-                    f"{name}, in its life since {born}, had them with {fence}")
-        grants.append(grant)
-
-    servers = []
-    for index in range(SERVERS):
-        server = Server(store, record, "logbook", zones[index % len(zones)], sharded=True)
-        server.idle_seconds = IDLE_SECONDS
-        server.on_order = on_order
-        await server.start()
-        servers.append(server)
+    zones = ("za", "zb")
+    store.put("config", "main", configuration((("licensing", False),), [
+        ("i.example", "/i/", "unsafe", "licensing", TIMEOUT_MS, 819, 1)]))
+    for zone in zones:
+        for _ in range(2):
+            await LicenceServer(store, record, "licensing", zone, capacity=4,
+                                work_seconds=0.2).start()
     for index, zone in enumerate(zones):
         hosts.append(Host(f"edge-{zone}-{index}", zone, store, zones, folder, record,
                           seeds=[host.control for host in hosts]))
@@ -65,26 +48,61 @@
         if not await host.wait_ready():
             print(f"{host.name} is not ready")
             return None
-    await asyncio.sleep(5.0)
-    if not grants:
-        print("no keys were granted")
+    await asyncio.sleep(BOUNDS["stableWindowMs"] / 1000 + 1.0)
+    pause = PAUSE_SECONDS if has_trouble else 0.0
+    results = await asyncio.gather(*(
+        asyncio.to_thread(_request_twice, hosts[index % 2], record, pause)
+        for index in range(CLIENTS)))
+    lost = [result for result in results if result is not None]
+    if len(lost) <= MAX_LOST:
+        return []
+    return [f"LOST: {line}" for line in lost]
+
+
+def _request_twice(host, record, pause):
+    """Send two requests on one connection, and read the second answer late.
+
+    Returns:
+        What became of the second answer if it is not complete.
+    """
+    with socket.socket() as sock:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        sock.settimeout(DEADLINE_MS / 1000)
+        sock.connect(host.front)
+        if _exchange(sock, host, record, 0.0) is not None:
+            return "the first answer was not complete"
+        return _exchange(sock, host, record, pause)
+
+
+def _exchange(sock, host, record, pause):
+    request_id = uuid.uuid4().hex[:16]
+    record.write("sent", host=host.name, request=request_id)
+    began = time.monotonic()
+    sock.sendall(
+        f"POST /i/x HTTP/1.1\r\nHost: i.example\r\nBalsamway-Request-Id: {request_id}\r\n"
+        f"Balsamway-Request-Deadline: {DEADLINE_MS}\r\nContent-Length: 7\r\n\r\n"
+        "licence".encode())
+    data = b""
+    error = "the connection ended"
+    try:
+        data = sock.recv(1)
+        time.sleep(pause)
+        while b"\r\n\r\n" not in data or len(data) < data.index(b"\r\n\r\n") + 4 + ANSWER_BYTES:
+            more = sock.recv(65536)
+            if not more:
+                break
+            data += more
+        else:
+            error = None
+    except OSError as raised:
+        error = str(raised)
+    seconds = time.monotonic() - began
+    record.write("answered", host=host.name, request=request_id, bytes=len(data),
+                 seconds=round(seconds, 3), error=error)
+    if error is None:
         return None
-    turn = 0
-    while record.seconds < LAST_CRASH_SECONDS and not broken:
-        crashed = [servers[(turn + index) % SERVERS] for index in range(CRASHED)]
-        turn += CRASHED
-        if has_trouble:
-            for server in crashed:
-                server.stop(has_left=False)
-            await asyncio.sleep(DOWN_SECONDS)
-            for server in crashed:
-                await server.start()
-                await asyncio.sleep(START_GAP_SECONDS)
-        await asyncio.sleep(GAP_SECONDS)
-    for host in hosts:
-        if not host.is_alive:
-            broken.append(f"Fault: the process of {host.name} ended by itself")
-    return broken
+    return (f"{seconds:.2f} s after request {request_id} was sent, {len(data)} bytes of "
+            f"its answer had come: {error}")
 
 
 run_case(Path(__file__).resolve().parent, case)
