Review: hosts stand still after a late write of a target's entry

Cause: as before, an entry that turns from draining to ready again. The case now gets there by a heartbeat that the store does late, since a restored store has again what targets wrote.

Case: review/6. A heartbeat is done 4 s after it was sent; the target reports 0.3 s after it was sent that it drains.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,4 +1,4 @@
-"""The store is restored from a copy in which a server has not drained yet."""
+"""A write of a server's entry is done late, when the server drains already."""
 
 import asyncio
 import sys
@@ -10,12 +10,14 @@
 
 BEAT_MS = 1500
 """The heartbeat of the site gcgra-logs."""
-COPY_AGE_SECONDS = 3.0
-DRAIN_SECONDS = 2.2
-"""How long a server goes on after the store has accepted that it drains."""
-AWAY_FROM_SECONDS = 1.2
-"""When the store goes away, counted from when the server drains."""
-AWAY_SECONDS = 1.5
+DRAIN_SECONDS = 9.0
+"""How long the server goes on after the store has accepted that it drains."""
+WRITE_BEFORE_SECONDS = 0.3
+"""How long before that the server sent the heartbeat that is done late."""
+WRITE_LATE_SECONDS = 4.0
+"""How long after it was sent the store does the write."""
+STABLE_SECONDS = 3.0
+"""How long after the late write no machine is in touch."""
 WATCHED_SECONDS = 20.0
 PULL_TIMEOUT_MS, PULL_DEADLINE_MS = 4000, 8000
 CLAIM_TIMEOUT_MS, CLAIM_DEADLINE_MS = 800, 1500
@@ -62,17 +64,23 @@
             tasks.append(asyncio.create_task(_claim(host, record, claims)))
         tasks.append(asyncio.create_task(_watch(host, record, silences)))
     await asyncio.sleep(4.0)
-    copied = store.copy()
-    await asyncio.sleep(COPY_AGE_SECONDS - AWAY_FROM_SECONDS)
+    heartbeat = dict(store.kinds["servers"][leaving.name]["spec"])
+    heartbeat["sequence"] += 1
+    sent_at = time.monotonic()
+    await asyncio.sleep(WRITE_BEFORE_SECONDS)
     leaving.drain()
-    leave = asyncio.create_task(_leave(leaving))
-    await asyncio.sleep(AWAY_FROM_SECONDS)
+    tasks.append(asyncio.create_task(_leave(leaving)))
+    await asyncio.sleep(sent_at + WRITE_LATE_SECONDS - time.monotonic())
     if has_trouble:
-        await _drill(store, record, copied, servers)
+        record.write("late-write", server=leaving.name, state=heartbeat["state"],
+                     sequence=heartbeat["sequence"])
+        store.put("servers", leaving.name, heartbeat)
+    stable_at = time.monotonic() + STABLE_SECONDS
     await asyncio.sleep(WATCHED_SECONDS)
-    for task in [*tasks, leave]:
+    for task in tasks:
         task.cancel()
-    return _broken_rules(hosts, claims, silences)
+    await asyncio.gather(*tasks, return_exceptions=True)
+    return _broken_rules(hosts, claims, silences, stable_at)
 
 
 async def _leave(server):
@@ -80,34 +88,6 @@
     server.stop(has_left=True)
 
 
-async def _drill(store, record, copied, servers):
-    """Take the store away and let it come back from a copy.
-
-    The entry of a server that ended meanwhile goes after three heartbeat
-    intervals of silence.
-    """
-    store.is_down = True
-    record.write("store-away")
-    for writer in tuple(store.writers):
-        writer.close()
-    await asyncio.sleep(AWAY_SECONDS)
-    store.restore(copied)
-    store.is_down = False
-    record.write("store-back", era=store.era)
-    for server in servers:
-        if server.is_running:
-            server.write_entry()
-    asyncio.get_running_loop().call_later(
-        3 * BEAT_MS / 1000, _expire, store, record, servers)
-
-
-def _expire(store, record, servers):
-    running = {server.name for server in servers if server.is_running}
-    for name in set(store.kinds["servers"]) - running:
-        store.delete("servers", name)
-        record.write("entry-expired", server=name)
-
-
 async def _pull(host, record):
     client = Client(host, record)
     while True:
@@ -118,30 +98,39 @@
 async def _claim(host, record, claims):
     client = Client(host, record)
     while True:
-        status, _, _, seconds = await client.request(
+        sent_at = time.monotonic()
+        _, _, _, seconds = await client.request(
             "PUT", "c.example", "/c/x", CLAIM_DEADLINE_MS, body=b"claim")
-        claims.append((host.name, status, seconds))
+        claims.append((sent_at, seconds))
         await asyncio.sleep(0.3)
 
 
 async def _watch(host, record, silences):
     """Note how long the readiness path of a host answers nothing."""
     silent_since = used = None
-    while True:
-        answered = await host.readiness(0.5) is not None
-        if not answered and silent_since is None:
-            silent_since, used = time.monotonic(), host.processor_seconds
-        elif answered and silent_since is not None:
-            seconds = time.monotonic() - silent_since
-            processor = host.processor_seconds - used
-            record.write("host-silent", host=host.name, seconds=round(seconds, 2),
-                         processor_seconds=round(processor, 2))
-            silences.append((host.name, seconds, processor))
-            silent_since = None
-        await asyncio.sleep(0.1)
-
 
-def _broken_rules(hosts, claims, silences):
+    def note_silence():
+        seconds = time.monotonic() - silent_since
+        processor = host.processor_seconds - used
+        record.write("host-silent", host=host.name, seconds=round(seconds, 2),
+                     processor_seconds=round(processor, 2))
+        silences.append((host.name, seconds, processor))
+
+    try:
+        while True:
+            answered = await host.readiness(0.5) is not None
+            if not answered and silent_since is None:
+                silent_since, used = time.monotonic(), host.processor_seconds
+            elif answered and silent_since is not None:
+                note_silence()
+                silent_since = None
+            await asyncio.sleep(0.1)
+    finally:
+        if silent_since is not None:
+            note_silence()
+
+
+def _broken_rules(hosts, claims, silences, stable_at):
     broken = [f"Fault: the process of {host.name} ended by itself"
               for host in hosts if not host.is_alive]
     for name, seconds, processor in silences:
@@ -149,7 +138,8 @@
             broken.append(f"Fault: {name} answered nothing for {seconds:.1f} s, in "
                           f"which it used {processor:.1f} s of processor time")
     timeout = CLAIM_TIMEOUT_MS / 1000
-    long = [seconds for _, _, seconds in claims if seconds > timeout]
+    long = [seconds for sent_at, seconds in claims
+            if seconds > timeout and sent_at > stable_at]
     late = [seconds for seconds in long if seconds > timeout + LATE_SECONDS]
     if len(late) >= MIN_LATE_REQUESTS and 2 * len(late) > len(long):
         broken.append(f"CONFIG: of {len(long)} requests unanswered at their route's "
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -68,6 +68,7 @@
     await asyncio.sleep(2.0)
     for task in tasks:
         task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
     return _broken_rules(hosts, requests, silences, resets)
 
 
@@ -131,18 +132,26 @@
 async def _watch(host, record, silences):
     """Note how long the readiness path of a host answers nothing."""
     silent_since = used = None
-    while True:
-        answered = await host.readiness(0.5) is not None
-        if not answered and silent_since is None:
-            silent_since, used = time.monotonic(), host.processor_seconds
-        elif answered and silent_since is not None:
-            seconds = time.monotonic() - silent_since
-            processor = host.processor_seconds - used
-            record.write("host-silent", host=host.name, seconds=round(seconds, 2),
-                         processor_seconds=round(processor, 2))
-            silences.append((host.name, seconds, processor))
-            silent_since = None
-        await asyncio.sleep(0.1)
+
+    def note_silence():
+        seconds = time.monotonic() - silent_since
+        processor = host.processor_seconds - used
+        record.write("host-silent", host=host.name, seconds=round(seconds, 2),
+                     processor_seconds=round(processor, 2))
+        silences.append((host.name, seconds, processor))
+
+    try:
+        while True:
+            answered = await host.readiness(0.5) is not None
+            if not answered and silent_since is None:
+                silent_since, used = time.monotonic(), host.processor_seconds
+            elif answered and silent_since is not None:
+                note_silence()
+                silent_since = None
+            await asyncio.sleep(0.1)
+    finally:
+        if silent_since is not None:
+            note_silence()
 
 
 def _broken_rules(hosts, requests, silences, resets):
