Review: reset the leader's connections only where one is idle

Cause: most resets of review/7 met no idle connection and could show nothing. Case: a reset now waits for a renewal beside which there is one.

--- a/review/7/case.py
+++ b/review/7/case.py
@@ -12,9 +12,11 @@
 WRITE_SECONDS = 0.002
 """How long a write is in progress when the connections are reset; the store
 takes 4 ms for an answer."""
-GAP_SECONDS = 1.0
+MAX_WAIT_SECONDS = 5.0
+"""How long a write is awaited beside which the host has an idle connection."""
+GAP_SECONDS = 0.5
 """The time between two resets, if no host is silent."""
-LAST_RESET_SECONDS = 75.0
+LAST_RESET_SECONDS = 85.0
 ENOUGH_SILENCES = 2
 MAX_APART_SECONDS = 0.001
 """The longest time between two of the resets."""
@@ -61,7 +63,9 @@
     await asyncio.sleep(2.0)
     while record.seconds < LAST_RESET_SECONDS and len(silences) < ENOUGH_SILENCES:
         if has_trouble:
-            resets.append(await _reset_at_next_write(store, hosts, record))
+            done = await _reset_at_next_write(store, hosts, record)
+            if done is not None:
+                resets.append(done)
         await asyncio.sleep(random.uniform(0.6, 1.4) * GAP_SECONDS)
         while any([await host.readiness(0.5) is None for host in hosts]):
             await asyncio.sleep(0.5)
@@ -76,21 +80,32 @@
     """Reset some of a host's connections to the store while it writes there.
 
     These are the one with the write, and those without a call.
+
+    Returns:
+        The host and the time, or None if there was no such write.
     """
     write = asyncio.get_running_loop().create_future()
 
+    def idle_beside(writer):
+        return [other for other in store.writers - store.busy
+                if store.addresses[other] == store.addresses[writer]]
+
     def on_write(writer, target):
-        if "lease" in target and not write.done():
+        if "lease" in target and idle_beside(writer) and not write.done():
             write.set_result((writer, target))
 
     store.on_write = on_write
-    writer, target = await asyncio.wait_for(write, 10.0)
-    store.on_write = None
+    try:
+        writer, target = await asyncio.wait_for(write, MAX_WAIT_SECONDS)
+    except asyncio.TimeoutError:
+        return None
+    finally:
+        store.on_write = None
     await asyncio.sleep(WRITE_SECONDS)
     address = store.addresses[writer]
     host = next(host for host in hosts if host.store_address == address)
     known = [other for other in store.writers if store.addresses[other] == address]
-    idle = [other for other in known if other not in store.busy]
+    idle = idle_beside(writer)
     for other in [writer, *idle]:
         reset(other)
         until = time.monotonic() + random.uniform(0, MAX_APART_SECONDS)
