--- a/review/7/case.py
+++ b/review/7/case.py
@@ -35,7 +35,7 @@
 async def case(record, folder, has_trouble, hosts):
     store = Store(record)
     await store.start()
-    zones = ("za", "zb")
+    zones = ("za", "zb", "zc")
     services = (("claims", False), ("logbook", True))
     store.put("config", "main", configuration(services, [
         ("c.example", "/c/", "unsafe", "claims", TIMEOUT_MS, 250, 0),
@@ -120,7 +120,7 @@
     """Replace the servers of a service one after the other, as planned."""
     running = []
     while True:
-        new = Server(store, record, "logbook", zones[len(running) % 2], sharded=True)
+        new = Server(store, record, "logbook", zones[len(running) % 3], sharded=True)
         await new.start()
         running.append(new)
         await asyncio.sleep(RELEASE_GAP_SECONDS)
