Review: count the lost responses of each host by itself

Cause: the rule counts the responses that one machine loses; review/8 counted those of both hosts together. Case: review/8 asks for more than three at one host.

--- a/review/8/case.py
+++ b/review/8/case.py
@@ -19,6 +19,7 @@
 """Those of licence-issue at clause-commons-grown."""
 CLIENTS = 8
 MAX_LOST = 3
+"""How many responses one machine may lose."""
 
 
 class LicenceServer(Server):
@@ -53,10 +54,12 @@
     results = await asyncio.gather(*(
         asyncio.to_thread(_request_twice, hosts[index % 2], record, pause)
         for index in range(CLIENTS)))
-    lost = [result for result in results if result is not None]
-    if len(lost) <= MAX_LOST:
-        return []
-    return [f"LOST: {line}" for line in lost]
+    broken = []
+    for index, host in enumerate(hosts):
+        lost = [result for result in results[index::2] if result is not None]
+        if len(lost) > MAX_LOST:
+            broken += [f"LOST: {host.name}: {line}" for line in lost]
+    return broken
 
 
 def _request_twice(host, record, pause):
