Choose only targets that may be sent to

Cause: the list of usable targets and the check before an attempt followed two rules. A target that an entry listed as ready again after a drain was chosen by the first and refused by the second, in a loop that never waited. Nine stack dumps of three hosts, in a trial copy, show the loop; the admission to limited targets and the watch of the store were ruled out by them. Change: TargetState.is_available is the rule for both. A target that can't be sent to any more is not chosen again for the same request, and the owner of a key is awaited, so that each turn of the loop waits or has one target less.

--- a/src/balsamway/forwarding/attempt_loop.py
+++ b/src/balsamway/forwarding/attempt_loop.py
@@ -130,6 +130,9 @@
         self._held_back: dict[str, float] = {}
         """The targets whose limit is used up, with the seconds until there is
         room for this request."""
+        self._withdrawn: set[str] = set()
+        """The names of the targets that could not be sent to any more when the
+        request had been admitted."""
 
     @property
     def is_safe(self) -> bool:
@@ -181,6 +184,7 @@
                     )
                 continue
             if not self._may_still_send(state):
+                await self._on_withdrawn(state)
                 continue
             result = await self._attempt(state)
             verdict = result.verdict
@@ -228,6 +232,7 @@
             state
             for state in self._forwarder.targets.usable(self.service.name)
             if self._is_region_allowed(state)
+            and state.entry.name not in self._withdrawn
         ]
         rested = [state for state in states if state.rest.allows_request]
         admitted = self._without_held_back(rested)
@@ -291,6 +296,17 @@
         may_receive = is_listed and state.may_receive(self.service.is_keyed)
         return may_receive and self._has_room(state)
 
+    async def _on_withdrawn(self, state: TargetState) -> None:
+        """Give up a target that was chosen and can't be sent to any more.
+
+        The loop would otherwise turn without waiting if the target was chosen
+        again. A key has no other owner to choose, so its owner is awaited.
+        """
+        if self.service.is_keyed:
+            await self._wait_for_owner(OWNER_RECHECK_SECONDS)
+        else:
+            self._withdrawn.add(state.entry.name)
+
     def _admit(
         self, state: TargetState, default_seconds: float
     ) -> TargetState | NotRun:
--- a/src/balsamway/forwarding/service_targets.py
+++ b/src/balsamway/forwarding/service_targets.py
@@ -160,7 +160,7 @@
         return self._usable.get(service) or tuple(
             state
             for state in self._states.values()
-            if state.entry.service == service and state.may_be_last_choice
+            if state.entry.service == service and state.is_available
         )
 
     def is_evacuated(self, service: str) -> bool:
@@ -274,12 +274,12 @@
         }
         self._usable = {
             service: tuple(
-                self._states[entry.key]
+                state
                 for entry in self._directory.available_targets(service)
+                if (state := self._states[entry.key]).is_available
             )
             for service in services
         }
-
         self._report_cold()
 
     def on_cold_report(self, cold: dict[str, tuple[int, int]]) -> Sequence[TargetState]:
--- a/src/balsamway/forwarding/target_state.py
+++ b/src/balsamway/forwarding/target_state.py
@@ -252,15 +252,16 @@
             is_key_owner: Whether the target owns the key of the request, so
                 that no other can serve it.
         """
-        if self.entry.is_draining and not is_key_owner:
+        if not self.rest.allows_request:
             return False
-        if self.evacuation is not None and not is_key_owner:
-            return False
-        return self.rest.allows_request and not self.is_drain_expired
+        return not self.is_drain_expired if is_key_owner else self.is_available
 
     @property
-    def may_be_last_choice(self) -> bool:
-        """Whether the target is leaving, but may still receive requests."""
+    def is_available(self) -> bool:
+        """Whether requests that any target can serve may be sent to this one.
+
+        A target that rests is available again after its rest.
+        """
         return (
             not self.entry.is_draining
             and not self.is_drain_expired
