Order the entries of a target by its own sequence

Cause: the store may execute a write without a response seconds later. A heartbeat that was sent before the report of a drain then replaces it. Hosts compared entries for 4 s after a restore only, and dropped the sequence. Ruled out: a host that missed the drain (target-seen shows it on all four). Change: TargetEntry keeps the sequence of the target's writes.

--- a/src/balsamway/discovery/target_directory.py
+++ b/src/balsamway/discovery/target_directory.py
@@ -136,7 +136,7 @@
             known = self._entries.get(entry.name)
             if not self._outdated.hold_back(entry, known):
                 snapshot[entry.name] = entry
-            elif known is not None and known.key == entry.key:
+            elif known is not None and self._is_kept(known, entry):
                 snapshot[entry.name] = known
         for name in [name for name in self._entries if name not in snapshot]:
             self._on_missing(name)
@@ -152,8 +152,11 @@
             entry: The current entry.
         """
         known = self._entries.get(entry.name)
-        if self._outdated.hold_back(entry, known):
-            return
+        if not self._outdated.hold_back(entry, known):
+            self._apply(entry)
+
+    def _apply(self, entry: TargetEntry) -> None:
+        known = self._entries.get(entry.name)
         # A target that turns cold twice may write the same entry twice.
         is_changed = known != entry or entry.warmup_seconds > 0
         if is_changed or entry.name in self._removal_at:
@@ -187,11 +190,11 @@
     def remove_expired(self) -> None:
         """Remove the missing entries whose time to register again is over.
 
-        Entries that a restore may have brought back are used if the store
-        still lists them after their time.
+        Entries that were held back are used if the store still lists them
+        after their time.
         """
         for entry in self._outdated.take_due():
-            self.update(entry)
+            self._apply(entry)
         expired = [
             name for name, removal_at in self._removal_at.items() if removal_at <= now()
         ]
@@ -200,6 +203,14 @@
         if expired:
             self._publish()
 
+    def _is_kept(self, known: TargetEntry, listed: TargetEntry) -> bool:
+        """Return whether a known entry stays while the listed one is not used.
+
+        A later incarnation that a restore lost has to register again. One that
+        a late write hides is listed again with its next heartbeat.
+        """
+        return known.key == listed.key or not self._outdated.is_settling
+
     def _put(self, entry: TargetEntry) -> None:
         previous = self._entries.get(entry.name)
         self._removal_at.pop(entry.name, None)
--- a/src/balsamway/discovery/target_entry.py
+++ b/src/balsamway/discovery/target_entry.py
@@ -23,8 +23,24 @@
     warmup_seconds: float
     """The remaining warm-up after the target's start, in seconds, when the
     entry was written. The target is slower than usual until then."""
+    sequence: int = 0
+    """Counts the writes of the incarnation."""
 
     @property
     def key(self) -> tuple[str, int]:
         """The name and the incarnation, which identify the target."""
         return (self.name, self.incarnation)
+
+    def is_older_write_than(self, other: TargetEntry) -> bool:
+        """Return whether the target wrote another entry after this one.
+
+        The sequences of two incarnations, or of unknown ones, say nothing.
+
+        Args:
+            other: The other entry.
+        """
+        return (
+            self.key == other.key
+            and self.incarnation > 0
+            and self.sequence < other.sequence
+        )
--- a/src/balsamway/platform/target_decoder.py
+++ b/src/balsamway/platform/target_decoder.py
@@ -65,6 +65,7 @@
         capacity=decoded.capacity,
         is_draining=decoded.state == "draining",
         warmup_seconds=decoded.warmup_left_ms / 1000,
+        sequence=decoded.sequence,
     )
 
 
