End the drain of a target that is listed as ready again

Callers saw: requests that only this target could serve were refused, on each host that had seen the drain, for as long as the host ran. Cause: TargetState noted when a drain began, and nothing reset it. Ruled out: the directory lists the target as available. Change: an entry that does not say draining ends the drain.

--- a/src/balsamway/forwarding/target_state.py
+++ b/src/balsamway/forwarding/target_state.py
@@ -322,7 +322,9 @@
         Args:
             entry: The current entry.
         """
-        if entry.is_draining and self._draining_since is None:
+        if not entry.is_draining:
+            self._draining_since = None
+        elif self._draining_since is None:
             self._draining_since = now()
         if entry.warmup_seconds != self.entry.warmup_seconds:
             self._warm_up_ends_at = now() + entry.warmup_seconds
--- a/tests/forwarding/test_withdrawn_targets.py
+++ b/tests/forwarding/test_withdrawn_targets.py
@@ -65,3 +65,18 @@
     await asyncio.sleep(1.0)
     for _ in range(20):
         assert isinstance(await counted.request(), Completed)
+
+
+# Guards against a target that gets no request after a drain that was given up.
+@pytest.mark.parametrize("seconds", [0.1, 5.0])
+async def test_a_target_that_no_longer_drains_serves_again(counted, seconds):
+    first = target("i-1")
+    counted.set_targets(first)
+    counted.directory.update(replace(first, is_draining=True, sequence=1))
+    await asyncio.sleep(seconds)
+    counted.directory.update(replace(first, sequence=2))
+    await asyncio.sleep(1.0)
+    assert isinstance(await counted.request(), Completed)
+    # A second drain has its own time.
+    counted.directory.update(replace(first, is_draining=True, sequence=3))
+    assert isinstance(await counted.request(), NotRun)
