Discard connections whose transport has ended

Cause: between the end of a transport and the call of connection_lost, a connection refused to send and yet called itself usable. The pool handed it out again at once, and a call to the store tried it without end. All three stack dumps of a trial copy are in that loop. A wait in the pool and a repeated read of the lease were ruled out by them. Change: is_usable and ended_unexpectedly ask the transport; a call to the store tries at most one connection more than the pool holds.

--- a/src/balsamway/exchange/target_connection.py
+++ b/src/balsamway/exchange/target_connection.py
@@ -82,7 +82,8 @@
     @property
     def is_usable(self) -> bool:
         """Whether another exchange may begin on the connection."""
-        return self._is_reusable and not self._is_closed and now() < self.idle_until
+        is_open = self._is_reusable and not self._is_unwritable()
+        return is_open and now() < self.idle_until
 
     @property
     def ended_unexpectedly(self) -> bool:
@@ -91,7 +92,8 @@
         A connection that this host closes while it is reusable has ended as
         expected.
         """
-        return not self._is_reusable and not self._ended_normally
+        has_ended = not self._is_reusable or self._is_unwritable()
+        return has_ended and not self._ended_normally
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Enable the detection of an unresponsive target."""
@@ -161,10 +163,11 @@
         body = request.body
         if not isinstance(body, bytes):
             return await self._exchange_streamed(request, body)
-        if self._is_closed or self.transport is None or self.transport.is_closing():
+        transport = self.transport
+        if transport is None or self._is_unwritable():
             return NotSent("the connection was closed")
         self._begin_exchange(request)
-        self.transport.write(request.encode())
+        transport.write(request.encode())
         return await self._receive_response(request)
 
     async def _exchange_streamed(
@@ -213,6 +216,11 @@
         self.transport.write(data)
 
     def _is_unwritable(self) -> bool:
+        """Return whether nothing can be written any more.
+
+        The event loop calls `connection_lost` a turn after the transport has
+        noticed the end of the connection.
+        """
         transport = self.transport
         return self._is_closed or transport is None or transport.is_closing()
 
@@ -249,7 +257,7 @@
 
     def close(self) -> None:
         """Close the connection after the buffered bytes are sent."""
-        if self._is_reusable:
+        if self._is_reusable and not self._is_unwritable():
             self._ended_normally = True
         self._is_reusable = False
         if self.transport is not None:
--- a/src/balsamway/store/store_connections.py
+++ b/src/balsamway/store/store_connections.py
@@ -15,6 +15,9 @@
 
 MAX_CONNECTIONS = 8
 """The maximum number of open connections to the store."""
+MAX_TRIED_CONNECTIONS = MAX_CONNECTIONS + 1
+"""Bounds the connections that are tried for a call: all that were idle may
+have been closed, but not the one that is opened after them."""
 
 logger = logging.getLogger(__name__)
 
@@ -54,7 +57,7 @@
         """
         try:
             async with asyncio.timeout(timeout_seconds):
-                while True:
+                for _ in range(MAX_TRIED_CONNECTIONS):
                     connection = await self._pool.acquire()
                     if isinstance(connection, NotSent):
                         return connection
@@ -66,7 +69,8 @@
                     # so that nothing was written.
                     if not isinstance(response, NotSent):
                         self._note_era(response)
-                        return response
+                        break
+                return response
         except TimeoutError:
             return ResponseLost(f"no response within {timeout_seconds} s")
 
