Let callers read their responses slowly

Cause: TCP_USER_TIMEOUT of 1.5 s was set on callers' connections. The system counts bytes that are acknowledged and unread like those that are lost. Ruled out: the idle timeout and the memory budget, which are logged. Change: callers' connections have keepalive probes only, for callers that vanish, and the idle timeout bounds what they leave unread. The system gets that bound when the host closes a connection.

--- a/src/balsamway/entry/caller_connection.py
+++ b/src/balsamway/entry/caller_connection.py
@@ -17,7 +17,7 @@
 from balsamway.entry.request_protocol import RequestProtocol
 from balsamway.entry.request_reader import HeadTooLarge
 from balsamway.entry.response_encoder import encode_response
-from balsamway.exchange.socket_options import bound_silence
+from balsamway.exchange.socket_options import bound_unacknowledged, enable_keepalive
 from balsamway.exchange.streamed_body import BodyBroken, BodyTooLarge
 from balsamway.outcome import NotRun, Reason
 from balsamway.targets import header_names
@@ -95,9 +95,13 @@
         return self._is_half_closed
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Register the connection with the listener."""
+        """Register the connection with the listener.
+
+        Callers may read slowly, so no bound of the system applies to what they
+        leave unread; see `check_progress`.
+        """
         super().connection_made(transport)
-        bound_silence(transport)
+        enable_keepalive(transport)
         if self.transport is not None:
             self.transport.set_write_buffer_limits(high=MAX_UNSENT_BYTES)
         self._listener.on_connected(self)
@@ -134,6 +138,10 @@
         if transport is None or transport.is_closing() or self._is_half_closed:
             return
         self._is_half_closed = True
+        # Once the transport is closed, only the system can end a connection
+        # whose caller does not read the rest.
+        idle_timeout_seconds = self._listener.limits.idle_timeout_seconds
+        bound_unacknowledged(transport, round(1000 * idle_timeout_seconds))
         transport.pause_reading()
         try:
             transport.write_eof()
--- a/src/balsamway/exchange/socket_options.py
+++ b/src/balsamway/exchange/socket_options.py
@@ -25,8 +25,8 @@
 """The number of unacknowledged probes after which a connection fails."""
 
 
-def bound_silence(transport: asyncio.BaseTransport) -> None:
-    """Make a connection fail when its peer stops acknowledging bytes.
+def enable_keepalive(transport: asyncio.BaseTransport) -> None:
+    """Make a connection fail when its peer vanishes while nothing is sent.
 
     Args:
         transport: The transport of a TCP connection.
@@ -36,7 +36,6 @@
         return
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     for option, value in (
-        (socket.TCP_USER_TIMEOUT, MAX_UNACKNOWLEDGED_MS),
         (socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_SECONDS),
         (socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_SECONDS),
         (socket.TCP_KEEPCNT, MAX_KEEPALIVE_PROBES),
@@ -44,6 +43,35 @@
         sock.setsockopt(socket.IPPROTO_TCP, option, value)
 
 
+def bound_unacknowledged(transport: asyncio.BaseTransport, milliseconds: int) -> None:
+    """Make a connection fail when sent bytes make no progress for too long.
+
+    The system counts the time in which the peer has vanished, and the time in
+    which it acknowledges bytes and leaves them unread.
+
+    Args:
+        transport: The transport of a TCP connection.
+        milliseconds: The longest time without progress.
+    """
+    sock = transport.get_extra_info("socket")
+    if sock is None or sock.fileno() < 0:
+        return
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, milliseconds)
+
+
+def bound_silence(transport: asyncio.BaseTransport) -> None:
+    """Make a connection fail soon when its peer vanishes at any time.
+
+    A peer that reads nothing fails as well once its buffer is full, so this
+    suits peers whose messages are small or repeated.
+
+    Args:
+        transport: The transport of a TCP connection.
+    """
+    enable_keepalive(transport)
+    bound_unacknowledged(transport, MAX_UNACKNOWLEDGED_MS)
+
+
 def bound_unread(transport: asyncio.Transport, is_writing_body: bool) -> None:
     """Allow more or less time in which a target reads nothing.
 
