Let targets read larger requests as slowly as the deadline allows

Callers saw: uploads of some hundred kB were answered 502 after 1.8 s while their target was at work and read slowly. Only streamed bodies, above 1 MiB, had a longer bound than 1.5 s, of 10 s. Ruled out: the timeout of the exchange, which gives 504. Change: a request over 2 KiB has no bound of the system while it is in progress, and the short one comes back once everything is acknowledged. Smaller requests keep it, for targets that vanish.

--- a/src/balsamway/exchange/socket_options.py
+++ b/src/balsamway/exchange/socket_options.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import fcntl
 import os
 import socket
 import struct
+import termios
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -13,10 +15,9 @@
 MAX_UNACKNOWLEDGED_MS = 1_500
 """Bounds how long sent bytes may stay unacknowledged. The network path takes
 a few ms."""
-MAX_UNREAD_MS = 10_000
-"""The same bound while a large body is written. The system counts the time in
-which a target acknowledges bytes but reads none, as a target does whose slots
-are taken; 1.5 s would end the body of a target that is only slow."""
+UNBOUNDED_MS = 0
+"""Leaves it to the system how long sent bytes may stay unacknowledged, which
+is many minutes."""
 KEEPALIVE_IDLE_SECONDS = 1
 """How long a connection is idle before the first keepalive probe."""
 KEEPALIVE_INTERVAL_SECONDS = 1
@@ -72,18 +73,24 @@
     bound_unacknowledged(transport, MAX_UNACKNOWLEDGED_MS)
 
 
-def bound_unread(transport: asyncio.Transport, is_writing_body: bool) -> None:
-    """Allow more or less time in which a target reads nothing.
+def unacknowledged_bytes(transport: asyncio.BaseTransport) -> int:
+    """Return how many written bytes the peer has not acknowledged.
 
     Args:
         transport: The transport of a TCP connection.
-        is_writing_body: Whether a large body is being written.
+
+    Returns:
+        The bytes in the system's buffer; 0 if the system doesn't tell.
     """
     sock = transport.get_extra_info("socket")
     if sock is None or sock.fileno() < 0:
-        return
-    milliseconds = MAX_UNREAD_MS if is_writing_body else MAX_UNACKNOWLEDGED_MS
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, milliseconds)
+        return 0
+    count = bytearray(struct.calcsize("i"))
+    try:
+        fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, count)
+    except OSError:
+        return 0
+    return int(struct.unpack("i", count)[0])
 
 
 def receive_unread(transport: asyncio.Transport, max_bytes: int) -> bytes:
--- a/src/balsamway/exchange/target_connection.py
+++ b/src/balsamway/exchange/target_connection.py
@@ -17,10 +17,13 @@
 from balsamway.exchange.response_lost import ResponseLost
 from balsamway.exchange.response_reader import MAX_RESPONSE_BYTES, ResponseReader
 from balsamway.exchange.socket_options import (
+    MAX_UNACKNOWLEDGED_MS,
+    UNBOUNDED_MS,
     bound_silence,
-    bound_unread,
+    bound_unacknowledged,
     receive_unread,
     reset_connection,
+    unacknowledged_bytes,
 )
 from balsamway.exchange.streamed_body import BodyBroken
 from balsamway.targets import header_names
@@ -39,6 +42,9 @@
 KEEP_ALIVE_MARGIN_SECONDS = 1.0
 """How much sooner than the target this host stops using an idle connection.
 Otherwise the target might close it just as a request is written."""
+SMALL_REQUEST_BYTES = 2 << 10
+"""A request of this size fits the receive buffer of a target that reads
+nothing, so it stays unacknowledged only if the target has vanished."""
 MAX_EARLY_RESPONSE_BYTES = 256 << 10
 """Bounds what is read of a response when a write has failed."""
 
@@ -71,6 +77,8 @@
         """Parses the bytes of the exchange in progress."""
         self._body_writer: asyncio.Task[None] | None = None
         """Writes the streamed body of the exchange in progress."""
+        self._may_stay_unread = False
+        """Whether the target may read nothing until the request's deadline."""
         self.exchange_count = 0
         """The number of exchanges that were begun."""
         self._is_reusable = True
@@ -167,7 +175,10 @@
         if transport is None or self._is_unwritable():
             return NotSent("the connection was closed")
         self._begin_exchange(request)
-        transport.write(request.encode())
+        data = request.encode()
+        if len(data) > SMALL_REQUEST_BYTES:
+            self._allow_slow_reading(transport)
+        transport.write(data)
         return await self._receive_response(request)
 
     async def _exchange_streamed(
@@ -185,7 +196,7 @@
         if transport is None or self._is_unwritable():
             return NotSent("the connection was closed")
         self._begin_exchange(request)
-        bound_unread(transport, is_writing_body=True)
+        self._allow_slow_reading(transport)
         transport.write(request.encode())
         writer = self._loop.create_task(self._write_body(body, first_piece))
         self._body_writer = writer
@@ -195,10 +206,27 @@
             self._body_writer = None
             writer.cancel()
             await asyncio.wait((writer,))
-        if self._is_reusable:
-            bound_unread(transport, is_writing_body=False)
         return response
 
+    def _allow_slow_reading(self, transport: asyncio.Transport) -> None:
+        """Let the target read the request as slowly as its deadline allows.
+
+        The system's bound would also end the request of a target that is slow
+        or whose slots are taken, and that acknowledges bytes without reading.
+        """
+        if not self._may_stay_unread:
+            self._may_stay_unread = True
+            bound_unacknowledged(transport, UNBOUNDED_MS)
+
+    def _bound_silence_again(self) -> None:
+        """Bound the silence of the target, unless it has to read more."""
+        transport = self.transport
+        if transport is None or not self._may_stay_unread:
+            return
+        if not unacknowledged_bytes(transport):
+            self._may_stay_unread = False
+            bound_unacknowledged(transport, MAX_UNACKNOWLEDGED_MS)
+
     async def _write_body(self, body: StreamedBody, first_piece: bytes) -> None:
         try:
             await write_body(body, first_piece, self._write, self._drain_helper)
@@ -317,7 +345,9 @@
         if not self._responses.empty() or self._has_unsent_bytes():
             self._is_reusable = False
         self.idle_until = now() + _keep_alive_seconds(response)
-        if not self._is_reusable:
+        if self._is_reusable:
+            self._bound_silence_again()
+        else:
             self.abort()
 
     def _has_unsent_bytes(self) -> bool:
