Take no response with an invalid status for an answer

Callers saw: a response with status 000 was skipped as an interim one, so that its request waited until the deadline, and 504 came where another target could have served it; 600 and 999 reached callers. In the own protocol, 000 did. Cause: the parser accepts any three digits, and everything below 200 counted as interim, everything else as final. Ruled out: fewer, more or other characters, which the parser refuses. Change: status_codes says which statuses are final and which interim. Any other ends the exchange, for requests, orders, the store and the own protocol.

--- a/src/balsamway/exchange/response_reader.py
+++ b/src/balsamway/exchange/response_reader.py
@@ -8,6 +8,8 @@
 from aiohttp.client_exceptions import ClientPayloadError
 from aiohttp.http import HttpResponseParser
 
+from balsamway.targets.status_codes import is_final, is_interim
+
 if TYPE_CHECKING:
     import asyncio
     from collections.abc import Iterator
@@ -118,8 +120,8 @@
             The responses that are complete with these bytes.
 
         Raises:
-            ClientPayloadError: If a body is invalid, or the bounds are
-                exceeded.
+            ClientPayloadError: If a status or a body is invalid, or the bounds
+                are exceeded.
             HttpProcessingError: If the bytes are no response.
             ValueError: If a number in them is invalid.
         """
@@ -134,6 +136,8 @@
             yield from self._take_body()
             for head, payload in messages:
                 self._received_heads += 1
+                if not (is_final(head.code) or is_interim(head.code)):
+                    raise ClientPayloadError(f"the status {head.code:03} is invalid")
                 self._head_bytes = self._framing_bytes
                 self._head, self._payload = head, payload
                 yield from self._take_body()
--- a/src/balsamway/exchange/target_connection.py
+++ b/src/balsamway/exchange/target_connection.py
@@ -27,6 +27,7 @@
 )
 from balsamway.exchange.streamed_body import BodyBroken
 from balsamway.targets import header_names
+from balsamway.targets.status_codes import is_interim
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -308,7 +309,7 @@
             if isinstance(received, Exception):
                 return ResponseLost(f"{type(received).__name__}: {received}")
             head = received.head
-            if head.code < 200:
+            if is_interim(head.code):
                 continue
             if head.should_close:
                 self._is_reusable = False
--- a/src/balsamway/targets/http_transport.py
+++ b/src/balsamway/targets/http_transport.py
@@ -16,6 +16,7 @@
 from balsamway.targets import header_names
 from balsamway.targets._attempt_progress import AttemptProgress, connection_trace
 from balsamway.targets.bounded_read import read_bounded
+from balsamway.targets.status_codes import is_final
 from balsamway.targets.target_response import parse_response
 
 if TYPE_CHECKING:
@@ -110,6 +111,8 @@
                 asyncio.timeout(timeout_seconds),
                 self._session(target).get(url) as response,
             ):
+                if not is_final(response.status):
+                    return None
                 return msgspec.json.decode(
                     await read_bounded(response), type=TargetHealth
                 )
--- a/src/balsamway/targets/target_response.py
+++ b/src/balsamway/targets/target_response.py
@@ -8,6 +8,7 @@
 
 from balsamway.outcome import Completed, MayHaveRun, NotRun, Reason
 from balsamway.targets import header_names
+from balsamway.targets.status_codes import is_final
 
 if TYPE_CHECKING:
     from balsamway.outcome import Verdict
@@ -58,6 +59,10 @@
     """
     if response.headers.get(header_names.REQUEST_ID) != request.request_id:
         return MayHaveRun(Reason.ANSWER_MISMATCHED)
+    if not is_final(response.status):
+        return MayHaveRun(
+            Reason.TARGET_ERROR, f"the status {response.status:03} is invalid"
+        )
     match response.headers.get(header_names.VERDICT):
         case "completed":
             return await _read_completed(response)
