Use a live target that the store lists by an older entry

Cause: an entry with a lower sequence than that of a removed target was never used. A target that lapsed in an outage and is in an older copy of the store would have stayed hidden, since its heartbeats alone are no change that a watch reports. An entry that was missing and is listed again with a lower sequence was removed all the same. Both came with the order by sequence, and were found by reading it again. An older entry of a known target ends its removal.

--- a/src/balsamway/discovery/outdated_entries.py
+++ b/src/balsamway/discovery/outdated_entries.py
@@ -84,14 +84,15 @@
         latest = known or self._last_of_gone(entry.name)
         if latest is None:
             return False
-        if entry.is_older_write_than(latest):
-            _log_outdated(entry, latest)
-            return True
-        if not self._may_be_outdated(entry, known, latest):
+        is_outdated = entry.is_older_write_than(latest)
+        if not is_outdated and not self._may_be_outdated(entry, known, latest):
             return False
         _log_outdated(entry, latest)
-        began_at = self._restored_at if self.is_settling else now()
-        self._held_back[entry.name] = (entry, began_at + HOLD_BACK_SECONDS)
+        # A target that was removed without a drain may live. Its heartbeats
+        # alone are no change that the store reports.
+        if not is_outdated or (known is None and not latest.is_draining):
+            began_at = self._restored_at if self.is_settling else now()
+            self._held_back[entry.name] = (entry, began_at + HOLD_BACK_SECONDS)
         return True
 
     def take_due(self) -> tuple[TargetEntry, ...]:
@@ -104,8 +105,8 @@
         return due
 
     def _last_of_gone(self, name: str) -> TargetEntry | None:
-        gone = self._gone.get(name)
-        return None if gone is None else gone[0]
+        entry, gone_at = self._gone.get(name, (None, 0.0))
+        return entry if now() < gone_at + GONE_MEMORY_SECONDS else None
 
     def _may_be_outdated(
         self, entry: TargetEntry, known: TargetEntry | None, latest: TargetEntry
--- a/src/balsamway/discovery/target_directory.py
+++ b/src/balsamway/discovery/target_directory.py
@@ -154,6 +154,8 @@
         known = self._entries.get(entry.name)
         if not self._outdated.hold_back(entry, known):
             self._apply(entry)
+        elif known is not None and known.key == entry.key:
+            self._removal_at.pop(entry.name, None)
 
     def _apply(self, entry: TargetEntry) -> None:
         known = self._entries.get(entry.name)
--- a/tests/discovery/test_outdated_entries.py
+++ b/tests/discovery/test_outdated_entries.py
@@ -79,6 +79,29 @@
     assert directory.find("i-1") == READY
 
 
+# Guards against live targets that are hidden: their heartbeats are no change.
+@pytest.mark.parametrize("is_restored", [False, True])
+async def test_a_removed_target_that_an_older_entry_lists_is_used_later(
+    directory, is_restored
+):
+    directory.remove("i-1")
+    if is_restored:
+        directory.on_store_restored()
+    older = replace(READY, sequence=5)
+    directory.update(older)
+    await keep_house(directory, 6.0)
+    assert directory.find("i-1") == older
+
+
+# Guards against the removal of a target that the store lists again.
+async def test_an_older_entry_ends_the_removal_of_its_target(directory):
+    directory.on_store_recovered()
+    directory.replace([OTHER])
+    directory.update(replace(READY, sequence=5))
+    await keep_house(directory, 6.0)
+    assert directory.find("i-1") == READY
+
+
 async def test_a_later_entry_of_the_same_life_is_used_at_once(directory):
     directory.update(DRAINING)
     again = replace(READY, sequence=10)
