Compare the order of entries with a naive search

Cause: the order of a target's entries had examples only. Change: a property test: whatever the order in which the store executes the writes of up to three lives, the latest write counts.

--- a/tests/discovery/test_outdated_entries.py
+++ b/tests/discovery/test_outdated_entries.py
@@ -6,6 +6,8 @@
 from dataclasses import replace
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from balsamway.discovery import TargetDirectory, TargetEntry
 
@@ -123,3 +125,37 @@
     directory.update(restarted)
     await keep_house(directory, 6.0)
     assert directory.find("i-1") == restarted
+
+
+# Guards against any order in which the store executes a target's writes.
+@given(
+    st.lists(
+        st.tuples(st.integers(1, 3), st.integers(1, 6), st.booleans()),
+        min_size=1,
+        max_size=12,
+        unique_by=lambda write: write[:2],
+    ),
+    st.booleans(),
+)
+def test_the_latest_write_counts_in_any_order(writes, is_snapshot):
+    async def check():
+        directory = TargetDirectory()
+        latest = None
+        for incarnation, sequence, is_draining in writes:
+            entry = replace(
+                READY,
+                incarnation=incarnation,
+                sequence=sequence,
+                is_draining=is_draining,
+            )
+            if is_snapshot:
+                directory.replace([entry])
+            else:
+                directory.update(entry)
+            latest = max(
+                filter(None, (latest, entry)),
+                key=lambda known: (known.incarnation, known.sequence),
+            )
+            assert directory.find("i-1") == latest
+
+    asyncio.run(check())
