--- a/src/balsamway/forwarding/attempt_loop.py
+++ b/src/balsamway/forwarding/attempt_loop.py
@@ -299,8 +299,11 @@
     async def _on_withdrawn(self, state: TargetState) -> None:
         """Give up a target that was chosen and can't be sent to any more.
 
-        The loop would otherwise turn without waiting if the target was chosen
-        again. A key has no other owner to choose, so its owner is awaited.
+        If it was chosen again, the loop could repeat without waiting. A key
+        has no other target to choose, so a change of its owner is awaited.
+
+        Args:
+            state: The state of the target.
         """
         if self.service.is_keyed:
             await self._wait_for_owner(OWNER_RECHECK_SECONDS)
