--- a/review/harness3.py
+++ b/review/harness3.py
@@ -11,6 +11,7 @@
 import contextlib
 import json
 import os
+import signal
 import socket
 import subprocess
 import sys
@@ -583,6 +584,8 @@
                     instance.stop()
                 store.stop_listening()
 
+    # The processes are ended too if the script is stopped from outside.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(COULD_NOT_RUN))
     try:
         if not (ROOT / "target/deps/balsamway").is_dir():
             raise CouldNotRun("the build of the deploy file is missing")
